Add core types, first decisions and the peer protocol

Cause: all later parts speak the verdict, call and policy types. Change: data classes, pure decisions without clock or input and output, validated settings and headers, thrift frames with committed generated code.

--- /dev/null
+++ b/oleanderknot/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control layer for service call graphs."""
--- /dev/null
+++ b/oleanderknot/decisions/__init__.py
@@ -0,0 +1,31 @@
+"""Pure decisions: no input or output, no clock, no random source."""
+
+from oleanderknot.decisions.chain_account import ChainAccount
+from oleanderknot.decisions.chain_account import open_account
+from oleanderknot.decisions.chain_table import ChainTable
+from oleanderknot.decisions.instance_load import InstanceLoad
+from oleanderknot.decisions.instance_load import MAX_LEVEL
+from oleanderknot.decisions.member_table import is_newer
+from oleanderknot.decisions.member_table import MemberTable
+from oleanderknot.decisions.policy_table import match_route
+from oleanderknot.decisions.policy_table import PolicyTable
+from oleanderknot.decisions.priority import rank
+from oleanderknot.decisions.retry_budget import RetryBudget
+from oleanderknot.decisions.upstream_choice import Candidate
+from oleanderknot.decisions.upstream_choice import choose
+
+__all__ = [
+    'Candidate',
+    'ChainAccount',
+    'ChainTable',
+    'InstanceLoad',
+    'MAX_LEVEL',
+    'MemberTable',
+    'PolicyTable',
+    'RetryBudget',
+    'choose',
+    'is_newer',
+    'match_route',
+    'open_account',
+    'rank',
+]
--- /dev/null
+++ b/oleanderknot/decisions/chain_account.py
@@ -0,0 +1,114 @@
+"""Retries and waiting time of the requests that a node has admitted."""
+
+import dataclasses
+
+from oleanderknot import model
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ChainAccount:
+    """What the requests of one trace may still spend at one node.
+
+    Attributes:
+        request_class: Importance of the chain.
+        deadline: Monotonic time in seconds at which the chain must answer.
+        depth: Calls above the request that the upstream runs.
+        route: Route of the request that the upstream runs.
+        ticket: Ticket that set the policy of the chain.
+        sampled: Whether the trace is recorded.
+        remaining: Retries left for all outgoing calls.
+        requests: Requests of the trace that run at the upstream.
+        outgoing: Calls that the upstream waits for.
+        waiting_since: Monotonic time in seconds since which ``outgoing`` is
+            above 0.
+        waited: Seconds with at least one outgoing call, so far.
+        called: Services that the upstream has called.
+    """
+
+    request_class: model.RequestClass
+    deadline: float
+    depth: int
+    route: str
+    ticket: int
+    sampled: bool
+    remaining: int = 0
+    requests: int = 0
+    outgoing: int = 0
+    waiting_since: float = 0.0
+    waited: float = 0.0
+    called: set[str] = dataclasses.field(default_factory=set)
+
+    def grant(self) -> int:
+        """Take the part of the allowance that an outgoing call carries.
+
+        At least half stays, so that a lost answer, whose part counts as
+        spent, cannot use up the retry that it calls for.
+
+        Returns:
+            Number of retries that the call may spend.
+        """
+        part = self.remaining // 2
+        self.remaining -= part
+        return part
+
+    def refund(self, unspent: int, granted: int) -> None:
+        """Take back what an outgoing call did not spend.
+
+        Args:
+            unspent: Retries that the other node reports as not spent.
+            granted: Retries that the call carried; the other node cannot
+                give back more.
+        """
+        self.remaining += min(max(unspent, 0), granted)
+
+    def spend(self) -> bool:
+        """Take one retry.
+
+        Returns:
+            Whether there was one left.
+        """
+        if self.remaining <= 0:
+            return False
+        self.remaining -= 1
+        return True
+
+    def start_waiting(self, now: float) -> None:
+        """Note that an outgoing call starts.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        if self.outgoing == 0:
+            self.waiting_since = now
+        self.outgoing += 1
+
+    def stop_waiting(self, now: float) -> None:
+        """Note that an outgoing call has ended.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        self.outgoing -= 1
+        if self.outgoing == 0:
+            self.waited += now - self.waiting_since
+
+
+def open_account(call: model.Call) -> ChainAccount:
+    """Open the account of a call with the allowance that it carries.
+
+    Args:
+        call: A call at its first node or as it arrives beside an upstream.
+
+    Returns:
+        The account.
+    """
+    return ChainAccount(
+        request_class=call.request_class,
+        deadline=call.deadline,
+        depth=call.depth,
+        route=call.route,
+        ticket=call.ticket,
+        sampled=call.sampled,
+        remaining=call.allowance,
+        requests=1,
+    )
--- /dev/null
+++ b/oleanderknot/decisions/instance_load.py
@@ -0,0 +1,60 @@
+"""Load of one upstream as another node sees it."""
+
+import dataclasses
+
+from oleanderknot import model
+
+MAX_LEVEL = 4.0
+
+# Levels that a reported admission level regains each second without a new
+# report; this is how a node probes an upstream again after refusals.
+LEVEL_RISE_PER_S = 1.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class InstanceLoad:
+    """What a node knows about the load of one upstream.
+
+    Attributes:
+        limit: Concurrency limit, reported or the upstream's slots.
+        outstanding: Calls of this node that the upstream has not answered.
+        in_flight: Calls that the upstream's node reported last.
+        levels: Admission level and time of its report in seconds, by route.
+    """
+
+    limit: int
+    outstanding: int = 0
+    in_flight: int = 0
+    levels: dict[str, tuple[float, float]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def take_report(self, report: model.LoadReport, now: float) -> None:
+        """Take a load report.
+
+        Args:
+            report: The report of the upstream's node.
+            now: Monotonic time in seconds.
+        """
+        self.in_flight = report.in_flight
+        self.limit = max(1, report.limit)
+        if report.level >= MAX_LEVEL:
+            self.levels.pop(report.route, None)
+        else:
+            self.levels[report.route] = (report.level, now)
+
+    def find_level(self, route: str, now: float) -> float:
+        """Return the admission level that the upstream is thought to have.
+
+        Args:
+            route: Path prefix of the route.
+            now: Monotonic time in seconds.
+
+        Returns:
+            A level from 0 to 4.
+        """
+        reported = self.levels.get(route)
+        if reported is None:
+            return MAX_LEVEL
+        level, reported_at = reported
+        return min(MAX_LEVEL, level + LEVEL_RISE_PER_S * (now - reported_at))
--- /dev/null
+++ b/oleanderknot/decisions/policy_table.py
@@ -0,0 +1,123 @@
+"""Policy in force for each scope."""
+
+import collections.abc
+import functools
+
+from oleanderknot import model
+
+
+class PolicyTable:
+    """Keeps for each scope the state with the highest ticket number.
+
+    Attributes:
+        scopes: State in force by scope.
+        highest: Highest ticket number seen; 0 for none.
+    """
+
+    def __init__(self) -> None:
+        self.scopes: dict[str, model.ScopeState] = {}
+        self.highest = 0
+
+    def merge(
+        self, states: collections.abc.Iterable[model.ScopeState]
+    ) -> list[model.ScopeState]:
+        """Take states in any order; an older one never replaces a newer one.
+
+        Args:
+            states: States of scopes, from tickets or from other nodes.
+
+        Returns:
+            The states that are now in force and were not before.
+        """
+        changed = []
+        for state in states:
+            current = self.scopes.get(state.scope)
+            if current is not None and current.number >= state.number:
+                continue
+            self.scopes[state.scope] = state
+            self.highest = max(self.highest, state.number)
+            changed.append(state)
+        return changed
+
+    def find_service(self, service: str) -> tuple[model.ServicePolicy, int]:
+        """Return the policy of a service and the number of its ticket."""
+        state = self.scopes.get('service/' + service)
+        if state is None:
+            return build_default_policy(service), 0
+        return state.policy, state.number
+
+    def find_global(self) -> tuple[model.GlobalPolicy, int]:
+        """Return the policy for all services and its ticket's number."""
+        state = self.scopes.get('global')
+        if state is None:
+            return DEFAULT_GLOBAL_POLICY, 0
+        return state.policy, state.number
+
+    def takes_work(self, instance: str) -> bool:
+        """Return whether the policy lets an upstream take new work."""
+        state = self.scopes.get('upstream/' + instance)
+        return state is None or state.policy.taking_work
+
+
+DEFAULT_GLOBAL_POLICY = model.GlobalPolicy()
+
+DEFAULT_RETRIES = 2
+DEFAULT_DEADLINE_MS = 5000
+READ_METHODS = ('GET', 'HEAD', 'OPTIONS')
+
+
+@functools.lru_cache(maxsize=4096)
+def build_default_policy(service: str) -> model.ServicePolicy:
+    """Build the policy of a service that no ticket names.
+
+    Reads are browsing and idempotent; everything else is taken for an order
+    that must not run twice.
+
+    Args:
+        service: Name of the service.
+
+    Returns:
+        The built-in policy.
+    """
+    reads = tuple(
+        model.RoutePolicy(
+            method=method,
+            prefix='/',
+            request_class=model.RequestClass.BROWSING,
+            idempotent=True,
+            deadline_ms=DEFAULT_DEADLINE_MS,
+            retries=DEFAULT_RETRIES,
+        )
+        for method in READ_METHODS
+    )
+    rest = model.RoutePolicy(
+        method='*',
+        prefix='/',
+        request_class=model.RequestClass.ORDER,
+        idempotent=False,
+        deadline_ms=DEFAULT_DEADLINE_MS,
+        retries=DEFAULT_RETRIES,
+    )
+    return model.ServicePolicy(service=service, routes=(*reads, rest))
+
+
+def match_route(
+    policy: model.ServicePolicy, method: str, path: str
+) -> model.RoutePolicy:
+    """Return the first route of a policy that matches a request.
+
+    A request that no route matches gets the built-in policy.
+
+    Args:
+        policy: Policy of the service.
+        method: HTTP method in upper case.
+        path: Path and query, starting with ``/``.
+
+    Returns:
+        The route.
+    """
+    for route in policy.routes:
+        if route.method in ('*', method) and path.startswith(route.prefix):
+            return route
+    fallback = build_default_policy(policy.service)
+    return match_route(fallback, method, '/')
--- /dev/null
+++ b/oleanderknot/decisions/priority.py
@@ -0,0 +1,23 @@
+"""Priority number of a request, the same at every node of its chain."""
+
+from oleanderknot import model
+
+HASH_SPAN = 1 << 32
+
+
+def rank(request_class: model.RequestClass, trace_id: str) -> float:
+    """Return the priority number; the lowest is shed last.
+
+    The fraction comes from the trace id, so every node of a chain sheds the
+    same requests of a class and no work is done for a request that a deeper
+    node refuses.
+
+    Args:
+        request_class: Importance of the chain.
+        trace_id: 32 hexadecimal digits; the last 8 are used, since the
+            W3C recommends that they are random.
+
+    Returns:
+        A number from 0 up to 4.
+    """
+    return request_class + int(trace_id[-8:], 16) / HASH_SPAN
--- /dev/null
+++ b/oleanderknot/decisions/retry_budget.py
@@ -0,0 +1,62 @@
+"""Limits the retries of a node to a share of its successes."""
+
+import collections
+
+WINDOW_S = 10
+
+
+class RetryBudget:
+    """Counts successes and retries in one-second buckets.
+
+    Attributes:
+        buckets: Second, successes and retries of each bucket, oldest first.
+        successes: Successes within the window.
+        retries: Retries within the window.
+    """
+
+    def __init__(self) -> None:
+        self.buckets: collections.deque[list[int]] = collections.deque()
+        self.successes = 0
+        self.retries = 0
+
+    def advance(self, now: float) -> list[int]:
+        """Drop buckets older than the window and return the current one.
+
+        Args:
+            now: Monotonic time in seconds.
+
+        Returns:
+            The bucket of the current second.
+        """
+        second = int(now)
+        buckets = self.buckets
+        while buckets and buckets[0][0] <= second - WINDOW_S:
+            _, successes, retries = buckets.popleft()
+            self.successes -= successes
+            self.retries -= retries
+        if not buckets or buckets[-1][0] != second:
+            buckets.append([second, 0, 0])
+        return buckets[-1]
+
+    def count_success(self, now: float) -> None:
+        """Count a call that was answered."""
+        self.advance(now)[1] += 1
+        self.successes += 1
+
+    def take(self, now: float, ratio: float, minimum: int) -> bool:
+        """Take one retry if the budget has room.
+
+        Args:
+            now: Monotonic time in seconds.
+            ratio: Retries allowed as a share of the successes.
+            minimum: Retries allowed whatever the successes.
+
+        Returns:
+            Whether the retry may run.
+        """
+        bucket = self.advance(now)
+        if self.retries >= minimum + ratio * self.successes:
+            return False
+        bucket[2] += 1
+        self.retries += 1
+        return True
--- /dev/null
+++ b/oleanderknot/decisions/upstream_choice.py
@@ -0,0 +1,82 @@
+"""Chooses the upstream that a call goes to."""
+
+import collections.abc
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Candidate:
+    """An upstream as the choosing node sees it.
+
+    Attributes:
+        instance: Name of the instance.
+        local: Whether it is in the data centre of the choosing node.
+        suspect: Whether it may have failed.
+        outstanding: Calls of this node that it has not answered.
+        in_flight: Calls that it reported last.
+        limit: Concurrency limit that it reported last; its slots at first.
+        level: Admission level that it is thought to have, from 0 to 4.
+    """
+
+    instance: str
+    local: bool
+    suspect: bool
+    outstanding: int
+    in_flight: int
+    limit: int
+    level: float
+
+
+def score(candidate: Candidate) -> float:
+    """Return the relative load of an upstream; lower is better."""
+    load = candidate.outstanding + candidate.in_flight + 1
+    return load / max(1, candidate.limit)
+
+
+def choose(
+    candidates: collections.abc.Sequence[Candidate],
+    *,
+    priority: float,
+    tried: collections.abc.Container[str],
+    draw: collections.abc.Callable[[int], int],
+) -> Candidate | None:
+    """Choose the less loaded of two upstreams taken at random.
+
+    Upstreams of the own data centre go before others, healthy ones before
+    suspected ones, and only those whose level admits the request count.
+
+    Args:
+        candidates: Upstreams of the service that take work.
+        priority: Priority number of the request.
+        tried: Instances that earlier attempts went to; they are used only
+            when no other is left.
+        draw: Returns a random number below its argument.
+
+    Returns:
+        The choice, or None when no upstream admits the request.
+    """
+    admitting = [item for item in candidates if priority < item.level]
+    if not admitting:
+        return None
+    if len(admitting) == 1:
+        return admitting[0]
+    best = min(rate_group(item, tried) for item in admitting)
+    group = [item for item in admitting if rate_group(item, tried) == best]
+    if len(group) == 1:
+        return group[0]
+    first = draw(len(group))
+    second = draw(len(group) - 1)
+    if second >= first:
+        second += 1
+    return min(group[first], group[second], key=score)
+
+
+def rate_group(
+    candidate: Candidate, tried: collections.abc.Container[str]
+) -> int:
+    """Return the group of an upstream; lower groups are used first."""
+    return (
+        4 * (candidate.instance in tried)
+        + 2 * candidate.suspect
+        + (not candidate.local)
+    )
--- /dev/null
+++ b/oleanderknot/model/__init__.py
@@ -0,0 +1,57 @@
+"""Data classes, enums and the verdict type that the other folders speak."""
+
+from oleanderknot.model.answer import Answer
+from oleanderknot.model.answer import Body
+from oleanderknot.model.body_cut import BodyCut
+from oleanderknot.model.call import Call
+from oleanderknot.model.call import Headers
+from oleanderknot.model.decision_key import DecisionKey
+from oleanderknot.model.global_policy import GlobalPolicy
+from oleanderknot.model.load_report import LoadReport
+from oleanderknot.model.member import Member
+from oleanderknot.model.member_state import MemberState
+from oleanderknot.model.node_identity import NodeIdentity
+from oleanderknot.model.order_key import OrderKey
+from oleanderknot.model.platform_fault import FaultKind
+from oleanderknot.model.platform_fault import PlatformFault
+from oleanderknot.model.refusal import build_refusal
+from oleanderknot.model.refusal import Refusal
+from oleanderknot.model.request_class import RequestClass
+from oleanderknot.model.route_policy import RoutePolicy
+from oleanderknot.model.rule import Rule
+from oleanderknot.model.scope_state import Policy
+from oleanderknot.model.scope_state import ScopeState
+from oleanderknot.model.service_policy import ServicePolicy
+from oleanderknot.model.table_row import TableRow
+from oleanderknot.model.ticket import Ticket
+from oleanderknot.model.upstream_policy import UpstreamPolicy
+from oleanderknot.model.verdict import Verdict
+
+__all__ = [
+    'Answer',
+    'Body',
+    'BodyCut',
+    'Call',
+    'DecisionKey',
+    'GlobalPolicy',
+    'Headers',
+    'LoadReport',
+    'Member',
+    'MemberState',
+    'NodeIdentity',
+    'OrderKey',
+    'Policy',
+    'Refusal',
+    'RequestClass',
+    'RoutePolicy',
+    'Rule',
+    'ScopeState',
+    'ServicePolicy',
+    'Ticket',
+    'UpstreamPolicy',
+    'FaultKind',
+    'PlatformFault',
+    'TableRow',
+    'Verdict',
+    'build_refusal',
+]
--- /dev/null
+++ b/oleanderknot/model/load_report.py
@@ -0,0 +1,22 @@
+"""Load of an upstream as its node reports it."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class LoadReport:
+    """Load of one upstream for one route.
+
+    Attributes:
+        service: Service of the upstream.
+        route: Path prefix of the route; empty for the whole service.
+        level: Admission level from 0 (nothing) to 4 (everything).
+        in_flight: Calls that run or wait at the upstream.
+        limit: Concurrency limit in force, in calls.
+    """
+
+    service: str
+    route: str
+    level: float
+    in_flight: int
+    limit: int
--- /dev/null
+++ b/oleanderknot/model/member_state.py
@@ -0,0 +1,14 @@
+"""State of a member."""
+
+import enum
+
+
+class MemberState(enum.IntEnum):
+    """State of a node and its upstream; a higher number is worse."""
+
+    JOINING = 0
+    TAKING = 1
+    SUSPECT = 2
+    LEAVING = 3
+    LEFT = 4
+    DEAD = 5
--- /dev/null
+++ b/oleanderknot/model/route_policy.py
@@ -0,0 +1,26 @@
+"""Policy of one route."""
+
+import dataclasses
+
+from oleanderknot.model import request_class as classes
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RoutePolicy:
+    """Policy for the requests of a service that match a route.
+
+    Attributes:
+        method: HTTP method, or ``*`` for all.
+        prefix: Path prefix, starting with ``/``.
+        request_class: Importance of chains that start here.
+        idempotent: Whether a second run does no harm.
+        deadline_ms: Milliseconds in which the answer's head is due.
+        retries: Retries that one request may cause in its whole chain.
+    """
+
+    method: str
+    prefix: str
+    request_class: classes.RequestClass
+    idempotent: bool
+    deadline_ms: int
+    retries: int
--- /dev/null
+++ b/oleanderknot/model/verdict.py
@@ -0,0 +1,14 @@
+"""Whether a request may have run."""
+
+import enum
+
+
+class Verdict(enum.Enum):
+    """Says whether a request may have run at an upstream.
+
+    The values are the texts of the ``Oleanderknot-Verdict`` header.
+    """
+
+    NOT_RUN = 'not-run'
+    MAY_HAVE_RUN = 'may-have-run'
+    ANSWERED = 'answered'
--- /dev/null
+++ b/oleanderknot/wire/__init__.py
@@ -0,0 +1,71 @@
+"""Encodes the messages between nodes by thrift."""
+
+from oleanderknot.wire.bad_frame import BadFrame
+from oleanderknot.wire.codec import decode
+from oleanderknot.wire.codec import encode
+from oleanderknot.wire.codec import MAX_FRAME_BYTES
+from oleanderknot.wire.frame_reader import FrameReader
+from oleanderknot.wire.gen.peer.ttypes import Cancel
+from oleanderknot.wire.gen.peer.ttypes import Chunk
+from oleanderknot.wire.gen.peer.ttypes import Credit
+from oleanderknot.wire.gen.peer.ttypes import Failure
+from oleanderknot.wire.gen.peer.ttypes import Frame
+from oleanderknot.wire.gen.peer.ttypes import Gossip
+from oleanderknot.wire.gen.peer.ttypes import Head
+from oleanderknot.wire.gen.peer.ttypes import Hello
+from oleanderknot.wire.gen.peer.ttypes import KeyQuery
+from oleanderknot.wire.gen.peer.ttypes import KeyState
+from oleanderknot.wire.gen.peer.ttypes import Member
+from oleanderknot.wire.gen.peer.ttypes import MemberVersion
+from oleanderknot.wire.gen.peer.ttypes import Open
+from oleanderknot.wire.gen.peer.ttypes import Ping
+from oleanderknot.wire.gen.peer.ttypes import PolicyDigest
+from oleanderknot.wire.gen.peer.ttypes import PolicySync
+from oleanderknot.wire.gen.peer.ttypes import Pong
+from oleanderknot.wire.gen.peer.ttypes import ScopeState
+from oleanderknot.wire.translate import answer_from_head
+from oleanderknot.wire.translate import call_from_open
+from oleanderknot.wire.translate import failure_from_refusal
+from oleanderknot.wire.translate import flatten
+from oleanderknot.wire.translate import head_from_answer
+from oleanderknot.wire.translate import model_member
+from oleanderknot.wire.translate import open_from_call
+from oleanderknot.wire.translate import pair
+from oleanderknot.wire.translate import refusal_from_failure
+from oleanderknot.wire.translate import wire_member
+
+__all__ = [
+    'BadFrame',
+    'Cancel',
+    'Chunk',
+    'Credit',
+    'Failure',
+    'Frame',
+    'FrameReader',
+    'Gossip',
+    'Head',
+    'Hello',
+    'KeyQuery',
+    'KeyState',
+    'MAX_FRAME_BYTES',
+    'Member',
+    'MemberVersion',
+    'Open',
+    'Ping',
+    'PolicyDigest',
+    'PolicySync',
+    'Pong',
+    'ScopeState',
+    'answer_from_head',
+    'call_from_open',
+    'decode',
+    'encode',
+    'failure_from_refusal',
+    'flatten',
+    'head_from_answer',
+    'model_member',
+    'open_from_call',
+    'pair',
+    'refusal_from_failure',
+    'wire_member',
+]
--- /dev/null
+++ b/oleanderknot/wire/frame_reader.py
@@ -0,0 +1,49 @@
+"""Splits a byte stream into frames."""
+
+import collections.abc
+
+from oleanderknot.wire import bad_frame
+from oleanderknot.wire import codec
+from oleanderknot.wire.gen.peer import ttypes
+
+
+class FrameReader:
+    """Collects received bytes until frames are whole.
+
+    Attributes:
+        pending: Bytes received that make up no whole frame yet.
+    """
+
+    def __init__(self) -> None:
+        self.pending = bytearray()
+
+    def feed(self, data: bytes) -> collections.abc.Iterator[ttypes.Frame]:
+        """Take bytes and give the frames that they complete.
+
+        Args:
+            data: Bytes as received.
+
+        Yields:
+            Each whole frame, in order.
+
+        Raises:
+            BadFrame: The length or the content of a frame is invalid.
+        """
+        pending = self.pending
+        pending += data
+        start = 0
+        size = len(pending)
+        while size - start >= codec.LENGTH.size:
+            (length,) = codec.LENGTH.unpack_from(pending, start)
+            if length > codec.MAX_FRAME_BYTES:
+                raise bad_frame.BadFrame(
+                    'frame of %d bytes exceeds %d'
+                    % (length, codec.MAX_FRAME_BYTES)
+                )
+            end = start + codec.LENGTH.size + length
+            if end > size:
+                break
+            content = bytes(pending[start + codec.LENGTH.size : end])
+            start = end
+            yield codec.decode(content)
+        del pending[:start]
--- /dev/null
+++ b/oleanderknot/wire/gen/peer/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/oleanderknot/wire/peer.thrift
@@ -0,0 +1,165 @@
+// Messages between two nodes; see docs/design.md, section 5.
+// A header list holds names and values in turn.
+
+struct Hello {
+  1: i32 protocol
+  2: i64 session
+  3: string instance
+  4: i64 incarnation
+  5: string data_centre
+  6: string target_instance
+  7: i64 target_incarnation
+}
+
+struct LoadReport {
+  1: string service_name
+  2: string route
+  3: double level
+  4: i32 in_flight
+  5: i32 limit
+}
+
+struct Open {
+  1: string service_name
+  2: string method
+  3: string path
+  4: list<binary> headers
+  5: binary body
+  6: bool body_complete
+  7: i32 request_class
+  8: i32 depth
+  9: i32 deadline_ms
+  10: i64 deadline_epoch_ms
+  11: i32 allowance
+  12: string key
+  13: bool idempotent
+  14: string trace_id
+  15: string span_id
+  16: string root_route
+  17: i64 ticket
+  18: bool sampled
+}
+
+struct Head {
+  1: i32 status
+  2: list<binary> headers
+  3: binary body
+  4: bool body_complete
+  5: i32 unspent
+  6: list<LoadReport> reports
+}
+
+struct Chunk {
+  1: i64 offset
+  2: binary data
+  3: bool last
+}
+
+struct Credit {
+  1: i32 size
+}
+
+struct Cancel {
+}
+
+struct Failure {
+  1: i32 verdict
+  2: string rule
+  3: i64 ticket
+  4: string service_name
+  5: string detail
+  6: i32 retry_after_ms
+  7: i32 unspent
+  8: list<LoadReport> reports
+}
+
+struct KeyQuery {
+  1: string key
+  2: i32 wait_ms
+}
+
+struct KeyState {
+  1: string state
+  2: i32 status
+  3: list<binary> headers
+  4: binary body
+  5: Failure failure
+}
+
+struct Ping {
+  1: i64 number
+}
+
+struct Pong {
+  1: i64 number
+}
+
+struct Member {
+  1: string instance
+  2: i64 incarnation
+  3: i64 version
+  4: i32 state
+  5: string data_centre
+  6: string host
+  7: i32 peer_port
+  8: i32 caller_port
+  9: i32 operator_port
+  10: string service_name
+  11: i32 slots
+}
+
+struct MemberVersion {
+  1: string instance
+  2: i64 incarnation
+  3: i64 version
+  4: i32 state
+}
+
+struct PolicyDigest {
+  1: i32 count
+  2: i64 highest
+  3: i64 hash
+}
+
+// kind: 0 probe, 1 probe answer, 2 indirect probe, 3 push, 4 versions of a
+// data centre, 5 the records that the other side lacks.
+struct Gossip {
+  1: i32 kind
+  2: i64 number
+  3: list<Member> changes
+  4: map<string, i64> hashes
+  5: string target
+  6: string data_centre
+  7: list<MemberVersion> versions
+  8: PolicyDigest policy
+}
+
+struct ScopeState {
+  1: string scope
+  2: i64 number
+  3: string state
+}
+
+// kind: 0 push, 1 request for all scopes, 2 numbers of all scopes.
+struct PolicySync {
+  1: i32 kind
+  2: list<ScopeState> scopes
+}
+
+struct Frame {
+  1: i64 session
+  2: i64 call
+  3: optional Hello hello
+  4: optional Open open
+  5: optional Head head
+  6: optional Chunk chunk
+  7: optional Credit credit
+  8: optional Cancel cancel
+  9: optional Failure failure
+  10: optional KeyQuery key_query
+  11: optional KeyState key_state
+  12: optional Ping ping
+  13: optional Pong pong
+  14: optional Gossip gossip
+  15: optional PolicySync policy_sync
+}
--- /dev/null
+++ b/oleanderknot/wire/translate.py
@@ -0,0 +1,298 @@
+"""Translates between wire structs and data classes, and validates them."""
+
+from oleanderknot import model
+from oleanderknot.wire import bad_frame
+from oleanderknot.wire.gen.peer import ttypes
+
+CLASSES = tuple(model.RequestClass)
+VERDICTS = (model.Verdict.NOT_RUN, model.Verdict.MAY_HAVE_RUN)
+RULES = {rule.value: rule for rule in model.Rule}
+MEMBER_STATES = tuple(model.MemberState)
+
+
+def check(condition: object, what: str) -> None:
+    """Raise BadFrame with a text unless the condition holds."""
+    if not condition:
+        raise bad_frame.BadFrame(what)
+
+
+def flatten(headers: model.Headers) -> list[bytes]:
+    """Put names and values of headers in turn into one list."""
+    return [part for header in headers for part in header]
+
+
+def pair(parts: list[bytes] | None) -> model.Headers:
+    """Undo ``flatten``.
+
+    Raises:
+        BadFrame: A name has no value.
+    """
+    if parts is None or len(parts) % 2:
+        raise bad_frame.BadFrame('header list without pairs')
+    return list(zip(parts[::2], parts[1::2], strict=True))
+
+
+def open_from_call(
+    call: model.Call,
+    *,
+    body: bytes,
+    body_complete: bool,
+    now: float,
+    epoch: float,
+) -> ttypes.Open:
+    """Make the message that opens a call.
+
+    Args:
+        call: The call.
+        body: First bytes of the request body.
+        body_complete: Whether ``body`` is the whole body.
+        now: Monotonic time in seconds.
+        epoch: Wall-clock time in seconds since 1970 (UTC).
+
+    Returns:
+        The message.
+    """
+    remaining_ms = max(0, int((call.deadline - now) * 1000))
+    return ttypes.Open(
+        service_name=call.service,
+        method=call.method,
+        path=call.path,
+        headers=flatten(call.headers),
+        body=body,
+        body_complete=body_complete,
+        request_class=call.request_class,
+        depth=call.depth,
+        deadline_ms=remaining_ms,
+        deadline_epoch_ms=int(epoch * 1000) + remaining_ms,
+        allowance=call.allowance,
+        key=call.key,
+        idempotent=call.idempotent,
+        trace_id=call.trace_id,
+        span_id=call.span_id,
+        root_route=call.route,
+        ticket=call.ticket,
+        sampled=call.sampled,
+    )
+
+
+def call_from_open(
+    message: ttypes.Open, *, now: float, epoch: float, skew: float
+) -> model.Call:
+    """Make a call from the message that opens it.
+
+    The deadline is the earlier of the remaining time after arrival and the
+    sender's wall-clock deadline plus the allowed clock difference, so that a
+    call that waited in the socket of a stopped process is seen as late.
+
+    Args:
+        message: The message.
+        now: Monotonic time in seconds.
+        epoch: Wall-clock time in seconds since 1970 (UTC).
+        skew: Allowed difference of wall clocks in seconds.
+
+    Returns:
+        The call.
+
+    Raises:
+        BadFrame: A field is missing or out of range.
+    """
+    for name in (
+        'service_name', 'method', 'path', 'body', 'body_complete', 'depth',
+        'deadline_ms', 'deadline_epoch_ms', 'allowance', 'key', 'idempotent',
+        'trace_id', 'span_id', 'root_route', 'ticket', 'sampled',
+    ):  # fmt: skip
+        check(getattr(message, name) is not None, 'open without ' + name)
+    check(message.path.startswith('/'), 'open with a relative path')
+    check(message.request_class in (0, 1, 2, 3), 'open with a wrong class')
+    check(0 <= message.depth < 1000, 'open with a wrong depth')
+    check(0 <= message.allowance < 1000, 'open with a wrong allowance')
+    check(message.deadline_ms >= 0, 'open with a negative deadline')
+    remaining = min(
+        message.deadline_ms / 1000,
+        message.deadline_epoch_ms / 1000 + skew - epoch,
+    )
+    return model.Call(
+        service=message.service_name,
+        method=message.method,
+        path=message.path,
+        headers=pair(message.headers),
+        request_class=CLASSES[message.request_class],
+        depth=message.depth,
+        deadline=now + remaining,
+        allowance=message.allowance,
+        key=message.key,
+        idempotent=message.idempotent,
+        trace_id=message.trace_id,
+        span_id=message.span_id,
+        sampled=message.sampled,
+        route=message.root_route,
+        ticket=message.ticket,
+        has_body=bool(message.body) or not message.body_complete,
+    )
+
+
+def wire_reports(
+    reports: tuple[model.LoadReport, ...],
+) -> list[ttypes.LoadReport]:
+    """Make wire structs of load reports."""
+    return [
+        ttypes.LoadReport(
+            service_name=report.service,
+            route=report.route,
+            level=report.level,
+            in_flight=report.in_flight,
+            limit=report.limit,
+        )
+        for report in reports
+    ]
+
+
+def model_reports(
+    reports: list[ttypes.LoadReport] | None,
+) -> tuple[model.LoadReport, ...]:
+    """Make load reports of wire structs.
+
+    Raises:
+        BadFrame: A field is missing.
+    """
+    if not reports:
+        return ()
+    for report in reports:
+        check(
+            None
+            not in (
+                report.service_name,
+                report.route,
+                report.level,
+                report.in_flight,
+                report.limit,
+            ),
+            'incomplete load report',
+        )
+    return tuple(
+        model.LoadReport(
+            service=report.service_name,
+            route=report.route,
+            level=report.level,
+            in_flight=report.in_flight,
+            limit=report.limit,
+        )
+        for report in reports
+    )
+
+
+def head_from_answer(answer: model.Answer) -> ttypes.Head:
+    """Make the message that starts an answer."""
+    return ttypes.Head(
+        status=answer.status,
+        headers=flatten(answer.headers),
+        body=answer.content,
+        body_complete=answer.body is None,
+        unspent=answer.unspent,
+        reports=wire_reports(answer.reports),
+    )
+
+
+def answer_from_head(
+    message: ttypes.Head, body: model.Body | None
+) -> model.Answer:
+    """Make an answer of its first message.
+
+    Args:
+        message: The message.
+        body: The rest of the body, unless the message holds all of it.
+
+    Returns:
+        The answer.
+
+    Raises:
+        BadFrame: A field is missing or out of range.
+    """
+    check(message.status is not None, 'head without status')
+    check(200 <= message.status <= 599, 'head with a wrong status')
+    check(message.body is not None, 'head without body')
+    check((message.unspent or 0) >= 0, 'head with a wrong allowance')
+    return model.Answer(
+        status=message.status,
+        headers=pair(message.headers),
+        content=message.body,
+        body=body,
+        unspent=message.unspent or 0,
+        reports=model_reports(message.reports),
+    )
+
+
+def failure_from_refusal(refusal: model.Refusal) -> ttypes.Failure:
+    """Make the message that refuses a call."""
+    return ttypes.Failure(
+        verdict=VERDICTS.index(refusal.verdict),
+        rule=refusal.rule.value,
+        ticket=refusal.ticket,
+        service_name=refusal.service,
+        detail=refusal.detail,
+        retry_after_ms=refusal.retry_after_ms,
+        unspent=refusal.unspent,
+        reports=wire_reports(refusal.reports),
+    )
+
+
+def refusal_from_failure(message: ttypes.Failure) -> model.Refusal:
+    """Make a refusal of the message that carries it.
+
+    Raises:
+        BadFrame: A field is missing or out of range.
+    """
+    check(message.verdict in (0, 1), 'failure with a wrong verdict')
+    check(message.rule in RULES, 'failure with an unknown rule')
+    return model.Refusal(
+        verdict=VERDICTS[message.verdict],
+        rule=RULES[message.rule],
+        service=message.service_name or '',
+        detail=message.detail or '',
+        ticket=message.ticket or 0,
+        retry_after_ms=message.retry_after_ms or 0,
+        unspent=max(0, message.unspent or 0),
+        reports=model_reports(message.reports),
+    )
+
+
+def wire_member(member: model.Member) -> ttypes.Member:
+    """Make the wire struct of a member."""
+    return ttypes.Member(
+        instance=member.instance,
+        incarnation=member.incarnation,
+        version=member.version,
+        state=member.state,
+        data_centre=member.data_centre,
+        host=member.host,
+        peer_port=member.peer_port,
+        caller_port=member.caller_port,
+        operator_port=member.operator_port,
+        service_name=member.service,
+        slots=member.slots,
+    )
+
+
+def model_member(message: ttypes.Member) -> model.Member:
+    """Make a member of its wire struct.
+
+    Raises:
+        BadFrame: A field is missing or out of range.
+    """
+    for name in message.__slots__:
+        check(getattr(message, name) is not None, 'member without ' + name)
+    check(message.state in range(len(MEMBER_STATES)), 'wrong member state')
+    check(0 < message.peer_port < 65536, 'member with a wrong port')
+    return model.Member(
+        instance=message.instance,
+        incarnation=message.incarnation,
+        version=message.version,
+        state=MEMBER_STATES[message.state],
+        data_centre=message.data_centre,
+        host=message.host,
+        peer_port=message.peer_port,
+        caller_port=message.caller_port,
+        operator_port=message.operator_port,
+        service=message.service_name,
+        slots=message.slots,
+    )
