--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Behave features; one promise a feature."""
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Starts and watches the processes that features run against."""
--- /dev/null
+++ b/features/support/node.py
@@ -0,0 +1,54 @@
+"""A node process and its upstream."""
+
+import dataclasses
+
+from features.support import process as processes
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Node:
+    """Addresses and processes of one instance.
+
+    Attributes:
+        name: Name of the instance.
+        data_centre: Data centre of the instance.
+        host: IP address of the instance, one of the loopback network.
+        caller_port: TCP port for callers.
+        peer_port: TCP port for other nodes.
+        egress_port: TCP port for the upstream's outgoing calls.
+        operator_port: TCP port for operators.
+        proxy_port: TCP port of the fault proxy in front of the node.
+        control_port: TCP port that controls the fault proxy.
+        upstream_port: TCP port of the upstream; 0 without one.
+        process: The node.
+        upstream: The upstream, if there is one.
+    """
+
+    name: str
+    data_centre: str
+    host: str
+    caller_port: int
+    peer_port: int
+    egress_port: int
+    operator_port: int
+    proxy_port: int = 0
+    control_port: int = 0
+    upstream_port: int = 0
+    process: processes.Process | None = None
+    upstream: processes.Process | None = None
+
+    def caller_url(self, path: str) -> str:
+        """Return the address of a path on the callers' port."""
+        return 'http://%s:%d%s' % (self.host, self.caller_port, path)
+
+    def upstream_url(self, path: str) -> str:
+        """Return the address of a path at the upstream itself."""
+        return 'http://127.0.0.1:%d%s' % (self.upstream_port, path)
+
+    def status_url(self) -> str:
+        """Return the address of the operators' status page."""
+        return 'http://127.0.0.1:%d/status' % self.operator_port
+
+    def fault_url(self) -> str:
+        """Return the address that controls the node's fault proxy."""
+        return 'http://127.0.0.1:%d/%d' % (self.control_port, self.proxy_port)
--- /dev/null
+++ b/features/support/system.py
@@ -0,0 +1,241 @@
+"""All processes of one scenario."""
+
+import contextlib
+import pathlib
+import tempfile
+
+import yaml
+
+from features.support import http
+from features.support import node as nodes
+from features.support import ports
+from features.support import process
+from features.support import wait
+
+
+class System:
+    """Starts nodes and upstreams and ends them after the scenario.
+
+    Attributes:
+        nodes: Instances by name.
+        processes: All processes started.
+        extra_settings: Settings that every node gets besides its own.
+    """
+
+    def __init__(self) -> None:
+        self.stack = contextlib.ExitStack()
+        self.folder = pathlib.Path(
+            self.stack.enter_context(tempfile.TemporaryDirectory())
+        )
+        self.nodes: dict[str, nodes.Node] = {}
+        self.processes: list[process.Process] = []
+        self.extra_settings: dict[str, object] = {}
+        self.networks: dict[str, int] = {}
+        self.last_host = 0
+        self.platform_port = 0
+        self.platform: process.Process | None = None
+
+    def run(self, name: str, *arguments: str) -> process.Process:
+        """Start a Python module as a process.
+
+        Args:
+            name: Name for its log file.
+            arguments: Module and arguments.
+
+        Returns:
+            The process.
+        """
+        started = process.Process(
+            name='%s-%d' % (name, len(self.processes)),
+            arguments=list(arguments),
+            folder=self.folder,
+        )
+        self.processes.append(started)
+        return started
+
+    def start_platform(self) -> None:
+        """Start the stand-in platform; nodes started later use it."""
+        (self.platform_port,) = ports.take_ports(1)
+        self.platform = self.run(
+            'platform',
+            'oleanderknot.standins.platform_server',
+            '--port',
+            str(self.platform_port),
+        )
+        self.wait_for(
+            lambda: http.get_json(self.platform_url('/-/counts')),
+            'the platform starts',
+        )
+        self.extra_settings['platform'] = {
+            'table_url': self.platform_url(''),
+            'object_url': self.platform_url(''),
+        }
+
+    def platform_url(self, path: str) -> str:
+        """Return an address of the stand-in platform."""
+        return 'http://127.0.0.1:%d%s' % (self.platform_port, path)
+
+    def find_host(self, data_centre: str) -> str:
+        """Return the next free IP address of a data centre.
+
+        Each data centre has a network of its own, 127.0.<number>.*, so that
+        a fault proxy can tell where a connection comes from.
+        """
+        if data_centre not in self.networks:
+            self.networks[data_centre] = len(self.networks) + 1
+        self.last_host += 1
+        return '127.0.%d.%d' % (self.networks[data_centre], self.last_host)
+
+    def start_proxy(self, node: nodes.Node) -> None:
+        """Start a fault proxy in front of a node's peer port."""
+        node.proxy_port, node.control_port = ports.take_ports(2)
+        self.run(
+            'proxy-' + node.name,
+            'oleanderknot.standins.fault_proxy',
+            '--control',
+            str(node.control_port),
+            '%d:%s:%d' % (node.proxy_port, node.host, node.peer_port),
+        )
+        self.wait_for(
+            lambda: http.post_json(node.fault_url(), {}),
+            'the proxy of %s starts' % node.name,
+        )
+
+    def inject(self, node: nodes.Node, **faults: object) -> None:
+        """Change the faults of a node's proxy; see ``FaultProxy``."""
+        http.post_json(node.fault_url(), faults)
+
+    def start_node(
+        self,
+        name: str,
+        data_centre: str = 'dc1',
+        *,
+        proxied: bool = False,
+        **settings: object,
+    ) -> nodes.Node:
+        """Start a node without an upstream and wait for its status page.
+
+        Args:
+            name: Name of the instance.
+            data_centre: Data centre of the instance.
+            proxied: Whether other nodes reach it through a fault proxy.
+            settings: Settings that replace the usual ones.
+
+        Returns:
+            The instance.
+        """
+        caller, peer, egress, operator = ports.take_ports(4)
+        node = nodes.Node(
+            name=name,
+            data_centre=data_centre,
+            host=self.find_host(data_centre),
+            caller_port=caller,
+            peer_port=peer,
+            egress_port=egress,
+            operator_port=operator,
+        )
+        advertised = {}
+        if proxied:
+            self.start_proxy(node)
+            advertised = {
+                'advertised_host': '127.0.0.1',
+                'advertised_peer_port': node.proxy_port,
+            }
+        content = {
+            'instance': name,
+            'data_centre': data_centre,
+            'listen': {
+                'host': node.host,
+                'caller_port': caller,
+                'peer_port': peer,
+                'egress_port': egress,
+                'operator_port': operator,
+                **advertised,
+            },
+            'seeds': [
+                '%s:%d' % (item.host, item.peer_port)
+                for item in self.nodes.values()
+            ],
+            **self.extra_settings,
+            **settings,
+        }
+        path = self.folder / (name + '.yaml')
+        path.write_text(yaml.safe_dump(content))
+        self.nodes[name] = node
+        self.restart_node(node)
+        return node
+
+    def restart_node(self, node: nodes.Node) -> None:
+        """Start the process of a node with its settings file."""
+        path = self.folder / (node.name + '.yaml')
+        node.process = self.run(
+            'node-' + node.name, 'oleanderknot', 'node', str(path)
+        )
+        self.wait_for(
+            lambda: http.get_json(node.status_url()), node.name + ' starts'
+        )
+
+    def start_upstream(
+        self, node: nodes.Node, service: str, *arguments: str
+    ) -> None:
+        """Start an upstream beside a node and wait for its announcement.
+
+        Args:
+            node: Its node.
+            service: Service that it offers.
+            arguments: More arguments of the stand-in.
+        """
+        (node.upstream_port,) = ports.take_ports(1)
+        node.upstream = self.run(
+            'upstream-' + node.name,
+            'oleanderknot.standins.upstream',
+            '--service',
+            service,
+            '--port',
+            str(node.upstream_port),
+            '--node',
+            'http://127.0.0.1:%d' % node.egress_port,
+            *arguments,
+        )
+        self.wait_for(
+            lambda: http.get_json(node.status_url())['service'] == service,
+            '%s announces %s' % (node.name, service),
+        )
+
+    def wait_for_members(self, service: str, count: int) -> None:
+        """Wait until every node knows the taking upstreams of a service."""
+        for node in self.nodes.values():
+            if node.process is None or not node.process.is_running():
+                continue
+            self.wait_for(
+                lambda node=node: self.count_taking(node, service) >= count,
+                '%s learns of %s' % (node.name, service),
+            )
+
+    def count_taking(self, node: nodes.Node, service: str) -> int:
+        """Return how many taking upstreams of a service a node knows."""
+        members = http.get_json(node.status_url())['members']
+        return sum(
+            item['service'] == service and item['state'] == 'taking'
+            for item in members
+        )
+
+    def list_runs(self, service: str) -> list[dict[str, str]]:
+        """Return the runs that all live upstreams of a service recorded."""
+        runs = []
+        for node in self.nodes.values():
+            if node.upstream is None or not node.upstream.is_running():
+                continue
+            if http.get_json(node.status_url())['service'] == service:
+                runs += http.get_json(node.upstream_url('/-/runs'))['runs']
+        return runs
+
+    def wait_for(self, condition, what: str) -> object:
+        """Wait for a condition; a process that ended fails the wait."""
+        return wait.wait_until(condition, what)
+
+    def stop(self) -> None:
+        """End all processes of the scenario."""
+        for item in reversed(self.processes):
+            item.kill()
+        self.stack.close()
--- /dev/null
+++ b/oleanderknot/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line; one command a file."""
--- /dev/null
+++ b/oleanderknot/node/__init__.py
@@ -0,0 +1,5 @@
+"""The node application."""
+
+from oleanderknot.node.application import NodeApplication
+
+__all__ = ['NodeApplication']
--- /dev/null
+++ b/oleanderknot/node/application.py
@@ -0,0 +1,249 @@
+"""The node: puts the tasks together and runs their life cycle."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import secrets
+import time
+
+from absl import logging
+import aiomisc
+
+from oleanderknot import border
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.tasks import dispatcher
+from oleanderknot.tasks import egress
+from oleanderknot.tasks import http_listener
+from oleanderknot.tasks import ingress
+from oleanderknot.tasks import membership
+from oleanderknot.tasks import operator_listener
+from oleanderknot.tasks import peer_connection
+from oleanderknot.tasks import peer_handlers
+from oleanderknot.tasks import peer_listener
+from oleanderknot.tasks import peer_pool
+from oleanderknot.tasks import runner
+
+
+def build_incarnation() -> int:
+    """Return a number that rises with each start of a node.
+
+    Twenty random bits keep two starts in one millisecond apart.
+    """
+    return int(time.time() * 1000) << 20 | secrets.randbits(20)
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Parse ``ip:port``.
+
+    Raises:
+        ValueError: The text has no port.
+    """
+    host, _, port = text.rpartition(':')
+    return host, int(port)
+
+
+class NodeApplication(aiomisc.Service):
+    """One node beside one upstream.
+
+    Attributes:
+        settings: Settings of the node.
+        identity: Identity of this life of the node.
+        counters: Counts of events by name.
+        decisions: Counts of decisions by key.
+    """
+
+    settings: border.NodeSettings
+
+    def __init__(self, *, settings: border.NodeSettings) -> None:
+        super().__init__()
+        self.settings = settings
+        self.identity = model.NodeIdentity(
+            instance=settings.instance,
+            incarnation=build_incarnation(),
+            data_centre=settings.data_centre,
+        )
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.decision_counts: collections.Counter[model.DecisionKey] = (
+            collections.Counter()
+        )
+        self.members = decisions.MemberTable()
+        self.policy = decisions.PolicyTable()
+        self.chains = decisions.ChainTable()
+        self.background: list[asyncio.Task] = []
+        self.stopped = asyncio.Event()
+
+    # Life-cycle hooks.
+
+    async def start(self) -> None:
+        """Start all tasks; called by aiomisc."""
+        self.build_tasks()
+        listen = self.settings.listen
+        host = str(listen.host)
+        ports = {
+            'peer_port': await self.peer_listener.start(
+                host, listen.peer_port
+            ),
+            'caller_port': await self.callers.start(host, listen.caller_port),
+            'operator_port': await self.operators.start(
+                str(listen.operator_host), listen.operator_port
+            ),
+        }
+        self.egress_port = await self.egress.start(
+            str(listen.egress_host), listen.egress_port
+        )
+        own = model.Member(
+            instance=self.identity.instance,
+            incarnation=self.identity.incarnation,
+            version=1,
+            state=model.MemberState.JOINING,
+            data_centre=self.identity.data_centre,
+            host=str(listen.advertised_host or host),
+            **ports,
+        )
+        if listen.advertised_peer_port:
+            own = dataclasses.replace(
+                own, peer_port=listen.advertised_peer_port
+            )
+        self.membership = membership.Membership(
+            table=self.members,
+            own=own,
+            pool=self.pool,
+            seeds=[parse_address(seed) for seed in self.settings.seeds],
+            rng=random.Random(),
+        )
+        self.background.append(asyncio.create_task(self.membership.run()))
+        if self.settings.upstream is not None:
+            await self.announce(self.settings.upstream)
+        logging.info('node %s started: %s', self.identity.instance, ports)
+
+    async def stop(self, error: Exception | None = None) -> None:
+        """Drain and stop all tasks; called by aiomisc."""
+        await self.drain()
+        for task in self.background:
+            task.cancel()
+        await asyncio.gather(*self.background, return_exceptions=True)
+        for listener in (self.callers, self.egress, self.operators):
+            await listener.close()
+        self.peer_listener.close()
+        self.pool.close()
+        await self.runner.close()
+        logging.info('node %s stopped', self.identity.instance)
+
+    def build_tasks(self) -> None:
+        """Build the tasks and connect them by their message functions."""
+        self.runner = runner.Runner(chains=self.chains)
+        handlers = peer_handlers.PeerHandlers(
+            run=self.runner.run,
+            query=self.runner.describe_key,
+            gossip=lambda peer, item: self.membership.handle(peer, item),
+            policy=lambda peer, item: None,
+            opened=self.greet,
+            closed=lambda peer: self.pool.remove(peer),
+            count=self.count,
+        )
+        host = self.settings.listen.host
+        self.pool = peer_pool.PeerPool(
+            identity=self.identity,
+            handlers=handlers,
+            local_host=None if host.is_unspecified else str(host),
+        )
+        self.peer_listener = peer_listener.PeerListener(
+            identity=self.identity, handlers=handlers
+        )
+        self.dispatcher = dispatcher.Dispatcher(
+            identity=self.identity,
+            members=self.members,
+            policy=self.policy,
+            runner=self.runner,
+            pool=self.pool,
+            count=self.count_decision,
+        )
+        self.callers = http_listener.HttpListener(
+            handle=ingress.build_handler(self.dispatcher, self.policy)
+        )
+        self.egress = http_listener.HttpListener(
+            handle=egress.build_handler(
+                self.dispatcher,
+                self.policy,
+                self.chains,
+                self.announce,
+                self.leave,
+            )
+        )
+        self.operators = http_listener.HttpListener(
+            handle=operator_listener.build_handler(self.describe)
+        )
+
+    async def announce(self, upstream: border.UpstreamSettings) -> None:
+        """Take the upstream's announcement and tell the other nodes."""
+        await self.runner.attach(
+            service=upstream.service,
+            host=str(upstream.host),
+            port=upstream.port,
+            slots=upstream.slots,
+        )
+        self.membership.change_own(
+            service=upstream.service,
+            slots=upstream.slots,
+            state=model.MemberState.TAKING,
+        )
+        logging.info('upstream of %s announced', upstream.service)
+
+    def leave(self) -> None:
+        """Take no new work from now on and tell the other nodes."""
+        if not self.runner.leaving:
+            self.runner.leaving = True
+            self.membership.change_own(state=model.MemberState.LEAVING)
+
+    async def drain(self) -> None:
+        """Leave and wait until no request is in flight."""
+        self.leave()
+        self.callers.stop_accepting()
+        try:
+            async with asyncio.timeout(self.settings.drain_timeout_s):
+                while self.callers.active or self.runner.running:
+                    await asyncio.sleep(0.02)
+        except TimeoutError:
+            logging.error('requests still in flight when the drain ended')
+
+    def greet(self, connection: peer_connection.PeerConnection) -> None:
+        """Take a connection whose handshake is done."""
+        self.pool.add(connection)
+        self.membership.greet(connection)
+
+    def count(self, name: str) -> None:
+        """Count an event."""
+        self.counters[name] += 1
+
+    def count_decision(self, key: model.DecisionKey) -> None:
+        """Count a decision."""
+        self.decision_counts[key] += 1
+
+    def describe(self) -> dict[str, object]:
+        """Describe the state of the node for operators."""
+        return {
+            'instance': self.identity.instance,
+            'incarnation': self.identity.incarnation,
+            'data_centre': self.identity.data_centre,
+            'service': self.runner.service,
+            'leaving': self.runner.leaving,
+            'running': self.runner.running,
+            'egress_port': self.egress_port,
+            'caller_port': self.membership.own.caller_port,
+            'members': [
+                {
+                    'instance': member.instance,
+                    'state': member.state.name.lower(),
+                    'service': member.service,
+                    'data_centre': member.data_centre,
+                    'host': member.host,
+                    'caller_port': member.caller_port,
+                    'operator_port': member.operator_port,
+                }
+                for member in self.members.members.values()
+            ],
+            'connections': sorted(self.pool.connections),
+            'counters': dict(self.counters),
+        }
--- /dev/null
+++ b/oleanderknot/platform/http_client.py
@@ -0,0 +1,82 @@
+"""HTTP side of the platform's clients."""
+
+import aiohttp
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from oleanderknot import model
+
+
+class HttpClient:
+    """Sends requests to one service of the platform.
+
+    A request that times out ends its connection, so that a connection that
+    has gone silent is not used again.
+
+    Attributes:
+        url: Address of the service.
+        session: The connections.
+    """
+
+    def __init__(
+        self, *, url: str, timeout_s: float, local_host: str | None = None
+    ) -> None:
+        self.url = url.rstrip('/')
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=16, local_addr=local_host and (local_host, 0)
+            ),
+            timeout=aiohttp.ClientTimeout(total=timeout_s),
+        )
+
+    async def request(
+        self, method: str, path: str, **arguments: object
+    ) -> Result[bytes, model.PlatformFault]:
+        """Send a request.
+
+        Args:
+            method: HTTP method.
+            path: Path below the service's address.
+            arguments: Body arguments of the HTTP library.
+
+        Returns:
+            The body of the answer, or the fault.
+        """
+        try:
+            async with self.session.request(
+                method, self.url + path, **arguments
+            ) as answer:
+                content = await answer.read()
+        except aiohttp.ClientConnectorError as error:
+            return fail(model.FaultKind.NOT_SENT, str(error))
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return fail(
+                model.FaultKind.UNKNOWN,
+                'no answer from %s: %r' % (self.url, error),
+            )
+        if answer.status == 409:
+            return fail(model.FaultKind.CONFLICT, content.decode())
+        if answer.status >= 400:
+            return fail(
+                model.FaultKind.UNKNOWN,
+                '%s answered %d' % (self.url, answer.status),
+            )
+        return Ok(content)
+
+    async def post(
+        self, path: str, value: object
+    ) -> Result[bytes, model.PlatformFault]:
+        """Post a JSON value; see ``request``."""
+        return await self.request('POST', path, json=value)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+
+def fail(
+    kind: model.FaultKind, detail: str
+) -> Result[bytes, model.PlatformFault]:
+    """Return a fault as a result."""
+    return Error(model.PlatformFault(kind=kind, detail=detail))
--- /dev/null
+++ b/oleanderknot/platform/object_client.py
@@ -0,0 +1,75 @@
+"""HTTP client of the platform's object store."""
+
+import json
+import urllib.parse
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from oleanderknot import model
+from oleanderknot.platform import http_client
+
+
+class ObjectClient:
+    """Reads, writes and lists objects.
+
+    Attributes:
+        http: HTTP side.
+    """
+
+    def __init__(
+        self, *, url: str, timeout_s: float, local_host: str | None = None
+    ) -> None:
+        self.http = http_client.HttpClient(
+            url=url, timeout_s=timeout_s, local_host=local_host
+        )
+
+    async def put(
+        self, key: str, content: bytes
+    ) -> Result[None, model.PlatformFault]:
+        """Write an object; the same key and content may be written again."""
+        path = '/objects/' + urllib.parse.quote(key)
+        result = await self.http.request('PUT', path, data=content)
+        return result.map(lambda answer: None)
+
+    async def get(self, key: str) -> Result[bytes, model.PlatformFault]:
+        """Read an object; an absent one is a fault."""
+        path = '/objects/' + urllib.parse.quote(key)
+        return await self.http.request('GET', path)
+
+    async def list_keys(
+        self, prefix: str, *, after: str = '', limit: int = 1000
+    ) -> Result[list[str], model.PlatformFault]:
+        """List the keys that start with a prefix, in order.
+
+        Args:
+            prefix: Prefix of the keys.
+            after: Only keys greater than this one.
+            limit: Largest number of keys.
+
+        Returns:
+            The keys.
+        """
+        query = urllib.parse.urlencode(
+            {'prefix': prefix, 'after': after, 'limit': limit}
+        )
+        result = await self.http.request('GET', '/objects?' + query)
+        return result.bind(parse_keys)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.http.close()
+
+
+def parse_keys(content: bytes) -> Result[list[str], model.PlatformFault]:
+    """Parse the keys of an answer."""
+    try:
+        return Ok([str(key) for key in json.loads(content)['keys']])
+    except (ValueError, KeyError, TypeError) as error:
+        return Error(
+            model.PlatformFault(
+                kind=model.FaultKind.UNKNOWN,
+                detail='malformed keys from the object store: %r' % error,
+            )
+        )
--- /dev/null
+++ b/oleanderknot/platform/table_client.py
@@ -0,0 +1,105 @@
+"""HTTP client of the platform's table service."""
+
+import collections.abc
+import json
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from oleanderknot import model
+from oleanderknot.platform import http_client
+
+
+class TableClient:
+    """Reads rows and commits transactions.
+
+    Attributes:
+        http: HTTP side.
+    """
+
+    def __init__(
+        self, *, url: str, timeout_s: float, local_host: str | None = None
+    ) -> None:
+        self.http = http_client.HttpClient(
+            url=url, timeout_s=timeout_s, local_host=local_host
+        )
+
+    async def read(
+        self, keys: collections.abc.Sequence[str]
+    ) -> Result[list[model.TableRow], model.PlatformFault]:
+        """Read rows by key.
+
+        Args:
+            keys: Keys, at most 100.
+
+        Returns:
+            A row for each key, in order; an absent row has version 0.
+        """
+        result = await self.http.post('/read', {'keys': list(keys)})
+        return result.bind(parse_rows)
+
+    async def scan(
+        self, prefix: str, *, after: str = '', limit: int = 100
+    ) -> Result[list[model.TableRow], model.PlatformFault]:
+        """Read the rows whose keys start with a prefix, in key order.
+
+        Args:
+            prefix: Prefix of the keys.
+            after: Only keys greater than this one.
+            limit: Largest number of rows, at most 1000.
+
+        Returns:
+            The rows.
+        """
+        question = {'prefix': prefix, 'after': after, 'limit': limit}
+        result = await self.http.post('/scan', question)
+        return result.bind(parse_rows)
+
+    async def commit(
+        self,
+        checks: collections.abc.Mapping[str, int],
+        writes: collections.abc.Mapping[str, str],
+    ) -> Result[None, model.PlatformFault]:
+        """Write rows in one transaction if all checks hold.
+
+        Args:
+            checks: Version that each key must have; 0 for absent.
+            writes: New value by key.
+
+        Returns:
+            Nothing, or the fault: after ``CONFLICT`` and ``NOT_SENT``
+            nothing was written, after ``UNKNOWN`` it may have been.
+        """
+        result = await self.http.post(
+            '/commit', {'checks': dict(checks), 'writes': dict(writes)}
+        )
+        return result.map(lambda content: None)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.http.close()
+
+
+def parse_rows(
+    content: bytes,
+) -> Result[list[model.TableRow], model.PlatformFault]:
+    """Parse the rows of an answer."""
+    try:
+        return Ok(
+            [
+                model.TableRow(
+                    key=str(row['key']),
+                    version=int(row['version']),
+                    value=str(row['value']),
+                )
+                for row in json.loads(content)['rows']
+            ]
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        return Error(
+            model.PlatformFault(
+                kind=model.FaultKind.UNKNOWN,
+                detail='malformed rows from the table service: %r' % error,
+            )
+        )
--- /dev/null
+++ b/oleanderknot/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of outside systems, for tests and the demo."""
--- /dev/null
+++ b/oleanderknot/standins/fault_link.py
@@ -0,0 +1,65 @@
+"""One direction of a proxied connection."""
+
+import asyncio
+import struct
+
+LENGTH = struct.Struct('>I')
+
+
+class FaultLink:
+    """Copies bytes one way, with faults.
+
+    Attributes:
+        reader: Where the bytes come from.
+        writer: Where the bytes go to.
+        frozen: Whether bytes are held back for good.
+        delay_s: Seconds that each part waits.
+        swap: Frames to pass on in another order: each odd one after the
+            even one that follows it.
+        drop: Parts to lose, after which both sides are cut.
+    """
+
+    def __init__(
+        self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.frozen = False
+        self.delay_s = 0.0
+        self.swap = False
+        self.drop = False
+        self.held = bytearray()
+
+    async def copy(self) -> None:
+        """Copy until either side ends."""
+        try:
+            while data := await self.reader.read(65536):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                while self.frozen:
+                    await asyncio.sleep(0.05)
+                if self.drop:
+                    return
+                self.writer.write(self.reorder(data) if self.swap else data)
+                await self.writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.writer.close()
+
+    def reorder(self, data: bytes) -> bytes:
+        """Swap neighbouring frames among those that have arrived whole.
+
+        Frames have a length of four bytes in front; incomplete ones wait.
+        """
+        self.held += data
+        frames = []
+        while len(self.held) >= LENGTH.size:
+            end = LENGTH.size + LENGTH.unpack_from(self.held)[0]
+            if len(self.held) < end:
+                break
+            frames.append(bytes(self.held[:end]))
+            del self.held[:end]
+        for index in range(0, len(frames) - 1, 2):
+            frames[index : index + 2] = frames[index + 1], frames[index]
+        return b''.join(frames)
--- /dev/null
+++ b/oleanderknot/standins/fault_proxy.py
@@ -0,0 +1,151 @@
+"""TCP proxy that injects faults between two processes."""
+
+import argparse
+import asyncio
+import dataclasses
+import json
+import signal
+
+from aiohttp import web
+
+from oleanderknot.standins import fault_link
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Faults:
+    """Faults of one listening port.
+
+    Attributes:
+        refuse: Refuse new connections.
+        refuse_from: Refuse new connections from addresses with one of these
+            prefixes.
+        delay_ms: Milliseconds that each part waits, each way.
+        swap: Swap neighbouring frames on the way to the caller.
+    """
+
+    refuse: bool = False
+    refuse_from: list[str] = dataclasses.field(default_factory=list)
+    delay_ms: float = 0.0
+    swap: bool = False
+
+
+class FaultProxy:
+    """Listens on ports and passes each on to its target.
+
+    Control: ``POST /<port>`` with JSON. Fields of ``Faults`` stay in force;
+    ``cut`` (true, or address prefixes) ends open connections once;
+    ``freeze`` (``forward``, ``back`` or ``both``) makes the open connections
+    silent for good while new ones work; ``drop_answers`` loses the next part
+    towards the caller and cuts.
+
+    Attributes:
+        targets: Target port by listening port; the host is 127.0.0.1 or as
+            given.
+        faults: Faults by listening port.
+        links: Open connections by listening port: the caller's address and
+            both directions.
+    """
+
+    def __init__(self, *, targets: dict[int, tuple[str, int]]) -> None:
+        self.targets = targets
+        self.faults = {port: Faults() for port in targets}
+        self.links: dict[int, list] = {port: [] for port in targets}
+
+    async def start(self, control_port: int) -> None:
+        """Start to listen on all ports and on the control port."""
+        for port in self.targets:
+            await asyncio.start_server(
+                lambda reader, writer, port=port: self.accept(
+                    port, reader, writer
+                ),
+                '127.0.0.1',
+                port,
+            )
+        await asyncio.get_running_loop().create_server(
+            web.Server(self.control, access_log=None),
+            '127.0.0.1',
+            control_port,
+        )
+
+    async def accept(
+        self,
+        port: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Pass one connection on."""
+        faults = self.faults[port]
+        source = writer.get_extra_info('peername')[0]
+        if faults.refuse or source.startswith(tuple(faults.refuse_from)):
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                *self.targets[port]
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        forward = fault_link.FaultLink(reader=reader, writer=far_writer)
+        back = fault_link.FaultLink(reader=far_reader, writer=writer)
+        back.swap = faults.swap
+        forward.delay_s = back.delay_s = faults.delay_ms / 1000
+        link = (source, forward, back)
+        self.links[port].append(link)
+        await asyncio.wait(
+            [
+                asyncio.ensure_future(forward.copy()),
+                asyncio.ensure_future(back.copy()),
+            ],
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        self.links[port].remove(link)
+        abort(link)
+
+    async def control(self, request: web.BaseRequest) -> web.Response:
+        """Change the faults of a port."""
+        port = int(request.path[1:])
+        changes = json.loads(await request.read())
+        cut = changes.pop('cut', False)
+        freeze = changes.pop('freeze', '')
+        drop = changes.pop('drop_answers', False)
+        self.faults[port] = dataclasses.replace(self.faults[port], **changes)
+        faults = self.faults[port]
+        for link in list(self.links[port]):
+            source, forward, back = link
+            forward.delay_s = back.delay_s = faults.delay_ms / 1000
+            back.swap = faults.swap
+            forward.frozen = forward.frozen or freeze in ('forward', 'both')
+            back.frozen = back.frozen or freeze in ('back', 'both')
+            back.drop = back.drop or drop
+            if cut is True or (cut and source.startswith(tuple(cut))):
+                abort(link)
+        return web.Response(status=204)
+
+
+def abort(link: tuple) -> None:
+    """End both sides of a connection at once."""
+    for direction in link[1:]:
+        direction.writer.transport.abort()
+
+
+async def main() -> None:
+    """Run the proxy until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--control', type=int, required=True)
+    parser.add_argument(
+        'routes', nargs='+', help='<listening port>:<host>:<target port>'
+    )
+    options = parser.parse_args()
+    targets = {}
+    for route in options.routes:
+        port, host, target = route.split(':')
+        targets[int(port)] = (host, int(target))
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    await FaultProxy(targets=targets).start(options.control)
+    await stop.wait()
+
+
+if __name__ == '__main__':
+    asyncio.run(main())
--- /dev/null
+++ b/oleanderknot/standins/platform_server.py
@@ -0,0 +1,144 @@
+"""Stand-in of the platform: table service and object store."""
+
+import argparse
+import asyncio
+import json
+import signal
+
+from aiohttp import web
+
+from oleanderknot.standins import table_store
+
+
+class PlatformServer:
+    """Serves the table service and the object store over HTTP.
+
+    ``POST /-/faults`` sets faults: ``down`` refuses requests, ``delay_ms``
+    answers late, ``drop_answers`` ends that many connections after the
+    request has taken effect. ``GET /-/counts`` tells reads and writes.
+
+    Attributes:
+        table: Rows of the table service.
+        objects: Objects by key.
+        down: Whether requests are refused.
+        delay_ms: Milliseconds before each answer.
+        drop_answers: Answers to lose from now on.
+        object_writes: Objects that were written.
+    """
+
+    def __init__(self) -> None:
+        self.table = table_store.TableStore()
+        self.objects: dict[str, bytes] = {}
+        self.down = False
+        self.delay_ms = 0.0
+        self.drop_answers = 0
+        self.object_writes = 0
+        self.server: asyncio.Server | None = None
+        self.http: web.Server | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Start to listen.
+
+        Args:
+            host: IP address.
+            port: TCP port; 0 takes a free one.
+
+        Returns:
+            The TCP port.
+        """
+        self.http = web.Server(self.answer, access_log=None)
+        self.server = await asyncio.get_running_loop().create_server(
+            self.http, host, port, backlog=1024
+        )
+        return self.server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop to listen and close all connections."""
+        self.server.close()
+        await self.http.shutdown(0.1)
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request with the faults in force."""
+        if request.path == '/-/faults':
+            for name, value in json.loads(await request.read()).items():
+                setattr(self, name, value)
+            return web.Response(status=204)
+        if request.path == '/-/counts':
+            return web.json_response(
+                {
+                    'reads': self.table.reads,
+                    'writes': self.table.writes,
+                    'object_writes': self.object_writes,
+                }
+            )
+        if self.down:
+            request.transport.abort()
+            return web.Response()
+        response = await self.serve(request)
+        if self.delay_ms:
+            await asyncio.sleep(self.delay_ms / 1000)
+        if self.drop_answers > 0:
+            self.drop_answers -= 1
+            request.transport.abort()
+        return response
+
+    async def serve(self, request: web.BaseRequest) -> web.Response:
+        """Carry out one request."""
+        if request.path.startswith('/objects'):
+            return await self.serve_object(request)
+        question = json.loads(await request.read())
+        if request.path == '/read':
+            rows = self.table.read(question['keys'])
+            return web.json_response({'rows': rows})
+        if request.path == '/scan':
+            rows = self.table.scan(
+                question['prefix'], question['after'], question['limit']
+            )
+            return web.json_response({'rows': rows})
+        if request.path == '/commit':
+            conflicts = self.table.commit(
+                question['checks'], question['writes']
+            )
+            status = 409 if conflicts else 200
+            return web.json_response({'conflicts': conflicts}, status=status)
+        return web.Response(status=404)
+
+    async def serve_object(self, request: web.BaseRequest) -> web.Response:
+        """Carry out one request to the object store."""
+        key = request.path.removeprefix('/objects').removeprefix('/')
+        if request.method == 'PUT':
+            self.objects[key] = await request.read()
+            self.object_writes += 1
+            return web.Response(status=204)
+        if key:
+            if key not in self.objects:
+                return web.Response(status=404)
+            return web.Response(body=self.objects[key])
+        prefix = request.query.get('prefix', '')
+        after = request.query.get('after', '')
+        limit = int(request.query.get('limit', 1000))
+        keys = sorted(
+            key
+            for key in self.objects
+            if key.startswith(prefix) and key > after
+        )
+        return web.json_response({'keys': keys[:limit]})
+
+
+async def main() -> None:
+    """Run the stand-in platform until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--host', default='127.0.0.1')
+    parser.add_argument('--port', type=int, default=0)
+    options = parser.parse_args()
+    server = PlatformServer()
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    port = await server.start(options.host, options.port)
+    print(json.dumps({'port': port}), flush=True)
+    await stop.wait()
+    await server.stop()
+
+
+if __name__ == '__main__':
+    asyncio.run(main())
--- /dev/null
+++ b/oleanderknot/standins/upstream.py
@@ -0,0 +1,219 @@
+"""Stand-in upstream that records each request that it runs."""
+
+import asyncio
+import dataclasses
+import json
+import signal
+
+import aiohttp
+from aiohttp import web
+
+from oleanderknot.standins import upstream_options
+
+PATTERN_BLOCK = bytes(range(256)) * 256
+
+
+class Upstream:
+    """An HTTP service with slots, work, calls to other services and faults.
+
+    A request may ask by its query for ``size`` bytes of body, ``delay_ms``
+    of work and an ``echo`` text. ``/-/runs`` lists the recorded runs and
+    ``/-/options`` changes the options.
+
+    Attributes:
+        options: How it behaves.
+        runs: Method, path and key of each request that started to run.
+        cancelled: Runs whose caller went away.
+    """
+
+    def __init__(self, *, options: upstream_options.UpstreamOptions) -> None:
+        self.options = options
+        self.runs: list[dict[str, str]] = []
+        self.cancelled = 0
+        self.busy = 0
+        self.free = asyncio.Condition()
+        self.session: aiohttp.ClientSession | None = None
+        self.server: asyncio.Server | None = None
+        self.http: web.Server | None = None
+        self.port = 0
+
+    async def start(self) -> int:
+        """Start to listen, then announce itself to its node.
+
+        Returns:
+            The TCP port.
+        """
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(total=None),
+        )
+        self.http = web.Server(
+            self.answer, access_log=None, handler_cancellation=True
+        )
+        self.server = await asyncio.get_running_loop().create_server(
+            self.http, self.options.host, self.options.port, backlog=1024
+        )
+        self.port = self.server.sockets[0].getsockname()[1]
+        if self.options.node:
+            await self.announce()
+        return self.port
+
+    async def announce(self) -> None:
+        """Announce itself to its node, again until the node answers."""
+        announcement = {
+            'service': self.options.service,
+            'host': self.options.host,
+            'port': self.port,
+            'slots': self.options.slots,
+        }
+        url = self.options.node + '/-/announce'
+        while True:
+            try:
+                async with self.session.post(url, json=announcement) as answer:
+                    answer.raise_for_status()
+                    return
+            except aiohttp.ClientConnectionError:
+                await asyncio.sleep(0.05)
+
+    async def stop(self) -> None:
+        """Stop to listen and close all connections."""
+        self.server.close()
+        await self.http.shutdown(0.1)
+        await self.session.close()
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request; called by the HTTP server."""
+        if request.path == '/-/runs':
+            return web.json_response(
+                {'runs': self.runs, 'cancelled': self.cancelled}
+            )
+        if request.path == '/-/options':
+            changes = await request.json()
+            self.options = dataclasses.replace(self.options, **changes)
+            return web.Response(status=204)
+        return await self.run(request)
+
+    async def run(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Work on a request in a slot."""
+        await self.enter()
+        self.runs.append(
+            {
+                'method': request.method,
+                'path': request.raw_path,
+                'key': request.headers.get('Idempotency-Key', ''),
+                'trace': request.headers.get('traceparent', '')[3:35],
+            }
+        )
+        try:
+            received = 0
+            async for part in request.content.iter_any():
+                received += len(part)
+            return await self.work(request, received)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        finally:
+            self.busy -= 1
+            async with self.free:
+                self.free.notify()
+
+    async def enter(self) -> None:
+        """Wait for a slot."""
+        async with self.free:
+            while self.busy >= self.options.slots:
+                await self.free.wait()
+            self.busy += 1
+
+    async def work(
+        self, request: web.BaseRequest, received: int
+    ) -> web.StreamResponse:
+        """Do the work of a request and build its answer."""
+        options = self.options
+        delay_ms = float(request.query.get('delay_ms', options.delay_ms))
+        if delay_ms:
+            await asyncio.sleep(delay_ms / 1000)
+        statuses = await self.call_others(request)
+        if options.drop_answers:
+            request.transport.abort()
+            return web.Response()
+        if options.fail_status:
+            return web.Response(status=options.fail_status)
+        if any(status >= 500 for status in statuses):
+            return web.json_response(
+                {'service': options.service, 'below': statuses}, status=502
+            )
+        if 'size' in request.query:
+            return await self.send_pattern(request)
+        answer = {
+            'service': options.service,
+            'echo': request.query.get('echo', ''),
+            'received': received,
+            'below': statuses,
+        }
+        return web.json_response(answer)
+
+    async def call_others(self, request: web.BaseRequest) -> list[int]:
+        """Call the services below, and return the statuses."""
+        options = self.options
+        if options.parallel:
+            return await asyncio.gather(
+                *(self.call(request, name) for name in options.calls)
+            )
+        statuses = []
+        for name in options.calls:
+            statuses.append(await self.call(request, name))
+        return statuses
+
+    async def call(self, request: web.BaseRequest, service: str) -> int:
+        """Call a service through the node, and return the status."""
+        headers = {}
+        trace = request.headers.get('traceparent')
+        if trace and self.options.pass_trace:
+            headers['traceparent'] = trace
+        url = '%s/%s%s' % (self.options.node, service, request.path)
+        try:
+            async with self.session.request(
+                'GET', url, headers=headers
+            ) as answer:
+                await answer.read()
+                return answer.status
+        except aiohttp.ClientError:
+            return 599
+
+    async def send_pattern(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Send a body of the size asked for, in blocks."""
+        left = int(request.query['size'])
+        cut_at = int(request.query.get('cut_at', -1))
+        sent = 0
+        response = web.StreamResponse(headers={'Content-Length': str(left)})
+        if request.query.get('chunked'):
+            response = web.StreamResponse()
+            response.enable_chunked_encoding()
+        await response.prepare(request)
+        while left:
+            block = PATTERN_BLOCK[: min(left, len(PATTERN_BLOCK))]
+            await response.write(block)
+            left -= len(block)
+            sent += len(block)
+            if 0 <= cut_at <= sent:
+                request.transport.abort()
+                return response
+        await response.write_eof()
+        return response
+
+
+async def main() -> None:
+    """Run a stand-in upstream until SIGTERM."""
+    upstream = Upstream(options=upstream_options.parse_options())
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    port = await upstream.start()
+    print(json.dumps({'port': port}), flush=True)
+    await stop.wait()
+    await upstream.stop()
+
+
+if __name__ == '__main__':
+    asyncio.run(main())
--- /dev/null
+++ b/oleanderknot/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own their sockets and state and are reached by messages."""
--- /dev/null
+++ b/oleanderknot/tasks/body_pipe.py
@@ -0,0 +1,98 @@
+"""Body that arrives in chunks from another node."""
+
+import asyncio
+import collections
+import collections.abc
+
+from oleanderknot import model
+
+# Longest wait for the next part of a body.
+PROGRESS_TIMEOUT_S = 10.0
+
+
+class BodyPipe:
+    """Buffers received chunks until they are read.
+
+    The sender may only send what was credited, so the buffer never holds
+    more than one window.
+
+    Attributes:
+        chunks: Chunks received and not read.
+        offset: Bytes received so far.
+        ended: Whether the last chunk has arrived.
+        failure: Why the body will never be whole, if so.
+        waiter: Wakes the reader.
+        on_credit: Called with the bytes that were read.
+        on_cancel: Called once when the reader gives up.
+    """
+
+    def __init__(
+        self,
+        *,
+        on_credit: collections.abc.Callable[[int], None],
+        on_cancel: collections.abc.Callable[[], None],
+    ) -> None:
+        self.chunks: collections.deque[bytes] = collections.deque()
+        self.offset = 0
+        self.ended = False
+        self.failure: model.BodyCut | None = None
+        self.waiter: asyncio.Future[None] | None = None
+        self.on_credit = on_credit
+        self.on_cancel = on_cancel
+
+    def put(self, data: bytes, last: bool) -> None:
+        """Take one chunk from the connection."""
+        self.offset += len(data)
+        if data:
+            self.chunks.append(data)
+        self.ended = self.ended or last
+        self.wake()
+
+    def fail(self, rule: model.Rule, detail: str) -> None:
+        """End the body as cut, unless it is whole already."""
+        if not self.ended and self.failure is None:
+            self.failure = model.BodyCut(rule=rule, detail=detail)
+            self.wake()
+
+    def wake(self) -> None:
+        """Wake the reader if it waits."""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    async def read(self) -> bytes:
+        """Return the next chunk; empty bytes mark the end.
+
+        Raises:
+            BodyCut: The body ended before it was whole.
+        """
+        while not self.chunks:
+            if self.ended:
+                return b''
+            if self.failure is not None:
+                raise self.failure
+            await self.wait()
+        data = self.chunks.popleft()
+        if not self.ended:
+            self.on_credit(len(data))
+        return data
+
+    async def wait(self) -> None:
+        """Wait for the next change; too long a wait cuts the body."""
+        self.waiter = asyncio.get_running_loop().create_future()
+        try:
+            async with asyncio.timeout(PROGRESS_TIMEOUT_S):
+                await self.waiter
+        except TimeoutError:
+            self.fail(
+                model.Rule.UPSTREAM_TIMEOUT,
+                'no part of the body arrived in %d s' % PROGRESS_TIMEOUT_S,
+            )
+            self.on_cancel()
+        finally:
+            self.waiter = None
+
+    def cancel(self) -> None:
+        """Tell the sender that nobody reads on."""
+        if not self.ended and self.failure is None:
+            self.fail(model.Rule.CALLER_LEFT, 'the reader gave up')
+            self.on_cancel()
--- /dev/null
+++ b/oleanderknot/tasks/dispatcher.py
@@ -0,0 +1,264 @@
+"""Sends calls to upstreams and retries them."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import random
+import time
+
+from expression import Error
+from expression import Result
+
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.tasks import peer_pool
+from oleanderknot.tasks import runner
+
+# Pause before a retry: full jitter below this, so that retries of many calls
+# do not arrive together.
+RETRY_PAUSE_S = 0.02
+
+CountFunction = collections.abc.Callable[[model.DecisionKey], None]
+
+
+class Dispatcher:
+    """Owns the view of other upstreams' load and the retries of this node.
+
+    Attributes:
+        identity: Identity of this node.
+        members: Nodes and upstreams that are known.
+        policy: Policy in force.
+        runner: Runs calls at the own upstream.
+        pool: Connections to other nodes.
+        count: Counts a decision.
+        loads: Load by instance.
+        budget: Retries of this node as a share of its successes.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: model.NodeIdentity,
+        members: decisions.MemberTable,
+        policy: decisions.PolicyTable,
+        runner: runner.Runner,
+        pool: peer_pool.PeerPool,
+        count: CountFunction,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.identity = identity
+        self.members = members
+        self.policy = policy
+        self.runner = runner
+        self.pool = pool
+        self.count = count
+        self.loads: dict[str, decisions.InstanceLoad] = {}
+        self.budget = decisions.RetryBudget()
+        self.rng = rng or random.Random()
+
+    async def dispatch(
+        self,
+        call: model.Call,
+        account: decisions.ChainAccount,
+        content: bytes,
+        body: model.Body | None,
+    ) -> Result[model.Answer, model.Refusal]:
+        """Send a call to an upstream and retry it within its allowance.
+
+        Args:
+            call: The call.
+            account: Account that retries are taken from.
+            content: First bytes of the request body.
+            body: Rest of the request body, if it arrives in parts.
+
+        Returns:
+            The answer, or the refusal of the last attempt.
+        """
+        tried: set[str] = set()
+        while True:
+            member = self.choose(call, tried)
+            if member is None:
+                return Error(self.refuse_early(call))
+            tried.add(member.instance)
+            granted = account.grant()
+            attempt = dataclasses.replace(call, allowance=granted)
+            result = await self.attempt(member, attempt, content, body)
+            now = time.monotonic()
+            self.take_reports(member.instance, result, now)
+            if result.is_ok():
+                account.refund(result.ok.unspent, granted)
+                if not self.is_shed(result.ok, call, body):
+                    self.budget.count_success(now)
+                    return result
+            else:
+                account.refund(result.error.unspent, granted)
+            if not self.may_retry(call, account, result, body, now):
+                return result
+            self.count_decision(
+                call, model.Rule.RETRIED, model.Verdict.NOT_RUN
+            )
+            await self.pause()
+
+    def choose(
+        self, call: model.Call, tried: collections.abc.Set[str]
+    ) -> model.Member | None:
+        """Choose the node whose upstream gets the next attempt."""
+        own = self.identity.instance
+        if (
+            not tried
+            and call.service == self.runner.service
+            and not self.runner.leaving
+            and self.policy.takes_work(own)
+            and self.runner.admission.has_room()
+        ):
+            return self.members.members.get(own)
+        now = time.monotonic()
+        candidates = [
+            self.build_candidate(member, call, now)
+            for member in self.members.list_service(call.service)
+            if member.state
+            in (model.MemberState.TAKING, model.MemberState.SUSPECT)
+            and self.policy.takes_work(member.instance)
+        ]
+        choice = decisions.choose(
+            candidates,
+            priority=decisions.rank(call.request_class, call.trace_id),
+            tried=tried,
+            draw=self.rng.randrange,
+        )
+        return (
+            None if choice is None else self.members.members[choice.instance]
+        )
+
+    def build_candidate(
+        self, member: model.Member, call: model.Call, now: float
+    ) -> decisions.Candidate:
+        """Describe an upstream as the choice needs it."""
+        load = self.find_load(member)
+        return decisions.Candidate(
+            instance=member.instance,
+            local=member.data_centre == self.identity.data_centre,
+            suspect=member.state is model.MemberState.SUSPECT,
+            outstanding=load.outstanding,
+            in_flight=load.in_flight,
+            limit=load.limit,
+            level=load.find_level(call.route, now),
+        )
+
+    def find_load(self, member: model.Member) -> decisions.InstanceLoad:
+        """Return the load of an instance, starting from its slots."""
+        load = self.loads.get(member.instance)
+        if load is None:
+            load = decisions.InstanceLoad(limit=max(1, member.slots))
+            self.loads[member.instance] = load
+        return load
+
+    async def attempt(
+        self,
+        member: model.Member,
+        call: model.Call,
+        content: bytes,
+        body: model.Body | None,
+    ) -> Result[model.Answer, model.Refusal]:
+        """Send a call once, to one node."""
+        load = self.find_load(member)
+        load.outstanding += 1
+        try:
+            if member.instance == self.identity.instance:
+                return await self.runner.run(call, content, body)
+            connection = self.pool.find(member.instance)
+            if connection is None:
+                connection = await self.pool.connect(member)
+            return await connection.open(call, content, body)
+        except ConnectionError as error:
+            refusal = model.build_refusal(
+                call,
+                model.Verdict.NOT_RUN,
+                model.Rule.CONNECTION_REFUSED,
+                str(error),
+            )
+            refusal.unspent = call.allowance
+            return Error(refusal)
+        finally:
+            load.outstanding -= 1
+
+    def take_reports(
+        self,
+        instance: str,
+        result: Result[model.Answer, model.Refusal],
+        now: float,
+    ) -> None:
+        """Keep the load reports that an answer carries."""
+        reports = (result.ok if result.is_ok() else result.error).reports
+        load = self.loads.get(instance)
+        if load is not None:
+            for report in reports:
+                load.take_report(report, now)
+
+    def is_shed(
+        self, answer: model.Answer, call: model.Call, body: model.Body | None
+    ) -> bool:
+        """Return whether an upstream shed a call that can be repeated."""
+        return (
+            answer.status in runner.SHED_STATUSES
+            and call.idempotent
+            and body is None
+            and answer.body is None
+        )
+
+    def may_retry(
+        self,
+        call: model.Call,
+        account: decisions.ChainAccount,
+        result: Result[model.Answer, model.Refusal],
+        body: model.Body | None,
+        now: float,
+    ) -> bool:
+        """Return whether another attempt is allowed, and take it."""
+        if body is not None or now + RETRY_PAUSE_S >= call.deadline:
+            return False
+        if result.is_error():
+            verdict = result.error.verdict
+            if verdict is not model.Verdict.NOT_RUN and not call.idempotent:
+                return False
+        if account.remaining <= 0:
+            return False
+        policy, _ = self.policy.find_global()
+        if not self.budget.take(now, policy.retry_ratio, policy.retry_minimum):
+            return False
+        return account.spend()
+
+    async def pause(self) -> None:
+        """Wait a random time before a retry."""
+        await asyncio.sleep(self.rng.random() * RETRY_PAUSE_S)
+
+    def refuse_early(self, call: model.Call) -> model.Refusal:
+        """Refuse a call that no upstream would admit."""
+        taking = [
+            member
+            for member in self.members.list_service(call.service)
+            if member.state <= model.MemberState.SUSPECT
+        ]
+        if taking:
+            rule = model.Rule.EARLY_REFUSAL
+            detail = 'no upstream of %s admits this class now' % call.service
+        else:
+            rule = model.Rule.NO_UPSTREAM
+            detail = 'no upstream of %s is known' % call.service
+        return model.build_refusal(call, model.Verdict.NOT_RUN, rule, detail)
+
+    def count_decision(
+        self, call: model.Call, rule: model.Rule, verdict: model.Verdict
+    ) -> None:
+        """Count a decision about a call."""
+        self.count(
+            model.DecisionKey(
+                ticket=call.ticket,
+                rule=rule,
+                request_class=call.request_class,
+                service=call.service,
+                verdict=verdict,
+                root=call.depth == 0,
+            )
+        )
--- /dev/null
+++ b/oleanderknot/tasks/http_exchange.py
@@ -0,0 +1,73 @@
+"""Reads requests of callers and sends answers to them."""
+
+from absl import logging
+from aiohttp import web
+
+from oleanderknot import model
+from oleanderknot.tasks import http_answer
+from oleanderknot.tasks import request_body
+from oleanderknot.tasks import send_window
+
+MAX_BODY_BYTES = 1 << 30
+
+
+async def read_body(
+    request: web.BaseRequest,
+) -> tuple[bytes, model.Body | None]:
+    """Read a short request body, or the way to read a long one.
+
+    Args:
+        request: The request.
+
+    Returns:
+        The first bytes, and the rest unless the first bytes are all.
+
+    Raises:
+        BodyCut: The caller ended the connection, or the body is too large.
+    """
+    if not request.body_exists:
+        return b'', None
+    rest = request_body.RequestBody(request=request, limit=MAX_BODY_BYTES)
+    length = request.content_length
+    if length is None or length > send_window.CHUNK_BYTES:
+        return b'', rest
+    parts = []
+    while data := await rest.read():
+        parts.append(data)
+    return b''.join(parts), None
+
+
+async def send_answer(
+    request: web.BaseRequest, answer: model.Answer
+) -> web.StreamResponse:
+    """Send an answer to the caller, whole or visibly cut.
+
+    Args:
+        request: The request.
+        answer: The answer.
+
+    Returns:
+        The response, sent when its body arrives in parts.
+    """
+    if answer.body is None:
+        return http_answer.build_response(request, answer)
+    response = http_answer.build_stream(answer)
+    finished = False
+    try:
+        await response.prepare(request)
+        if answer.content:
+            await response.write(answer.content)
+        while data := await answer.body.read():
+            await response.write(data)
+        await response.write_eof()
+        finished = True
+    except (model.BodyCut, OSError) as error:
+        logging.warning('answer to %s was cut: %s', request.path, error)
+        # Ends the connection without the last chunk, so that the caller
+        # cannot take the answer for whole.
+        if request.transport is not None:
+            request.transport.abort()
+    finally:
+        if not finished:
+            answer.body.cancel()
+    return response
--- /dev/null
+++ b/oleanderknot/tasks/http_listener.py
@@ -0,0 +1,82 @@
+"""Serves callers and the own upstream's outgoing calls over HTTP."""
+
+import asyncio
+import collections.abc
+
+from aiohttp import web
+
+from oleanderknot import border
+
+HandleFunction = collections.abc.Callable[
+    [web.BaseRequest], collections.abc.Awaitable[web.StreamResponse]
+]
+
+
+class HttpListener:
+    """Owns one listening socket and the HTTP connections accepted on it.
+
+    Attributes:
+        handle: Answers one request.
+        server: HTTP side of the connections.
+        sockets: The listening socket once started.
+        active: Requests that are being answered.
+        closing: Whether connections end after their current request.
+    """
+
+    def __init__(self, *, handle: HandleFunction) -> None:
+        self.handle = handle
+        self.server = web.Server(
+            self.answer,
+            access_log=None,
+            max_field_size=border.headers.MAX_HEADER_BYTES,
+            max_line_size=border.headers.MAX_HEADER_BYTES,
+            auto_decompress=False,
+        )
+        self.sockets: asyncio.Server | None = None
+        self.active = 0
+        self.closing = False
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    async def start(self, host: str, port: int) -> int:
+        """Start to listen.
+
+        Args:
+            host: IP address.
+            port: TCP port; 0 takes a free one.
+
+        Returns:
+            The TCP port.
+
+        Raises:
+            OSError: The address cannot be used.
+        """
+        self.sockets = await asyncio.get_running_loop().create_server(
+            self.server, host, port, backlog=1024
+        )
+        return self.sockets.sockets[0].getsockname()[1]
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request; called by the HTTP server."""
+        self.active += 1
+        self.idle.clear()
+        try:
+            response = await self.handle(request)
+            if self.closing and not response.prepared:
+                response.force_close()
+            return response
+        finally:
+            self.active -= 1
+            if self.active == 0:
+                self.idle.set()
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; open connections go on."""
+        self.closing = True
+        if self.sockets is not None:
+            self.sockets.close()
+
+    async def close(self) -> None:
+        """End all connections."""
+        self.stop_accepting()
+        await self.server.shutdown(1.0)
--- /dev/null
+++ b/oleanderknot/tasks/ingress.py
@@ -0,0 +1,149 @@
+"""Takes requests of callers, the roots of call chains."""
+
+import random
+import time
+
+from aiohttp import web
+
+from oleanderknot import border
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.tasks import dispatcher
+from oleanderknot.tasks import http_answer
+from oleanderknot.tasks import http_exchange
+from oleanderknot.tasks import http_listener
+
+
+def split_path(raw_path: str) -> tuple[str, str]:
+    """Split ``/<service>/<path>`` into service and path.
+
+    Args:
+        raw_path: Path and query of the request as received.
+
+    Returns:
+        The service and the path and query for the upstream.
+
+    Raises:
+        ValueError: The path names no service.
+    """
+    service, slash, rest = raw_path[1:].partition('/')
+    if not slash:
+        service, mark, query = service.partition('?')
+        rest = mark + query
+    if not service or not raw_path.startswith('/'):
+        raise ValueError('the path must start with /<service>/')
+    return service, '/' + rest
+
+
+def build_call(
+    request: web.BaseRequest, policy: decisions.PolicyTable
+) -> model.Call:
+    """Build the root call of a chain from a request.
+
+    Args:
+        request: The request of a caller.
+        policy: Policy in force.
+
+    Returns:
+        The call, with the whole allowance of its route.
+
+    Raises:
+        ValueError: The path or a header is malformed.
+    """
+    service, path = split_path(request.raw_path)
+    headers = request.headers
+    deadline_ms = border.headers.parse_deadline(
+        headers.get(border.headers.DEADLINE)
+    )
+    key = border.headers.parse_key(headers.get(border.headers.IDEMPOTENCY_KEY))
+    trace = border.headers.parse_traceparent(
+        headers.get(border.headers.TRACEPARENT)
+    )
+    if trace is None:
+        trace = ('%032x' % random.getrandbits(128), '0' * 16, False)
+    service_policy, number = policy.find_service(service)
+    route = decisions.match_route(service_policy, request.method, path)
+    allowed_ms = min(deadline_ms or route.deadline_ms, route.deadline_ms)
+    return model.Call(
+        service=service,
+        method=request.method,
+        path=path,
+        headers=border.headers.keep_end_to_end(request.raw_headers),
+        request_class=route.request_class,
+        deadline=time.monotonic() + allowed_ms / 1000,
+        allowance=route.retries,
+        key=key,
+        idempotent=route.idempotent,
+        trace_id=trace[0],
+        span_id=trace[1],
+        sampled=trace[2],
+        route=route.prefix,
+        ticket=number,
+        has_body=request.body_exists,
+    )
+
+
+def build_handler(
+    calls: dispatcher.Dispatcher, policy: decisions.PolicyTable
+) -> http_listener.HandleFunction:
+    """Build the function that answers requests of callers.
+
+    Args:
+        calls: Sends calls to upstreams.
+        policy: Policy in force.
+
+    Returns:
+        The function.
+    """
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            call = build_call(request, policy)
+        except ValueError as error:
+            return refuse_request(str(error))
+        return await exchange(
+            request, call, decisions.open_account(call), calls
+        )
+
+    return handle
+
+
+def refuse_request(
+    detail: str, rule: model.Rule = model.Rule.BAD_REQUEST
+) -> web.Response:
+    """Build the response to a request that cannot be understood."""
+    return http_answer.build_refusal(
+        model.Refusal(
+            verdict=model.Verdict.NOT_RUN, rule=rule, service='', detail=detail
+        )
+    )
+
+
+async def exchange(
+    request: web.BaseRequest,
+    call: model.Call,
+    account: decisions.ChainAccount,
+    calls: dispatcher.Dispatcher,
+) -> web.StreamResponse:
+    """Dispatch the call of a request and send the answer.
+
+    Args:
+        request: The request.
+        call: Its call.
+        account: Account that retries are taken from.
+        calls: Sends calls to upstreams.
+
+    Returns:
+        The response.
+    """
+    try:
+        content, body = await http_exchange.read_body(request)
+    except model.BodyCut as error:
+        return refuse_request(str(error), error.rule)
+    result = await calls.dispatch(call, account, content, body)
+    if result.is_error():
+        refusal = result.error
+        calls.count_decision(call, refusal.rule, refusal.verdict)
+        return http_answer.build_refusal(refusal)
+    calls.count_decision(call, model.Rule.ADMITTED, model.Verdict.ANSWERED)
+    return await http_exchange.send_answer(request, result.ok)
--- /dev/null
+++ b/oleanderknot/tasks/peer_listener.py
@@ -0,0 +1,58 @@
+"""Accepts connections of other nodes."""
+
+import asyncio
+import ssl
+
+from oleanderknot import model
+from oleanderknot.tasks import peer_connection
+from oleanderknot.tasks import peer_handlers
+
+
+class PeerListener:
+    """Owns the listening socket for other nodes.
+
+    Attributes:
+        server: The listening socket once started.
+        accepted: Connections accepted and not ended.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: model.NodeIdentity,
+        handlers: peer_handlers.PeerHandlers,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.identity = identity
+        self.handlers = handlers
+        self.tls = tls
+        self.server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Start to listen.
+
+        Args:
+            host: IP address.
+            port: TCP port; 0 takes a free one.
+
+        Returns:
+            The TCP port.
+
+        Raises:
+            OSError: The address cannot be used.
+        """
+        self.server = await asyncio.get_running_loop().create_server(
+            self.build_connection, host, port, ssl=self.tls
+        )
+        return self.server.sockets[0].getsockname()[1]
+
+    def build_connection(self) -> peer_connection.PeerConnection:
+        """Build the protocol object of an accepted connection."""
+        return peer_connection.PeerConnection(
+            identity=self.identity, handlers=self.handlers, target=None
+        )
+
+    def close(self) -> None:
+        """Stop to accept connections."""
+        if self.server is not None:
+            self.server.close()
--- /dev/null
+++ b/oleanderknot/tasks/response_body.py
@@ -0,0 +1,90 @@
+"""Body of an upstream's answer."""
+
+import asyncio
+
+import aiohttp
+
+from oleanderknot import model
+from oleanderknot.tasks import body_pipe
+
+
+class ResponseBody:
+    """Reads the body of an HTTP response in parts.
+
+    Attributes:
+        response: The response.
+        ended: Whether the whole body has been read.
+    """
+
+    def __init__(self, *, response: aiohttp.ClientResponse) -> None:
+        self.response = response
+        self.ended = False
+
+    async def read_up_to(self, size: int) -> bytes:
+        """Read what has arrived, and wait for no more than a short body.
+
+        A body that is known to be short is read to its end; of another one
+        the first part is enough to start the answer.
+
+        Args:
+            size: Bytes that a short body may have.
+
+        Returns:
+            The first part of the body.
+
+        Raises:
+            BodyCut: The body ended before it was whole.
+        """
+        length = self.response.content_length
+        if length is not None and length > size:
+            return b''
+        parts = []
+        total = 0
+        while total < size:
+            data = await self.read()
+            if not data:
+                break
+            parts.append(data)
+            total += len(data)
+            if length is None and not self.response.content.at_eof():
+                break
+        if self.response.content.at_eof() and not self.ended:
+            self.finish()
+        return b''.join(parts)
+
+    async def read(self) -> bytes:
+        """Return the next part; empty bytes mark the end.
+
+        Raises:
+            BodyCut: The body ended before it was whole.
+        """
+        if self.ended:
+            return b''
+        try:
+            async with asyncio.timeout(body_pipe.PROGRESS_TIMEOUT_S):
+                data = await self.response.content.readany()
+        except TimeoutError as error:
+            self.cancel()
+            raise model.BodyCut(
+                rule=model.Rule.UPSTREAM_TIMEOUT,
+                detail='the upstream sent no part of the body in %d s'
+                % body_pipe.PROGRESS_TIMEOUT_S,
+            ) from error
+        except (aiohttp.ClientError, OSError) as error:
+            self.cancel()
+            raise model.BodyCut(
+                rule=model.Rule.UPSTREAM_CUT,
+                detail='the upstream ended the answer: %s' % error,
+            ) from error
+        if not data:
+            self.finish()
+        return data
+
+    def finish(self) -> None:
+        """Give the connection back after the whole body was read."""
+        self.ended = True
+        self.response.release()
+
+    def cancel(self) -> None:
+        """End the connection; the upstream sees that nobody reads on."""
+        self.response.close()
--- /dev/null
+++ b/oleanderknot/tasks/send_window.py
@@ -0,0 +1,65 @@
+"""Credit of one body that is being sent."""
+
+import asyncio
+
+from oleanderknot import model
+
+# Bytes of one body that may be on their way without the reader's credit.
+WINDOW_BYTES = 256 * 1024
+
+# Largest part of a body in one frame; also the largest inline body.
+CHUNK_BYTES = 64 * 1024
+
+
+class SendWindow:
+    """Bytes that the receiver of a body still accepts.
+
+    Attributes:
+        available: Bytes that may be sent now.
+        waiter: Wakes the sender when credit arrives.
+        closed: Rule that ended the transfer, if it has ended.
+    """
+
+    def __init__(self) -> None:
+        self.available = WINDOW_BYTES
+        self.waiter: asyncio.Future[None] | None = None
+        self.closed: model.Rule | None = None
+
+    def grant(self, size: int) -> None:
+        """Add credit that the receiver has sent."""
+        self.available += size
+        self.wake()
+
+    def close(self, rule: model.Rule) -> None:
+        """End the transfer; a waiting sender fails."""
+        self.closed = rule
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake the sender if it waits."""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    async def reserve(self, size: int) -> int:
+        """Wait for credit and take as much as there is.
+
+        Args:
+            size: Bytes that the sender would like to send, above 0.
+
+        Returns:
+            Bytes that it may send, from 1 to ``size``.
+
+        Raises:
+            BodyCut: The transfer was ended by the receiver or the connection.
+        """
+        while self.available <= 0 and self.closed is None:
+            self.waiter = asyncio.get_running_loop().create_future()
+            await self.waiter
+            self.waiter = None
+        if self.closed is not None:
+            raise model.BodyCut(
+                rule=self.closed, detail='the receiver ended the transfer'
+            )
+        taken = min(size, self.available)
+        self.available -= taken
+        return taken
--- /dev/null
+++ b/oleanderknot/tasks/upstream_client.py
@@ -0,0 +1,166 @@
+"""Sends requests to the own upstream over HTTP."""
+
+import collections.abc
+import random
+
+import aiohttp
+from expression import Error
+from expression import Ok
+from expression import Result
+import yarl
+
+from oleanderknot import border
+from oleanderknot import model
+from oleanderknot.tasks import response_body
+from oleanderknot.tasks import send_window
+
+CONNECT_TIMEOUT_S = 2.0
+
+
+class UpstreamClient:
+    """Owns the HTTP connections to the upstream of this node.
+
+    Attributes:
+        base: Address of the upstream, ``http://host:port``.
+        session: The connections.
+    """
+
+    def __init__(self, *, host: str, port: int, slots: int) -> None:
+        self.base = 'http://%s:%d' % (host, port)
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=slots),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+            timeout=aiohttp.ClientTimeout(
+                total=None,
+                sock_connect=CONNECT_TIMEOUT_S,
+                sock_read=None,
+            ),
+        )
+
+    async def request(
+        self,
+        call: model.Call,
+        content: bytes,
+        body: model.Body | None,
+        *,
+        now: float,
+    ) -> Result[model.Answer, model.Refusal]:
+        """Send a request and wait for the head of the answer.
+
+        Args:
+            call: The call.
+            content: First bytes of the request body.
+            body: Rest of the request body, if it arrives in parts.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The answer of the upstream, or a refusal when there is none.
+        """
+        headers = build_headers(call, now)
+        data = content if body is None else stream(content, body)
+        try:
+            response = await self.session.request(
+                call.method,
+                yarl.URL(self.base + call.path, encoded=True),
+                headers=headers,
+                data=data if call.has_body else None,
+                allow_redirects=False,
+            )
+        except aiohttp.ClientConnectorError as error:
+            return refuse(
+                call,
+                model.Verdict.NOT_RUN,
+                model.Rule.CONNECTION_REFUSED,
+                'the upstream cannot be reached: %s' % error,
+            )
+        except model.BodyCut as error:
+            return refuse(
+                call, model.Verdict.MAY_HAVE_RUN, error.rule, str(error)
+            )
+        except (aiohttp.ClientError, OSError) as error:
+            return refuse(
+                call,
+                model.Verdict.MAY_HAVE_RUN,
+                model.Rule.UPSTREAM_CUT,
+                'the upstream ended the connection: %s' % error,
+            )
+        return await self.read_answer(call, response)
+
+    async def read_answer(
+        self, call: model.Call, response: aiohttp.ClientResponse
+    ) -> Result[model.Answer, model.Refusal]:
+        """Make an answer of a response; a short body is read at once."""
+        verdict = response.headers.get(border.headers.VERDICT)
+        if response.status >= 400 and verdict == model.Verdict.NOT_RUN.value:
+            response.release()
+            return refuse(
+                call,
+                model.Verdict.NOT_RUN,
+                model.Rule.UPSTREAM_REFUSED,
+                'the upstream says that it did not run the request',
+            )
+        rest = response_body.ResponseBody(response=response)
+        try:
+            first = await rest.read_up_to(send_window.CHUNK_BYTES)
+        except model.BodyCut as error:
+            return refuse(
+                call, model.Verdict.MAY_HAVE_RUN, error.rule, str(error)
+            )
+        return Ok(
+            model.Answer(
+                status=response.status,
+                headers=border.headers.keep_end_to_end(response.raw_headers),
+                content=first,
+                body=None if rest.ended else rest,
+            )
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+
+def build_headers(call: model.Call, now: float) -> list[tuple[str, str]]:
+    """Build the request headers for the upstream.
+
+    The span id is new, so that the upstream's outgoing calls and its own
+    spans stand below this hop.
+    """
+    headers = [
+        (name.decode('latin-1'), value.decode('latin-1'))
+        for name, value in call.headers
+    ]
+    span_id = '%016x' % random.getrandbits(64)
+    headers.append(
+        (
+            border.headers.TRACEPARENT,
+            border.headers.format_traceparent(
+                call.trace_id, span_id, call.sampled
+            ),
+        )
+    )
+    remaining_ms = max(1, int((call.deadline - now) * 1000))
+    headers.append((border.headers.DEADLINE, str(remaining_ms)))
+    return headers
+
+
+async def stream(
+    content: bytes, body: model.Body
+) -> collections.abc.AsyncIterator[bytes]:
+    """Give the parts of a request body to the HTTP client."""
+    if content:
+        yield content
+    while data := await body.read():
+        yield data
+
+
+def refuse(
+    call: model.Call,
+    verdict: model.Verdict,
+    rule: model.Rule,
+    detail: str,
+) -> Result[model.Answer, model.Refusal]:
+    """Return the refusal of a call as a result."""
+    return Error(model.build_refusal(call, verdict, rule, detail))
