--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each gives figures that are held against stated bounds."""
--- /dev/null
+++ b/bench/bounds.py
@@ -0,0 +1,35 @@
+"""All bounds of the measurements.
+
+A bound comes from a stated target of the users, never from a measured
+figure.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Bound:
+    """A bound of one figure.
+
+    Attributes:
+        at_most: Largest allowed value, if there is one.
+        at_least: Smallest allowed value, if there is one.
+        source: Target that the bound comes from.
+    """
+
+    at_most: float | None = None
+    at_least: float | None = None
+    source: str
+
+    def holds(self, value: float) -> bool:
+        """Return whether a value keeps the bound."""
+        if self.at_most is not None and value > self.at_most:
+            return False
+        return self.at_least is None or value >= self.at_least
+
+
+BOUNDS = {
+    'latency.added_p99': Bound(
+        at_most=0.35, source='0.35 ms added to a call for 99 in 100'
+    ),
+}
