Log JSON lines, send metrics and generate their pages

Operators had no structured log and no metrics, and a decision was only counted in memory: bad requests, cut request bodies and answers that were cut half-way were not counted or counted as answered.

Every log line is now one JSON object; lines about refused calls are sampled and those left out are counted. One recorder passes each decision on once, after the answer has been sent: cut answers, callers that left and errors of the upstream are told apart from whole answers. Calls of an upstream that belong to no known request no longer count as requests of callers.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 PY = PYTHONPATH=$(CURDIR) $(VENV)/bin/python
 
-.PHONY: demo test lint features bench format thrift
+.PHONY: demo test lint features bench format thrift docs
 
 demo: $(VENV)/.ready
 	$(PY) -m oleanderknot demo
@@ -12,8 +12,9 @@
 lint: $(VENV)/.ready
 	$(VENV)/bin/ruff format --quiet --check .
 	$(VENV)/bin/ruff check --quiet .
-	$(VENV)/bin/flake8 oleanderknot features bench
+	$(VENV)/bin/flake8 oleanderknot features bench docs
 	PYTHONPATH=$(CURDIR) $(VENV)/bin/lint-imports --no-cache
+	$(PY) -m docs.pages --check
 
 features: $(VENV)/.ready
 	$(PY) -m features.run
@@ -21,6 +22,10 @@
 bench: $(VENV)/.ready
 	$(PY) -m bench
 
+# Pages generated from code: metrics and settings.
+docs: $(VENV)/.ready
+	$(PY) -m docs.pages
+
 format: $(VENV)/.ready
 	$(VENV)/bin/ruff check --quiet --fix .
 	$(VENV)/bin/ruff format .
--- /dev/null
+++ b/docs/__init__.py
@@ -0,0 +1,1 @@
+"""Pages, and the module that generates some of them."""
--- /dev/null
+++ b/oleanderknot/border/account_settings.py
@@ -0,0 +1,20 @@
+"""Settings of the account of decisions."""
+
+import typing
+
+import pydantic
+
+from oleanderknot.border import base
+
+
+class AccountSettings(base.Model):
+    """How the account of decisions is written to the object store.
+
+    Attributes:
+        period_s: Seconds between two batches.
+        max_held: Batches that are held while the object store is out; more
+            are dropped and counted.
+    """
+
+    period_s: typing.Annotated[float, pydantic.Field(gt=0, le=3600)] = 30.0
+    max_held: typing.Annotated[int, pydantic.Field(ge=1, le=256)] = 256
--- /dev/null
+++ b/oleanderknot/border/log_settings.py
@@ -0,0 +1,20 @@
+"""Settings of the log."""
+
+import typing
+
+import pydantic
+
+from oleanderknot.border import base
+
+
+class LogSettings(base.Model):
+    """Settings of the log, JSON lines on standard error.
+
+    Attributes:
+        level: Lowest level that is logged.
+        refusals_per_s: Lines about refused calls each second; the others
+            are counted and left out.
+    """
+
+    level: typing.Literal['debug', 'info', 'warning', 'error'] = 'info'
+    refusals_per_s: typing.Annotated[int, pydantic.Field(ge=0, le=1000)] = 10
--- a/oleanderknot/border/settings.py
+++ b/oleanderknot/border/settings.py
@@ -4,19 +4,16 @@
 
 import pydantic
 
-Port = typing.Annotated[int, pydantic.Field(ge=0, le=65535)]
-Name = typing.Annotated[
-    str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')
-]
+from oleanderknot.border import account_settings
+from oleanderknot.border import alert_settings
+from oleanderknot.border import base
+from oleanderknot.border import log_settings
+from oleanderknot.border import statsd_settings
+from oleanderknot.border import tls_settings
+from oleanderknot.border import tracing_settings
 
 
-class Model(pydantic.BaseModel):
-    """Base of all validated models: unknown fields are errors."""
-
-    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
-
-
-class ListenSettings(Model):
+class ListenSettings(base.Model):
     """Addresses that a node listens on; port 0 takes a free one.
 
     Attributes:
@@ -36,21 +33,21 @@
     host: pydantic.IPvAnyAddress = pydantic.Field(
         default='127.0.0.1', validate_default=True
     )
-    caller_port: Port = 0
-    peer_port: Port = 0
+    caller_port: base.Port = 0
+    peer_port: base.Port = 0
     advertised_host: pydantic.IPvAnyAddress | None = None
-    advertised_peer_port: Port = 0
+    advertised_peer_port: base.Port = 0
     egress_host: pydantic.IPvAnyAddress = pydantic.Field(
         default='127.0.0.1', validate_default=True
     )
-    egress_port: Port = 0
+    egress_port: base.Port = 0
     operator_host: pydantic.IPvAnyAddress = pydantic.Field(
         default='127.0.0.1', validate_default=True
     )
-    operator_port: Port = 0
+    operator_port: base.Port = 0
 
 
-class UpstreamSettings(Model):
+class UpstreamSettings(base.Model):
     """An upstream that cannot announce itself.
 
     Attributes:
@@ -60,13 +57,13 @@
         slots: Calls that it can run at once.
     """
 
-    service: Name
+    service: base.Name
     host: pydantic.IPvAnyAddress
     port: typing.Annotated[int, pydantic.Field(ge=1, le=65535)]
     slots: typing.Annotated[int, pydantic.Field(ge=1, le=100000)]
 
 
-class PlatformSettings(Model):
+class PlatformSettings(base.Model):
     """Addresses of the platform's services.
 
     Attributes:
@@ -80,7 +77,7 @@
     timeout_ms: typing.Annotated[int, pydantic.Field(ge=1, le=60000)] = 1000
 
 
-class NodeSettings(Model):
+class NodeSettings(base.Model):
     """Settings of one node.
 
     Attributes:
@@ -92,12 +89,33 @@
         seeds: Peer addresses ``ip:port`` of a few other nodes, tried first.
         drain_timeout_s: Seconds that a planned stop waits for requests in
             flight.
+        log: The log.
+        statsd: Where metrics go.
+        account: How the account of decisions is written.
+        alerts: Where alerts go.
+        tracing: Where spans go.
+        tls: Mutual TLS between nodes; needed beyond loopback.
+        operator_token: Secret that operators send as ``Authorization:
+            Bearer``; needed beyond loopback, empty for none.
     """
 
-    instance: Name
-    data_centre: Name
+    instance: base.Name
+    data_centre: base.Name
     listen: ListenSettings = ListenSettings()
     platform: PlatformSettings = PlatformSettings()
     upstream: UpstreamSettings | None = None
     seeds: tuple[str, ...] = ()
     drain_timeout_s: typing.Annotated[float, pydantic.Field(gt=0)] = 900.0
+    log: log_settings.LogSettings = log_settings.LogSettings()
+    statsd: statsd_settings.StatsdSettings = statsd_settings.StatsdSettings()
+    account: account_settings.AccountSettings = (
+        account_settings.AccountSettings()
+    )
+    alerts: alert_settings.AlertSettings = alert_settings.AlertSettings()
+    tracing: tracing_settings.TracingSettings = (
+        tracing_settings.TracingSettings()
+    )
+    tls: tls_settings.TlsSettings | None = None
+    operator_token: typing.Annotated[
+        str, pydantic.Field(pattern=r'^([!-~]{16,200})?$')
+    ] = ''
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -5,6 +5,7 @@
 from oleanderknot.decisions.chain_table import ChainTable
 from oleanderknot.decisions.instance_load import InstanceLoad
 from oleanderknot.decisions.instance_load import MAX_LEVEL
+from oleanderknot.decisions.log_sampler import LogSampler
 from oleanderknot.decisions.member_table import is_newer
 from oleanderknot.decisions.member_table import MemberTable
 from oleanderknot.decisions.policy_table import match_route
@@ -19,6 +20,7 @@
     'ChainAccount',
     'ChainTable',
     'InstanceLoad',
+    'LogSampler',
     'MAX_LEVEL',
     'MemberTable',
     'PolicyTable',
--- a/oleanderknot/model/__init__.py
+++ b/oleanderknot/model/__init__.py
@@ -10,6 +10,7 @@
 from oleanderknot.model.load_report import LoadReport
 from oleanderknot.model.member import Member
 from oleanderknot.model.member_state import MemberState
+from oleanderknot.model.metric import Metric
 from oleanderknot.model.node_identity import NodeIdentity
 from oleanderknot.model.order_key import OrderKey
 from oleanderknot.model.platform_fault import FaultKind
@@ -38,6 +39,7 @@
     'LoadReport',
     'Member',
     'MemberState',
+    'Metric',
     'NodeIdentity',
     'OrderKey',
     'Policy',
--- a/oleanderknot/model/rule.py
+++ b/oleanderknot/model/rule.py
@@ -38,3 +38,4 @@
     CLAIM_HELD = 'claim_held'
     CLAIM_UNKNOWN = 'claim_unknown'
     INTERNAL_ERROR = 'internal_error'
+    UPSTREAM_ERROR = 'upstream_error'
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -1,7 +1,6 @@
 """The node: puts the tasks together and runs their life cycle."""
 
 import asyncio
-import collections
 import dataclasses
 import random
 import secrets
@@ -13,11 +12,13 @@
 from oleanderknot import border
 from oleanderknot import decisions
 from oleanderknot import model
+from oleanderknot.tasks import decision_recorder
 from oleanderknot.tasks import dispatcher
 from oleanderknot.tasks import egress
 from oleanderknot.tasks import http_listener
 from oleanderknot.tasks import ingress
 from oleanderknot.tasks import membership
+from oleanderknot.tasks import metrics
 from oleanderknot.tasks import operator_listener
 from oleanderknot.tasks import peer_connection
 from oleanderknot.tasks import peer_handlers
@@ -50,8 +51,7 @@
     Attributes:
         settings: Settings of the node.
         identity: Identity of this life of the node.
-        counters: Counts of events by name.
-        decisions: Counts of decisions by key.
+        metrics: Counts of events by name.
     """
 
     settings: border.NodeSettings
@@ -64,9 +64,11 @@
             incarnation=build_incarnation(),
             data_centre=settings.data_centre,
         )
-        self.counters: collections.Counter[str] = collections.Counter()
-        self.decision_counts: collections.Counter[model.DecisionKey] = (
-            collections.Counter()
+        statsd = settings.statsd
+        self.metrics = metrics.Metrics(
+            client=metrics.build_client(
+                statsd.host and str(statsd.host), statsd.port, statsd.prefix
+            )
         )
         self.members = decisions.MemberTable()
         self.policy = decisions.PolicyTable()
@@ -114,6 +116,14 @@
             rng=random.Random(),
         )
         self.background.append(asyncio.create_task(self.membership.run()))
+        self.metrics.gauges.update(
+            {
+                'runner.running': lambda: self.runner.running,
+                'callers.active': lambda: self.callers.active,
+                'peer.connections': lambda: len(self.pool.connections),
+            }
+        )
+        self.background.append(asyncio.create_task(self.metrics.run()))
         if self.settings.upstream is not None:
             await self.announce(self.settings.upstream)
         logging.info('node %s started: %s', self.identity.instance, ports)
@@ -129,6 +139,7 @@
         self.peer_listener.close()
         self.pool.close()
         await self.runner.close()
+        self.metrics.close()
         logging.info('node %s stopped', self.identity.instance)
 
     def build_tasks(self) -> None:
@@ -141,7 +152,7 @@
             policy=lambda peer, item: None,
             opened=self.greet,
             closed=lambda peer: self.pool.remove(peer),
-            count=self.count,
+            count=self.metrics.count,
         )
         host = self.settings.listen.host
         self.pool = peer_pool.PeerPool(
@@ -152,13 +163,20 @@
         self.peer_listener = peer_listener.PeerListener(
             identity=self.identity, handlers=handlers
         )
+        self.recorder = decision_recorder.DecisionRecorder(
+            count=lambda key: None,
+            metrics=self.metrics,
+            sampler=decisions.LogSampler(
+                per_second=self.settings.log.refusals_per_s
+            ),
+        )
         self.dispatcher = dispatcher.Dispatcher(
             identity=self.identity,
             members=self.members,
             policy=self.policy,
             runner=self.runner,
             pool=self.pool,
-            count=self.count_decision,
+            record=self.recorder.record,
         )
         self.callers = http_listener.HttpListener(
             handle=ingress.build_handler(self.dispatcher, self.policy)
@@ -213,14 +231,6 @@
         self.pool.add(connection)
         self.membership.greet(connection)
 
-    def count(self, name: str) -> None:
-        """Count an event."""
-        self.counters[name] += 1
-
-    def count_decision(self, key: model.DecisionKey) -> None:
-        """Count a decision."""
-        self.decision_counts[key] += 1
-
     def describe(self) -> dict[str, object]:
         """Describe the state of the node for operators."""
         return {
@@ -245,5 +255,5 @@
                 for member in self.members.members.values()
             ],
             'connections': sorted(self.pool.connections),
-            'counters': dict(self.counters),
+            'counters': dict(self.metrics.totals),
         }
--- a/oleanderknot/node/serve.py
+++ b/oleanderknot/node/serve.py
@@ -7,6 +7,7 @@
 
 from oleanderknot import border
 from oleanderknot.node import application
+from oleanderknot.tasks import json_formatter
 
 
 def serve(settings: border.NodeSettings) -> None:
@@ -18,6 +19,9 @@
     Raises:
         OSError: A listening address cannot be used.
     """
+    json_formatter.set_up_log(
+        instance=settings.instance, level=settings.log.level
+    )
     node = application.NodeApplication(settings=settings)
     with aiomisc.entrypoint(
         node,
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -18,7 +18,10 @@
 # do not arrive together.
 RETRY_PAUSE_S = 0.02
 
-CountFunction = collections.abc.Callable[[model.DecisionKey], None]
+# Takes call, rule, verdict and one sentence of detail.
+RecordFunction = collections.abc.Callable[
+    [model.Call, model.Rule, model.Verdict, str], None
+]
 
 
 class Dispatcher:
@@ -30,7 +33,7 @@
         policy: Policy in force.
         runner: Runs calls at the own upstream.
         pool: Connections to other nodes.
-        count: Counts a decision.
+        record: Counts and logs a decision.
         loads: Load by instance.
         budget: Retries of this node as a share of its successes.
         rng: Source of randomness.
@@ -44,7 +47,7 @@
         policy: decisions.PolicyTable,
         runner: runner.Runner,
         pool: peer_pool.PeerPool,
-        count: CountFunction,
+        record: RecordFunction,
         rng: random.Random | None = None,
     ) -> None:
         self.identity = identity
@@ -52,7 +55,7 @@
         self.policy = policy
         self.runner = runner
         self.pool = pool
-        self.count = count
+        self.record = record
         self.loads: dict[str, decisions.InstanceLoad] = {}
         self.budget = decisions.RetryBudget()
         self.rng = rng or random.Random()
@@ -249,16 +252,11 @@
         return model.build_refusal(call, model.Verdict.NOT_RUN, rule, detail)
 
     def count_decision(
-        self, call: model.Call, rule: model.Rule, verdict: model.Verdict
+        self,
+        call: model.Call,
+        rule: model.Rule,
+        verdict: model.Verdict,
+        detail: str = '',
     ) -> None:
-        """Count a decision about a call."""
-        self.count(
-            model.DecisionKey(
-                ticket=call.ticket,
-                rule=rule,
-                request_class=call.request_class,
-                service=call.service,
-                verdict=verdict,
-                root=call.depth == 0,
-            )
-        )
+        """Record a decision about a call."""
+        self.record(call, rule, verdict, detail)
--- a/oleanderknot/tasks/egress.py
+++ b/oleanderknot/tasks/egress.py
@@ -46,8 +46,10 @@
 
     Such a call may come from a job of the upstream, or from a request whose
     ``traceparent`` was not passed on. It gets no retries, since a bound for
-    its chain is not known, and the class that is shed first.
+    its chain is not known, and the class that is shed first. Its depth
+    keeps it apart from the requests of callers in the account.
     """
+    call.depth = 1
     call.request_class = model.RequestClass.INTERNAL
     call.allowance = 0
     return decisions.open_account(call)
@@ -82,7 +84,7 @@
         try:
             call = ingress.build_call(request, policy)
         except ValueError as error:
-            return ingress.refuse_request(str(error))
+            return ingress.refuse_bad_request(calls, 1, str(error))
         account = chains.find(call.trace_id)
         if account is None:
             return await ingress.exchange(request, call, isolate(call), calls)
--- a/oleanderknot/tasks/http_exchange.py
+++ b/oleanderknot/tasks/http_exchange.py
@@ -39,7 +39,7 @@
 
 async def send_answer(
     request: web.BaseRequest, answer: model.Answer
-) -> web.StreamResponse:
+) -> tuple[web.StreamResponse, model.Rule | None]:
     """Send an answer to the caller, whole or visibly cut.
 
     Args:
@@ -47,12 +47,17 @@
         answer: The answer.
 
     Returns:
-        The response, sent when its body arrives in parts.
+        The response, sent when its body arrives in parts, and the rule that
+        cut it; None when nothing did.
     """
     if answer.body is None:
-        return http_answer.build_response(request, answer)
+        left = request.transport is None or request.transport.is_closing()
+        return (
+            http_answer.build_response(request, answer),
+            model.Rule.CALLER_LEFT if left else None,
+        )
     response = http_answer.build_stream(answer)
-    finished = False
+    cut: model.Rule | None = model.Rule.CALLER_LEFT
     try:
         await response.prepare(request)
         if answer.content:
@@ -60,14 +65,16 @@
         while data := await answer.body.read():
             await response.write(data)
         await response.write_eof()
-        finished = True
+        cut = None
     except (model.BodyCut, OSError) as error:
+        if isinstance(error, model.BodyCut):
+            cut = error.rule
         logging.warning('answer to %s was cut: %s', request.path, error)
         # Ends the connection without the last chunk, so that the caller
         # cannot take the answer for whole.
         if request.transport is not None:
             request.transport.abort()
     finally:
-        if not finished:
+        if cut is not None:
             answer.body.cancel()
-    return response
+    return response, cut
--- a/oleanderknot/tasks/ingress.py
+++ b/oleanderknot/tasks/ingress.py
@@ -12,6 +12,7 @@
 from oleanderknot.tasks import http_answer
 from oleanderknot.tasks import http_exchange
 from oleanderknot.tasks import http_listener
+from oleanderknot.tasks import outcome
 
 
 def split_path(raw_path: str) -> tuple[str, str]:
@@ -100,7 +101,7 @@
         try:
             call = build_call(request, policy)
         except ValueError as error:
-            return refuse_request(str(error))
+            return refuse_bad_request(calls, 0, str(error))
         return await exchange(
             request, call, decisions.open_account(call), calls
         )
@@ -119,6 +120,27 @@
     )
 
 
+def refuse_bad_request(
+    calls: dispatcher.Dispatcher, depth: int, detail: str
+) -> web.Response:
+    """Count a request that cannot be understood and refuse it."""
+    call = model.Call(
+        service='',
+        method='',
+        path='',
+        headers=[],
+        request_class=model.RequestClass.BROWSING,
+        deadline=0.0,
+        trace_id='',
+        span_id='',
+        depth=depth,
+    )
+    calls.count_decision(
+        call, model.Rule.BAD_REQUEST, model.Verdict.NOT_RUN, detail
+    )
+    return refuse_request(detail)
+
+
 async def exchange(
     request: web.BaseRequest,
     call: model.Call,
@@ -139,11 +161,19 @@
     try:
         content, body = await http_exchange.read_body(request)
     except model.BodyCut as error:
+        calls.count_decision(
+            call, error.rule, model.Verdict.NOT_RUN, str(error)
+        )
         return refuse_request(str(error), error.rule)
     result = await calls.dispatch(call, account, content, body)
     if result.is_error():
         refusal = result.error
-        calls.count_decision(call, refusal.rule, refusal.verdict)
+        calls.count_decision(
+            call, refusal.rule, refusal.verdict, refusal.detail
+        )
         return http_answer.build_refusal(refusal)
-    calls.count_decision(call, model.Rule.ADMITTED, model.Verdict.ANSWERED)
-    return await http_exchange.send_answer(request, result.ok)
+    answer = result.ok
+    response, cut = await http_exchange.send_answer(request, answer)
+    rule, verdict, detail = outcome.judge(answer.status, cut)
+    calls.count_decision(call, rule, verdict, detail)
+    return response
--- /dev/null
+++ b/oleanderknot/tasks/json_formatter.py
@@ -0,0 +1,71 @@
+"""Formats log records as JSON lines."""
+
+import datetime
+import json
+import logging
+
+from absl import flags
+from absl import logging as absl_logging
+
+from oleanderknot import model
+
+
+class JsonFormatter(logging.Formatter):
+    """Writes one JSON object for each record.
+
+    Attributes:
+        instance: Name of the node's instance.
+    """
+
+    def __init__(self, *, instance: str) -> None:
+        super().__init__()
+        self.instance = instance
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return a record as one line; called by the log handler."""
+        moment = datetime.datetime.fromtimestamp(
+            record.created, datetime.timezone.utc
+        )
+        fields = {
+            'time': moment.isoformat(timespec='milliseconds'),
+            'level': record.levelname.lower(),
+            'message': record.getMessage(),
+            'instance': self.instance,
+            **getattr(record, 'call_fields', {}),
+        }
+        if record.exc_info:
+            fields['error'] = self.formatException(record.exc_info)
+        return json.dumps(fields, default=str)
+
+
+def describe_call(
+    call: model.Call, rule: model.Rule, verdict: model.Verdict
+) -> dict[str, dict[str, object]]:
+    """Return the ``extra`` argument for a log line about a call."""
+    return {
+        'call_fields': {
+            'ticket': call.ticket,
+            'verdict': verdict.value,
+            'rule': rule.value,
+            'class': call.request_class.name.lower(),
+            'service': call.service,
+            'trace': call.trace_id,
+        }
+    }
+
+
+def set_up_log(*, instance: str, level: str) -> None:
+    """Make all log lines of the process JSON lines on standard error.
+
+    Args:
+        instance: Name of the node's instance.
+        level: Lowest level that is logged: debug, info, warning or error.
+    """
+    if not flags.FLAGS.is_parsed():
+        # absl writes a warning of its own before its flags are parsed.
+        flags.FLAGS(['oleanderknot'], known_only=True)
+    absl_logging.use_absl_handler()
+    absl_logging.get_absl_handler().setFormatter(
+        JsonFormatter(instance=instance)
+    )
+    absl_logging.set_verbosity(level)
--- /dev/null
+++ b/oleanderknot/tasks/outcome.py
@@ -0,0 +1,33 @@
+"""Says what became of a request that an upstream has answered."""
+
+from oleanderknot import model
+
+TOO_MANY_REQUESTS = 429
+
+
+def judge(
+    status: int, cut: model.Rule | None
+) -> tuple[model.Rule, model.Verdict, str]:
+    """Judge an answer for the account.
+
+    An error of the upstream is told apart, since the customer got no
+    catalogue page, pattern or booking.
+
+    Args:
+        status: HTTP status of the upstream's answer.
+        cut: The rule that cut the answer; None when it was sent whole.
+
+    Returns:
+        Rule, verdict and one English sentence for operators.
+    """
+    if cut is model.Rule.CALLER_LEFT:
+        return cut, model.Verdict.ANSWERED, 'the caller left'
+    if cut is not None:
+        return cut, model.Verdict.MAY_HAVE_RUN, 'the answer was cut'
+    if status >= 500 or status == TOO_MANY_REQUESTS:
+        return (
+            model.Rule.UPSTREAM_ERROR,
+            model.Verdict.ANSWERED,
+            'the upstream answered with status %d' % status,
+        )
+    return model.Rule.ADMITTED, model.Verdict.ANSWERED, ''
