Name file, line and field of mistakes in YAML files

Cause: pydantic alone gives no line, and YAML lets a key come twice without a word, so an operator has to search for the mistake.

Change: load_yaml keeps the line of each value and reports repeated keys, aliases and keys that are no text; collect validates a part of the text with a model and adds its errors with line, field, what was found and what is allowed. Settings and ticket files can share both.

--- a/oleanderknot/border/__init__.py
+++ b/oleanderknot/border/__init__.py
@@ -2,20 +2,32 @@
 
 from oleanderknot.border import headers
 from oleanderknot.border.announcement import Announcement
+from oleanderknot.border.mistake import Mistake
+from oleanderknot.border.model_mistakes import collect
 from oleanderknot.border.settings import ListenSettings
 from oleanderknot.border.settings import NodeSettings
 from oleanderknot.border.settings import PlatformSettings
 from oleanderknot.border.settings import UpstreamSettings
 from oleanderknot.border.settings_file import load_settings
 from oleanderknot.border.settings_file import SettingsError
+from oleanderknot.border.yaml_lines import load_yaml
+from oleanderknot.border.yaml_lines import MistakesError
+from oleanderknot.border.yaml_lines import parse_yaml
+from oleanderknot.border.yaml_lines import YamlText
 
 __all__ = [
     'Announcement',
     'ListenSettings',
+    'Mistake',
+    'MistakesError',
     'NodeSettings',
     'PlatformSettings',
     'SettingsError',
     'UpstreamSettings',
+    'YamlText',
+    'collect',
     'headers',
     'load_settings',
+    'load_yaml',
+    'parse_yaml',
 ]
--- /dev/null
+++ b/oleanderknot/border/model_mistakes.py
@@ -0,0 +1,109 @@
+"""Describes the errors of a validated model by file, line and field."""
+
+import collections.abc
+import typing
+
+import pydantic
+
+from oleanderknot.border import mistake
+from oleanderknot.border import yaml_lines
+
+PREFIXES = ('Input should be ', 'Value error, ')
+
+
+def collect(
+    model: type[pydantic.BaseModel],
+    text: yaml_lines.YamlText,
+    value: object,
+    path: yaml_lines.Path = (),
+) -> pydantic.BaseModel | None:
+    """Validate a part of a YAML text and add its mistakes to the text.
+
+    The description of a model's field, where it has one, tells operators
+    what is allowed.
+
+    Args:
+        model: What the part must be.
+        text: The YAML text; gets the mistakes.
+        value: The part.
+        path: Keys and positions that lead to the part.
+
+    Returns:
+        The validated part, or None after a mistake.
+    """
+    try:
+        return model.model_validate(value)
+    except pydantic.ValidationError as error:
+        for item in error.errors(include_url=False):
+            location = tuple(item['loc'])
+            found = mistake.show(item['input'])
+            if item['type'] == 'missing':
+                found = 'nothing'
+            elif item['type'] == 'extra_forbidden':
+                found = 'an unknown field'
+            text.add(
+                (*path, *location), found, describe(model, location, item)
+            )
+        return None
+
+
+def describe(
+    model: type[pydantic.BaseModel],
+    location: yaml_lines.Path,
+    error: collections.abc.Mapping[str, typing.Any],
+) -> str:
+    """Return what is allowed at a place in a model."""
+    around = find_model(model, location[:-1])
+    if error['type'] == 'extra_forbidden' and around is not None:
+        return ', '.join(list_fields(around))
+    field = location and around and list_fields(around).get(location[-1])
+    if field and field.description:
+        return field.description
+    if error['type'] == 'missing':
+        return 'a value'
+    if error['type'] in ('model_type', 'model_attributes_type'):
+        inner = find_model(model, location) or model
+        return 'a mapping with ' + ', '.join(list_fields(inner))
+    message = error['msg']
+    for prefix in PREFIXES:
+        message = message.removeprefix(prefix)
+    return message[:1].lower() + message[1:]
+
+
+def list_fields(
+    model: type[pydantic.BaseModel],
+) -> dict[str | int, pydantic.fields.FieldInfo]:
+    """Return the fields of a model by the names that files use."""
+    return {
+        field.alias or name: field
+        for name, field in model.model_fields.items()
+    }
+
+
+def find_model(
+    model: type[pydantic.BaseModel] | None, location: yaml_lines.Path
+) -> type[pydantic.BaseModel] | None:
+    """Return the model at a place inside another, or None."""
+    for part in location:
+        if model is None:
+            return None
+        if isinstance(part, int):
+            continue
+        field = list_fields(model).get(part)
+        model = field and find_in_type(field.annotation)
+    return model
+
+
+def find_in_type(
+    annotation: typing.Any,
+) -> type[pydantic.BaseModel] | None:
+    """Return the first model in a type such as ``tuple[Model, ...]``."""
+    if isinstance(annotation, type) and issubclass(
+        annotation, pydantic.BaseModel
+    ):
+        return annotation
+    for part in typing.get_args(annotation):
+        found = find_in_type(part)
+        if found is not None:
+            return found
+    return None
