--- a/oleanderknot/border/__init__.py
+++ b/oleanderknot/border/__init__.py
@@ -5,6 +5,8 @@
 from oleanderknot.border.alert_settings import AlertSettings
 from oleanderknot.border.announcement import Announcement
 from oleanderknot.border.log_settings import LogSettings
+from oleanderknot.border.mistake import Mistake
+from oleanderknot.border.model_mistakes import collect
 from oleanderknot.border.settings import ListenSettings
 from oleanderknot.border.settings import NodeSettings
 from oleanderknot.border.settings import PlatformSettings
@@ -14,6 +16,10 @@
 from oleanderknot.border.statsd_settings import StatsdSettings
 from oleanderknot.border.tls_settings import TlsSettings
 from oleanderknot.border.tracing_settings import TracingSettings
+from oleanderknot.border.yaml_lines import load_yaml
+from oleanderknot.border.yaml_lines import MistakesError
+from oleanderknot.border.yaml_lines import parse_yaml
+from oleanderknot.border.yaml_lines import YamlText
 
 __all__ = [
     'AccountSettings',
@@ -21,6 +27,8 @@
     'Announcement',
     'ListenSettings',
     'LogSettings',
+    'Mistake',
+    'MistakesError',
     'NodeSettings',
     'PlatformSettings',
     'SettingsError',
@@ -28,6 +36,10 @@
     'TlsSettings',
     'TracingSettings',
     'UpstreamSettings',
+    'YamlText',
+    'collect',
     'headers',
     'load_settings',
+    'load_yaml',
+    'parse_yaml',
 ]
