Name every mistake of a settings file at once, with exit status 2

A settings file was checked only when a node started, the library's text gave no line, and wrong usage of the command line ended with status 1, not the 2 that the design asks for.

`oleanderknot check FILE` and `node` now name all mistakes by line and field, with what was found and what is allowed; `--output json` for programs. Listeners beyond loopback without TLS between nodes or without an operator token are mistakes, and so is an egress port beyond loopback. Seeds, addresses and URLs are checked in the file instead of failing at first use.

--- a/oleanderknot/border/__init__.py
+++ b/oleanderknot/border/__init__.py
@@ -12,7 +12,6 @@
 from oleanderknot.border.settings import PlatformSettings
 from oleanderknot.border.settings import UpstreamSettings
 from oleanderknot.border.settings_file import load_settings
-from oleanderknot.border.settings_file import SettingsError
 from oleanderknot.border.statsd_settings import StatsdSettings
 from oleanderknot.border.tls_settings import TlsSettings
 from oleanderknot.border.tracing_settings import TracingSettings
@@ -31,7 +30,6 @@
     'MistakesError',
     'NodeSettings',
     'PlatformSettings',
-    'SettingsError',
     'StatsdSettings',
     'TlsSettings',
     'TracingSettings',
--- a/oleanderknot/border/alert_settings.py
+++ b/oleanderknot/border/alert_settings.py
@@ -19,9 +19,7 @@
             is raised.
     """
 
-    webhook_url: typing.Annotated[
-        str, pydantic.Field(pattern=r'^(https?://.+)?$')
-    ] = ''
+    webhook_url: base.Url = ''
     retry_min_s: typing.Annotated[float, pydantic.Field(gt=0, le=60)] = 1.0
     retry_max_s: typing.Annotated[float, pydantic.Field(gt=0, le=3600)] = 60.0
     order_refusals_s: typing.Annotated[
--- a/oleanderknot/border/base.py
+++ b/oleanderknot/border/base.py
@@ -1,16 +1,55 @@
 """Base of all validated models."""
 
+import ipaddress
 import typing
 
 import pydantic
 
-Port = typing.Annotated[int, pydantic.Field(ge=0, le=65535)]
-Name = typing.Annotated[
-    str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')
-]
-
 
 class Model(pydantic.BaseModel):
     """Base of all validated models: unknown fields are errors."""
 
     model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+def check_address(text: str) -> str:
+    """Check ``ip:port``.
+
+    Raises:
+        ValueError: The text is no IP address with a port.
+    """
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+        valid = port.isascii() and port.isdigit() and 0 < int(port) < 65536
+    except ValueError:
+        valid = False
+    if not valid:
+        raise ValueError('an IP address and a port, such as 10.0.0.5:7001')
+    return text
+
+
+Port = typing.Annotated[
+    int,
+    pydantic.Field(
+        ge=0, le=65535, description='a whole number from 0 to 65535'
+    ),
+]
+Name = typing.Annotated[
+    str,
+    pydantic.Field(
+        pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$',
+        description='up to 63 lower-case letters, digits, dots and hyphens',
+    ),
+]
+Host = typing.Annotated[
+    pydantic.IPvAnyAddress, pydantic.Field(description='an IP address')
+]
+Url = typing.Annotated[
+    str,
+    pydantic.Field(
+        pattern=r'^(https?://[^\s/]+.*)?$',
+        description='an address that starts with http:// or https://',
+    ),
+]
+Address = typing.Annotated[str, pydantic.AfterValidator(check_address)]
--- a/oleanderknot/border/settings.py
+++ b/oleanderknot/border/settings.py
@@ -30,18 +30,18 @@
         operator_port: TCP port for operators.
     """
 
-    host: pydantic.IPvAnyAddress = pydantic.Field(
+    host: base.Host = pydantic.Field(
         default='127.0.0.1', validate_default=True
     )
     caller_port: base.Port = 0
     peer_port: base.Port = 0
-    advertised_host: pydantic.IPvAnyAddress | None = None
+    advertised_host: base.Host | None = None
     advertised_peer_port: base.Port = 0
-    egress_host: pydantic.IPvAnyAddress = pydantic.Field(
+    egress_host: base.Host = pydantic.Field(
         default='127.0.0.1', validate_default=True
     )
     egress_port: base.Port = 0
-    operator_host: pydantic.IPvAnyAddress = pydantic.Field(
+    operator_host: base.Host = pydantic.Field(
         default='127.0.0.1', validate_default=True
     )
     operator_port: base.Port = 0
@@ -58,7 +58,7 @@
     """
 
     service: base.Name
-    host: pydantic.IPvAnyAddress
+    host: base.Host
     port: typing.Annotated[int, pydantic.Field(ge=1, le=65535)]
     slots: typing.Annotated[int, pydantic.Field(ge=1, le=100000)]
 
@@ -72,8 +72,8 @@
         timeout_ms: Milliseconds to wait for an answer.
     """
 
-    table_url: str = ''
-    object_url: str = ''
+    table_url: base.Url = ''
+    object_url: base.Url = ''
     timeout_ms: typing.Annotated[int, pydantic.Field(ge=1, le=60000)] = 1000
 
 
@@ -104,7 +104,7 @@
     listen: ListenSettings = ListenSettings()
     platform: PlatformSettings = PlatformSettings()
     upstream: UpstreamSettings | None = None
-    seeds: tuple[str, ...] = ()
+    seeds: tuple[base.Address, ...] = ()
     drain_timeout_s: typing.Annotated[float, pydantic.Field(gt=0)] = 900.0
     log: log_settings.LogSettings = log_settings.LogSettings()
     statsd: statsd_settings.StatsdSettings = statsd_settings.StatsdSettings()
@@ -117,5 +117,9 @@
     )
     tls: tls_settings.TlsSettings | None = None
     operator_token: typing.Annotated[
-        str, pydantic.Field(pattern=r'^([!-~]{16,200})?$')
+        str,
+        pydantic.Field(
+            pattern=r'^([!-~]{16,200})?$',
+            description='16 to 200 visible ASCII characters',
+        ),
     ] = ''
--- a/oleanderknot/border/settings_file.py
+++ b/oleanderknot/border/settings_file.py
@@ -2,14 +2,10 @@
 
 import pathlib
 
-import pydantic
-import yaml
-
+from oleanderknot.border import exposure
+from oleanderknot.border import model_mistakes
 from oleanderknot.border import settings
-
-
-class SettingsError(Exception):
-    """Settings are invalid; the text names every mistake on its own line."""
+from oleanderknot.border import yaml_lines
 
 
 def load_settings(path: pathlib.Path) -> settings.NodeSettings:
@@ -22,10 +18,13 @@
         The settings.
 
     Raises:
-        SettingsError: The file cannot be read or is invalid.
+        MistakesError: The file cannot be read or is invalid; the error
+            names all mistakes.
     """
-    try:
-        content = yaml.safe_load(path.read_text(encoding='utf-8'))
-        return settings.NodeSettings.model_validate(content)
-    except (OSError, yaml.YAMLError, pydantic.ValidationError) as error:
-        raise SettingsError('%s: %s' % (path, error)) from error
+    text = yaml_lines.load_yaml(path)
+    result = model_mistakes.collect(settings.NodeSettings, text, text.value)
+    for place, found, allowed in exposure.find_exposed(text.value):
+        text.add(place, found, allowed)
+    if result is None or text.mistakes:
+        raise yaml_lines.MistakesError(text.mistakes)
+    return result
--- a/oleanderknot/border/statsd_settings.py
+++ b/oleanderknot/border/statsd_settings.py
@@ -1,7 +1,5 @@
 """Settings of metrics."""
 
-import pydantic
-
 from oleanderknot.border import base
 
 
@@ -14,6 +12,6 @@
         prefix: Text in front of all names.
     """
 
-    host: pydantic.IPvAnyAddress | None = None
+    host: base.Host | None = None
     port: base.Port = 8125
     prefix: str = 'oleanderknot'
--- a/oleanderknot/border/tracing_settings.py
+++ b/oleanderknot/border/tracing_settings.py
@@ -17,7 +17,5 @@
             of their own that are recorded.
     """
 
-    endpoint: typing.Annotated[
-        str, pydantic.Field(pattern=r'^(https?://.+)?$')
-    ] = ''
+    endpoint: base.Url = ''
     ratio: typing.Annotated[float, pydantic.Field(ge=0, le=1)] = 0.0
--- /dev/null
+++ b/oleanderknot/cli/check.py
@@ -0,0 +1,41 @@
+"""The command that checks a settings file."""
+
+import dataclasses
+import json
+import pathlib
+import sys
+
+from cleo.commands import command
+from cleo.helpers import argument
+from cleo.helpers import option
+
+from oleanderknot import border
+
+
+class CheckCommand(command.Command):
+    """Names all mistakes of a settings file at once."""
+
+    name = 'check'
+    description = 'Check a settings file and name all its mistakes'
+    arguments = [argument('settings', description='YAML settings file')]
+    options = [
+        option(
+            'output', description='text or json', flag=False, default='text'
+        )
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        mistakes = []
+        try:
+            border.load_settings(pathlib.Path(self.argument('settings')))
+        except border.MistakesError as error:
+            mistakes = error.mistakes
+        if self.option('output') == 'json':
+            print(json.dumps([dataclasses.asdict(item) for item in mistakes]))
+        elif mistakes:
+            for item in mistakes:
+                print(item, file=sys.stderr)
+        else:
+            print('%s: no mistakes' % self.argument('settings'))
+        return 2 if mistakes else 0
--- a/oleanderknot/cli/main.py
+++ b/oleanderknot/cli/main.py
@@ -2,8 +2,8 @@
 
 import sys
 
-from cleo import application
-
+from oleanderknot.cli import check
+from oleanderknot.cli import command_line
 from oleanderknot.cli import node
 
 
@@ -14,9 +14,10 @@
         The exit code: 0 success, 1 a failed operation, 2 wrong usage or
         settings.
     """
-    app = application.Application('oleanderknot', '0.1.0')
+    app = command_line.CommandLine('oleanderknot', '0.1.0')
+    app.add(check.CheckCommand())
     app.add(node.NodeCommand())
-    return app.run()
+    return app.execute()
 
 
 if __name__ == '__main__':
--- a/oleanderknot/cli/node.py
+++ b/oleanderknot/cli/node.py
@@ -1,6 +1,7 @@
 """The command that runs a node."""
 
 import pathlib
+import sys
 
 from cleo.commands import command
 from cleo.helpers import argument
@@ -22,8 +23,8 @@
             settings = border.load_settings(
                 pathlib.Path(self.argument('settings'))
             )
-        except border.SettingsError as error:
-            self.line_error(str(error))
+        except border.MistakesError as error:
+            print(error, file=sys.stderr)
             return 2
         serve.serve(settings)
         return 0
