Hold retries of a request within its allowance across the chain

Cause: with answers lost at each of eight layers one request ran 640 times at the deepest service. The HTTP client repeats idempotent requests by itself when a kept connection ends; each layer doubled the runs. Ruled out: the nodes' own retries, which stopped at the allowance. Clients of upstreams may retry in the same way. Change: the node's client no longer repeats; a call of an upstream that repeats a failed one draws on the request's account.

--- a/oleanderknot/decisions/chain_account.py
+++ b/oleanderknot/decisions/chain_account.py
@@ -1,5 +1,6 @@
 """Retries and waiting time of the requests that a node has admitted."""
 
+import collections
 import dataclasses
 
 from oleanderknot import model
@@ -23,6 +24,8 @@
             above 0.
         waited: Seconds with at least one outgoing call, so far.
         called: Services that the upstream has called.
+        failures: Failed outgoing calls that have not been repeated, counted
+            by method, service and path.
     """
 
     request_class: model.RequestClass
@@ -37,6 +40,9 @@
     waiting_since: float = 0.0
     waited: float = 0.0
     called: set[str] = dataclasses.field(default_factory=set)
+    failures: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     def grant(self) -> int:
         """Take the part of the allowance that an outgoing call carries.
@@ -72,6 +78,31 @@
         self.remaining -= 1
         return True
 
+    def admit_repeat(self, call: model.Call) -> bool:
+        """Charge an outgoing call that repeats a failed one.
+
+        The upstream's own HTTP client may retry; such a retry counts like
+        one of a node. Equal calls that run at the same time are no retries.
+
+        Args:
+            call: The outgoing call.
+
+        Returns:
+            Whether the call may run: it repeats nothing, or a retry was
+            left for it.
+        """
+        identity = identify(call)
+        if not self.failures.get(identity):
+            return True
+        if not self.spend():
+            return False
+        self.failures[identity] -= 1
+        return True
+
+    def note_failure(self, call: model.Call) -> None:
+        """Note that an outgoing call got no whole and successful answer."""
+        self.failures[identify(call)] += 1
+
     def start_waiting(self, now: float) -> None:
         """Note that an outgoing call starts.
 
@@ -93,6 +124,11 @@
             self.waited += now - self.waiting_since
 
 
+def identify(call: model.Call) -> str:
+    """Return what makes two calls of one chain the same call."""
+    return '%s %s%s' % (call.method, call.service, call.path)
+
+
 def open_account(call: model.Call) -> ChainAccount:
     """Open the account of a call with the allowance that it carries.
 
--- a/oleanderknot/standins/upstream.py
+++ b/oleanderknot/standins/upstream.py
@@ -165,6 +165,14 @@
         return statuses
 
     async def call(self, request: web.BaseRequest, service: str) -> int:
+        """Call a service, and again while it fails and retries are left."""
+        for _ in range(self.options.own_retries):
+            status = await self.call_once(request, service)
+            if status < 500:
+                return status
+        return await self.call_once(request, service)
+
+    async def call_once(self, request: web.BaseRequest, service: str) -> int:
         """Call a service through the node, and return the status."""
         headers = {}
         trace = request.headers.get('traceparent')
--- a/oleanderknot/tasks/http_exchange.py
+++ b/oleanderknot/tasks/http_exchange.py
@@ -1,5 +1,7 @@
 """Reads requests of callers and sends answers to them."""
 
+import collections.abc
+
 from absl import logging
 from aiohttp import web
 
@@ -38,13 +40,16 @@
 
 
 async def send_answer(
-    request: web.BaseRequest, answer: model.Answer
+    request: web.BaseRequest,
+    answer: model.Answer,
+    on_cut: collections.abc.Callable[[], None],
 ) -> web.StreamResponse:
     """Send an answer to the caller, whole or visibly cut.
 
     Args:
         request: The request.
         answer: The answer.
+        on_cut: Called when the answer could not be sent whole.
 
     Returns:
         The response, sent when its body arrives in parts.
@@ -70,4 +75,5 @@
     finally:
         if not finished:
             answer.body.cancel()
+            on_cut()
     return response
--- a/oleanderknot/tasks/ingress.py
+++ b/oleanderknot/tasks/ingress.py
@@ -13,6 +13,9 @@
 from oleanderknot.tasks import http_exchange
 from oleanderknot.tasks import http_listener
 
+# From this status on, a client may take an answer for worth repeating.
+FIRST_FAILURE_STATUS = 500
+
 
 def split_path(raw_path: str) -> tuple[str, str]:
     """Split ``/<service>/<path>`` into service and path.
@@ -140,10 +143,34 @@
         content, body = await http_exchange.read_body(request)
     except model.BodyCut as error:
         return refuse_request(str(error), error.rule)
+    if not account.admit_repeat(call):
+        return refuse(call, calls, build_spent_refusal(call))
     result = await calls.dispatch(call, account, content, body)
     if result.is_error():
-        refusal = result.error
-        calls.count_decision(call, refusal.rule, refusal.verdict)
-        return http_answer.build_refusal(refusal)
+        account.note_failure(call)
+        return refuse(call, calls, result.error)
+    answer = result.ok
+    if answer.status >= FIRST_FAILURE_STATUS:
+        account.note_failure(call)
     calls.count_decision(call, model.Rule.ADMITTED, model.Verdict.ANSWERED)
-    return await http_exchange.send_answer(request, result.ok)
+    return await http_exchange.send_answer(
+        request, answer, lambda: account.note_failure(call)
+    )
+
+
+def refuse(
+    call: model.Call, calls: dispatcher.Dispatcher, refusal: model.Refusal
+) -> web.Response:
+    """Count a refusal and build its response."""
+    calls.count_decision(call, refusal.rule, refusal.verdict)
+    return http_answer.build_refusal(refusal)
+
+
+def build_spent_refusal(call: model.Call) -> model.Refusal:
+    """Build the refusal of a repeated call without a retry left for it."""
+    return model.build_refusal(
+        call,
+        model.Verdict.NOT_RUN,
+        model.Rule.RETRY_ALLOWANCE,
+        'the request has no retry left for a repeated call',
+    )
--- a/oleanderknot/tasks/upstream_client.py
+++ b/oleanderknot/tasks/upstream_client.py
@@ -38,6 +38,10 @@
                 sock_read=None,
             ),
         )
+        # The HTTP client repeats idempotent requests by itself when a kept
+        # connection ends without an answer. It has no public switch for
+        # that, and each layer would double the runs of the layers below.
+        self.session._retry_connection = False
 
     async def request(
         self,
