--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -83,6 +83,10 @@
             member = self.choose(call, tried)
             if member is None:
                 return Error(self.refuse_early(call))
+            if tried:
+                self.count_decision(
+                    call, model.Rule.RETRIED, model.Verdict.NOT_RUN
+                )
             tried.add(member.instance)
             granted = account.grant()
             attempt = dataclasses.replace(call, allowance=granted)
@@ -98,9 +102,6 @@
                 account.refund(result.error.unspent, granted)
             if not self.may_retry(call, account, result, body, now):
                 return result
-            self.count_decision(
-                call, model.Rule.RETRIED, model.Verdict.NOT_RUN
-            )
             await self.pause()
 
     def choose(
--- a/oleanderknot/tasks/ingress.py
+++ b/oleanderknot/tasks/ingress.py
@@ -1,9 +1,13 @@
 """Takes requests of callers, the roots of call chains."""
 
+import asyncio
 import random
 import time
 
+from absl import logging
 from aiohttp import web
+from expression import Error
+from expression import Result
 
 from oleanderknot import border
 from oleanderknot import decisions
@@ -14,6 +18,9 @@
 from oleanderknot.tasks import http_listener
 from oleanderknot.tasks import outcome
 
+# From this status on, a client may take an answer for worth repeating.
+FIRST_FAILURE_STATUS = 500
+
 
 def split_path(raw_path: str) -> tuple[str, str]:
     """Split ``/<service>/<path>`` into service and path.
@@ -165,15 +172,72 @@
             call, error.rule, model.Verdict.NOT_RUN, str(error)
         )
         return refuse_request(str(error), error.rule)
-    result = await calls.dispatch(call, account, content, body)
+    if not account.admit_repeat(call):
+        return refuse(call, calls, build_spent_refusal(call))
+    result = await dispatch_safely(call, account, content, body, calls)
     if result.is_error():
-        refusal = result.error
-        calls.count_decision(
-            call, refusal.rule, refusal.verdict, refusal.detail
-        )
-        return http_answer.build_refusal(refusal)
+        account.note_failure(call)
+        return refuse(call, calls, result.error)
     answer = result.ok
-    response, cut = await http_exchange.send_answer(request, answer)
-    rule, verdict, detail = outcome.judge(answer.status, cut)
-    calls.count_decision(call, rule, verdict, detail)
+    if answer.status >= FIRST_FAILURE_STATUS:
+        account.note_failure(call)
+    cut: model.Rule | None = model.Rule.CALLER_LEFT
+    try:
+        response, cut = await http_exchange.send_answer(request, answer)
+    finally:
+        if cut is not None:
+            account.note_failure(call)
+        calls.count_decision(call, *outcome.judge(answer.status, cut))
     return response
+
+
+async def dispatch_safely(
+    call: model.Call,
+    account: decisions.ChainAccount,
+    content: bytes,
+    body: model.Body | None,
+    calls: dispatcher.Dispatcher,
+) -> Result[model.Answer, model.Refusal]:
+    """Dispatch a call; an error of the node becomes a refusal.
+
+    Without it the caller would get an answer that names no verdict, and the
+    account would miss the call.
+    """
+    try:
+        return await calls.dispatch(call, account, content, body)
+    except asyncio.CancelledError:
+        calls.count_decision(
+            call,
+            model.Rule.CALLER_LEFT,
+            model.Verdict.MAY_HAVE_RUN,
+            'the connection of the caller ended',
+        )
+        raise
+    except Exception:
+        logging.exception('dispatching a call to %s failed', call.service)
+        return Error(
+            model.build_refusal(
+                call,
+                model.Verdict.MAY_HAVE_RUN,
+                model.Rule.INTERNAL_ERROR,
+                'this node failed while it worked on the request',
+            )
+        )
+
+
+def refuse(
+    call: model.Call, calls: dispatcher.Dispatcher, refusal: model.Refusal
+) -> web.Response:
+    """Count a refusal and build its response."""
+    calls.count_decision(call, refusal.rule, refusal.verdict, refusal.detail)
+    return http_answer.build_refusal(refusal)
+
+
+def build_spent_refusal(call: model.Call) -> model.Refusal:
+    """Build the refusal of a repeated call without a retry left for it."""
+    return model.build_refusal(
+        call,
+        model.Verdict.NOT_RUN,
+        model.Rule.RETRY_ALLOWANCE,
+        'the request has no retry left for a repeated call',
+    )
