Prove that answers stay whole and reach their own callers

Cause: answers must not be mixed when messages arrive late, out of order or on a new connection. The harness reaches proxied nodes by their proxy from the first connection on; before, nodes shared a direct connection and met no fault.

--- /dev/null
+++ b/features/support/fake_peer.py
@@ -0,0 +1,136 @@
+"""Peer that answers calls wrongly on purpose."""
+
+import asyncio
+import random
+import time
+
+from oleanderknot import model
+from oleanderknot import wire
+from oleanderknot.tasks import peer_handlers
+from oleanderknot.tasks import peer_pool
+
+IDENTITY = model.NodeIdentity(
+    instance='fake', incarnation=1, data_centre='dc1'
+)
+CALL_TIME_S = 0.5
+
+
+class FakePeer:
+    """Completes the handshake, then answers other calls than it was sent.
+
+    Attributes:
+        session: Session of the connection before the present one.
+    """
+
+    def __init__(self) -> None:
+        self.session = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection."""
+        frames = wire.FrameReader()
+        try:
+            while data := await reader.read(65536):
+                for frame in frames.feed(data):
+                    self.answer(frame, writer)
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+    def answer(self, frame: wire.Frame, writer: asyncio.StreamWriter) -> None:
+        """Answer one frame."""
+        if frame.hello is not None:
+            hello = wire.Hello(
+                protocol=1,
+                session=frame.session,
+                instance=IDENTITY.instance,
+                incarnation=IDENTITY.incarnation,
+                data_centre=IDENTITY.data_centre,
+                target_instance=frame.hello.instance,
+                target_incarnation=frame.hello.incarnation,
+            )
+            writer.write(
+                wire.encode(
+                    wire.Frame(session=frame.session, call=0, hello=hello)
+                )
+            )
+        elif frame.open is not None:
+            head = wire.Head(
+                status=200,
+                headers=[],
+                body=b'foreign',
+                body_complete=True,
+                unspent=0,
+                reports=[],
+            )
+            # A number that no call has, then the right number under the
+            # session of an earlier connection.
+            for session, call in (
+                (frame.session, frame.call + 1000),
+                (self.session or frame.session ^ 1, frame.call),
+            ):
+                writer.write(
+                    wire.encode(
+                        wire.Frame(session=session, call=call, head=head)
+                    )
+                )
+            self.session = frame.session
+
+
+async def ignore(*arguments: object) -> None:
+    """Take a message and do nothing."""
+
+
+def build_handlers() -> peer_handlers.PeerHandlers:
+    """Build handlers that ignore all messages."""
+    return peer_handlers.PeerHandlers(
+        run=ignore,
+        query=ignore,
+        gossip=lambda *arguments: None,
+        policy=lambda *arguments: None,
+        opened=lambda connection: None,
+        closed=lambda connection: None,
+        count=lambda name: None,
+    )
+
+
+async def send_calls(peer: FakePeer, count: int) -> list:
+    """Send calls to a fake peer, each on a connection of its own.
+
+    Args:
+        peer: The peer.
+        count: Number of calls.
+
+    Returns:
+        The result of each call.
+    """
+    server = await asyncio.start_server(peer.serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    pool = peer_pool.PeerPool(
+        identity=model.NodeIdentity(
+            instance='caller', incarnation=1, data_centre='dc1'
+        ),
+        handlers=build_handlers(),
+    )
+    rng = random.Random(3)
+    results = []
+    for _ in range(count):
+        connection = await pool.dial('127.0.0.1', port, ('fake', 1))
+        call = model.Call(
+            service='patterns',
+            method='GET',
+            path='/',
+            headers=[],
+            request_class=model.RequestClass.BROWSING,
+            deadline=time.monotonic() + CALL_TIME_S,
+            trace_id='%032x' % rng.getrandbits(128),
+            span_id='%016x' % rng.getrandbits(64),
+        )
+        results.append(await connection.open(call, b'', None))
+        connection.close('the test ends')
+    server.close()
+    # Lets the peer see the ends of its connections.
+    await asyncio.sleep(0.1)
+    return results
--- a/features/support/node.py
+++ b/features/support/node.py
@@ -49,6 +49,12 @@
         """Return the address of the operators' status page."""
         return 'http://127.0.0.1:%d/status' % self.operator_port
 
+    def find_peer_address(self) -> str:
+        """Return the address that other nodes reach the node at."""
+        if self.proxy_port:
+            return '127.0.0.1:%d' % self.proxy_port
+        return '%s:%d' % (self.host, self.peer_port)
+
     def fault_url(self) -> str:
         """Return the address that controls the node's fault proxy."""
         return 'http://127.0.0.1:%d/%d' % (self.control_port, self.proxy_port)
--- a/features/support/system.py
+++ b/features/support/system.py
@@ -153,8 +153,7 @@
                 **advertised,
             },
             'seeds': [
-                '%s:%d' % (item.host, item.peer_port)
-                for item in self.nodes.values()
+                item.find_peer_address() for item in self.nodes.values()
             ],
             **self.extra_settings,
             **settings,
--- a/oleanderknot/standins/upstream.py
+++ b/oleanderknot/standins/upstream.py
@@ -10,7 +10,7 @@
 
 from oleanderknot.standins import upstream_options
 
-PATTERN_BLOCK = bytes(range(256)) * 256
+BLOCK_BYTES = 64 * 1024
 
 
 class Upstream:
@@ -191,7 +191,9 @@
     async def send_pattern(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
-        """Send a body of the size asked for, in blocks."""
+        """Send a body of the size asked for, made of the ``echo`` text."""
+        text = request.query.get('echo', 'pattern').encode() + b' '
+        pattern = text * (BLOCK_BYTES // len(text) + 2)
         left = int(request.query['size'])
         cut_at = int(request.query.get('cut_at', -1))
         sent = 0
@@ -201,7 +203,8 @@
             response.enable_chunked_encoding()
         await response.prepare(request)
         while left:
-            block = PATTERN_BLOCK[: min(left, len(PATTERN_BLOCK))]
+            start = sent % len(text)
+            block = pattern[start : start + min(left, BLOCK_BYTES)]
             await response.write(block)
             left -= len(block)
             sent += len(block)
