Validate ticket files and file tickets in one transaction

Cause: nothing could read a ticket from a file or write it to the table.

Change: ticket files and the rows of tickets, head and scopes are validated models both ways. The policy table keeps a digest and the number up to which it is complete; PolicySync and PolicyDigest carry them.

--- a/oleanderknot/border/model_mistakes.py
+++ b/oleanderknot/border/model_mistakes.py
@@ -36,6 +36,12 @@
     except pydantic.ValidationError as error:
         for item in error.errors(include_url=False):
             location = tuple(item['loc'])
+            # Pydantic counts the valid items only; the wrong ones have
+            # mistakes of their own.
+            if item['type'] == 'too_short' and (
+                len(item['input']) >= item['ctx']['min_length']
+            ):
+                continue
             found = mistake.show(item['input'])
             if item['type'] == 'missing':
                 found = 'nothing'
--- /dev/null
+++ b/oleanderknot/border/scope_models.py
@@ -0,0 +1,88 @@
+"""States of scopes as ticket files and table rows have them."""
+
+import typing
+
+import pydantic
+
+from oleanderknot import model
+from oleanderknot.border import settings
+
+CLASS_NAMES = {item.name.lower(): item for item in model.RequestClass}
+
+ClassName = typing.Literal['order', 'browsing', 'download', 'internal']
+Method = typing.Literal[
+    '*', 'GET', 'HEAD', 'OPTIONS', 'POST', 'PUT', 'PATCH', 'DELETE'
+]
+
+
+def describe(allowed: str, **limits: typing.Any) -> typing.Any:
+    """Build a required field with the text that mistakes show."""
+    return pydantic.Field(description=allowed, **limits)
+
+
+class GlobalScope(settings.Model):
+    """State of the scope ``global``.
+
+    Attributes:
+        retry_ratio: Retries of a node as a share of its successes.
+        retry_minimum: Retries allowed in 10 s whatever the successes.
+    """
+
+    retry_ratio: float = describe(
+        'a share from 0 to 1, such as 0.1', ge=0, le=1, allow_inf_nan=False
+    )
+    retry_minimum: int = describe(
+        'a whole number from 0 to 1000', ge=0, le=1000, strict=True
+    )
+
+
+class RouteScope(settings.Model):
+    """One route of a service; see ``model.RoutePolicy``."""
+
+    method: Method = describe(
+        'GET, HEAD, OPTIONS, POST, PUT, PATCH, DELETE, or "*" for all'
+    )
+    prefix: str = describe(
+        'a path that starts with /, at most 200 visible characters',
+        pattern=r'^/[!-~]{0,199}$',
+    )
+    class_name: ClassName = describe(
+        'order, browsing, download or internal', alias='class'
+    )
+    idempotent: bool = describe(
+        'true if a second run does no harm, else false', strict=True
+    )
+    deadline_ms: int = describe(
+        'a whole number of milliseconds from 1 to 3600000',
+        ge=1,
+        le=3_600_000,
+        strict=True,
+    )
+    retries: int = describe(
+        'a whole number from 0 to 10', ge=0, le=10, strict=True
+    )
+
+
+class ServiceScope(settings.Model):
+    """State of a scope ``service/<name>``.
+
+    Attributes:
+        routes: Routes; the first that matches decides.
+    """
+
+    routes: tuple[RouteScope, ...] = describe(
+        'a list of 1 to 500 routes', min_length=1, max_length=500
+    )
+
+
+class UpstreamScope(settings.Model):
+    """State of a scope ``upstream/<instance>``.
+
+    Attributes:
+        taking_work: Whether the upstream is given new work.
+    """
+
+    taking_work: bool = describe('true or false', strict=True)
+
+
+ScopeModel = GlobalScope | ServiceScope | UpstreamScope
--- /dev/null
+++ b/oleanderknot/border/scopes.py
@@ -0,0 +1,93 @@
+"""Translates states of scopes between validated models and data classes."""
+
+import re
+
+from oleanderknot import model
+from oleanderknot.border import scope_models
+
+SCOPE_FORM = re.compile(r'global|(service|upstream)/[a-z0-9][a-z0-9.-]{0,62}')
+SCOPE_FORMS = (
+    'global, service/<name> or upstream/<instance>, names with small '
+    'letters, digits, dots and hyphens'
+)
+
+
+def find_scope_model(scope: str) -> type[scope_models.ScopeModel] | None:
+    """Return the model of a scope's state; None for a wrong scope name."""
+    if SCOPE_FORM.fullmatch(scope) is None:
+        return None
+    if scope == 'global':
+        return scope_models.GlobalScope
+    if scope.startswith('service/'):
+        return scope_models.ServiceScope
+    return scope_models.UpstreamScope
+
+
+def build_policy(scope: str, state: scope_models.ScopeModel) -> model.Policy:
+    """Build the policy of a scope from its validated state."""
+    name = scope.partition('/')[2]
+    if isinstance(state, scope_models.GlobalScope):
+        return model.GlobalPolicy(
+            retry_ratio=state.retry_ratio, retry_minimum=state.retry_minimum
+        )
+    if isinstance(state, scope_models.UpstreamScope):
+        return model.UpstreamPolicy(
+            instance=name, taking_work=state.taking_work
+        )
+    return model.ServicePolicy(
+        service=name,
+        routes=tuple(
+            model.RoutePolicy(
+                method=route.method,
+                prefix=route.prefix,
+                request_class=scope_models.CLASS_NAMES[route.class_name],
+                idempotent=route.idempotent,
+                deadline_ms=route.deadline_ms,
+                retries=route.retries,
+            )
+            for route in state.routes
+        ),
+    )
+
+
+def dump_policy(policy: model.Policy) -> dict[str, object]:
+    """Undo ``build_policy``: return the state as JSON values."""
+    if isinstance(policy, model.GlobalPolicy):
+        return {
+            'retry_ratio': policy.retry_ratio,
+            'retry_minimum': policy.retry_minimum,
+        }
+    if isinstance(policy, model.UpstreamPolicy):
+        return {'taking_work': policy.taking_work}
+    return {
+        'routes': [
+            {
+                'method': route.method,
+                'prefix': route.prefix,
+                'class': route.request_class.name.lower(),
+                'idempotent': route.idempotent,
+                'deadline_ms': route.deadline_ms,
+                'retries': route.retries,
+            }
+            for route in policy.routes
+        ]
+    }
+
+
+def parse_policy(scope: str, state: object) -> model.Policy:
+    """Validate the state of a scope.
+
+    Args:
+        scope: Name of the scope.
+        state: The state as JSON values.
+
+    Returns:
+        The policy.
+
+    Raises:
+        ValueError: The scope or the state is wrong.
+    """
+    found = find_scope_model(scope)
+    if found is None:
+        raise ValueError('scope %r, expected %s' % (scope[:100], SCOPE_FORMS))
+    return build_policy(scope, found.model_validate(state))
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -7,14 +7,20 @@
 from oleanderknot.decisions.instance_load import MAX_LEVEL
 from oleanderknot.decisions.member_table import is_newer
 from oleanderknot.decisions.member_table import MemberTable
+from oleanderknot.decisions.policy_changes import describe_changes
 from oleanderknot.decisions.policy_table import match_route
 from oleanderknot.decisions.policy_table import PolicyTable
 from oleanderknot.decisions.priority import rank
 from oleanderknot.decisions.retry_budget import RetryBudget
+from oleanderknot.decisions.ticket_filing import number_ticket
+from oleanderknot.decisions.ticket_filing import settle
 from oleanderknot.decisions.upstream_choice import Candidate
 from oleanderknot.decisions.upstream_choice import choose
 
 __all__ = [
+    'describe_changes',
+    'number_ticket',
+    'settle',
     'Candidate',
     'ChainAccount',
     'ChainTable',
--- /dev/null
+++ b/oleanderknot/decisions/policy_changes.py
@@ -0,0 +1,128 @@
+"""Says in plain words what a ticket changes."""
+
+import collections.abc
+
+from oleanderknot import model
+from oleanderknot.decisions import policy_table
+
+METHOD_ANY = '*'
+
+
+def describe_changes(old: model.Policy | None, new: model.Policy) -> list[str]:
+    """Compare a scope's state in force with a new one.
+
+    Args:
+        old: State in force; None when no ticket has set the scope.
+        new: State that a ticket would put in force.
+
+    Returns:
+        One sentence for each change; empty when nothing changes.
+    """
+    if isinstance(new, model.GlobalPolicy):
+        return describe_global(old or policy_table.DEFAULT_GLOBAL_POLICY, new)
+    if isinstance(new, model.UpstreamPolicy):
+        return describe_upstream(old is None or old.taking_work, new)
+    before = old or policy_table.build_default_policy(new.service)
+    return describe_service(before, new)
+
+
+def describe_global(
+    old: model.GlobalPolicy, new: model.GlobalPolicy
+) -> list[str]:
+    """Compare two policies for all services."""
+    lines = []
+    if old.retry_ratio != new.retry_ratio:
+        lines.append(
+            'Retries of a node may be %g %% of its successes, not %g %%.'
+            % (new.retry_ratio * 100, old.retry_ratio * 100)
+        )
+    if old.retry_minimum != new.retry_minimum:
+        lines.append(
+            'A node may always make %d retries in 10 s, not %d.'
+            % (new.retry_minimum, old.retry_minimum)
+        )
+    return lines
+
+
+def describe_upstream(
+    taking_before: bool, new: model.UpstreamPolicy
+) -> list[str]:
+    """Compare two policies of an upstream."""
+    if taking_before == new.taking_work:
+        return []
+    if new.taking_work:
+        return ['It is given new work again.']
+    return ['It is given no new work; what it runs now is finished.']
+
+
+def describe_service(
+    old: model.ServicePolicy, new: model.ServicePolicy
+) -> list[str]:
+    """Compare two policies of a service, route by route."""
+    before = index_routes(old.routes)
+    after = index_routes(new.routes)
+    lines = []
+    for key, route in after.items():
+        if key not in before:
+            lines.append(
+                'New route %s: %s.' % (show_key(key), describe_route(route))
+            )
+        elif before[key] != route:
+            lines.append(
+                '%s: %s.'
+                % (show_key(key), describe_difference(before[key], route))
+            )
+    for key in before:
+        if key not in after:
+            lines.append('The route %s is removed.' % show_key(key))
+    kept = [key for key in before if key in after]
+    if kept != [key for key in after if key in before]:
+        lines.append(
+            'The order of the routes changes; the first that matches decides.'
+        )
+    return lines
+
+
+def index_routes(
+    routes: collections.abc.Iterable[model.RoutePolicy],
+) -> dict[tuple[str, str], model.RoutePolicy]:
+    """Return routes by method and prefix; the first of a pair decides."""
+    found: dict[tuple[str, str], model.RoutePolicy] = {}
+    for route in routes:
+        found.setdefault((route.method, route.prefix), route)
+    return found
+
+
+def show_key(key: tuple[str, str]) -> str:
+    """Return the name of a route for operators."""
+    method, prefix = key
+    if method == METHOD_ANY:
+        return 'all methods below %s' % prefix
+    return '%s below %s' % (method, prefix)
+
+
+def describe_parts(route: model.RoutePolicy) -> dict[str, str]:
+    """Return a phrase for each property of a route."""
+    return {
+        'class': 'class %s' % route.request_class.name.lower(),
+        'idempotent': (
+            'may run twice' if route.idempotent else 'must run at most once'
+        ),
+        'deadline': 'deadline %d ms' % route.deadline_ms,
+        'retries': '%d retries' % route.retries,
+    }
+
+
+def describe_route(route: model.RoutePolicy) -> str:
+    """Describe a route in one phrase."""
+    return ', '.join(describe_parts(route).values())
+
+
+def describe_difference(old: model.RoutePolicy, new: model.RoutePolicy) -> str:
+    """Describe the properties in which two states of a route differ."""
+    before = describe_parts(old)
+    return ', '.join(
+        '%s instead of %s' % (phrase, before[name])
+        for name, phrase in describe_parts(new).items()
+        if phrase != before[name]
+    )
--- a/oleanderknot/decisions/policy_table.py
+++ b/oleanderknot/decisions/policy_table.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import functools
+import hashlib
 
 from oleanderknot import model
 
@@ -12,11 +13,15 @@
     Attributes:
         scopes: State in force by scope.
         highest: Highest ticket number seen; 0 for none.
+        complete: The effect of every ticket up to this number is held.
+        hash: Exclusive or of the hashes of all scopes and their numbers.
     """
 
     def __init__(self) -> None:
         self.scopes: dict[str, model.ScopeState] = {}
         self.highest = 0
+        self.complete = 0
+        self.hash = 0
 
     def merge(
         self, states: collections.abc.Iterable[model.ScopeState]
@@ -34,11 +39,43 @@
             current = self.scopes.get(state.scope)
             if current is not None and current.number >= state.number:
                 continue
+            if current is not None:
+                self.hash ^= hash_state(current)
+            self.hash ^= hash_state(state)
             self.scopes[state.scope] = state
             self.highest = max(self.highest, state.number)
             changed.append(state)
         return changed
 
+    def build_digest(self) -> model.PolicyDigest:
+        """Describe all scopes shortly, to compare them with a peer's."""
+        return model.PolicyDigest(
+            count=len(self.scopes),
+            highest=self.highest,
+            hash=self.hash,
+            complete=self.complete,
+        )
+
+    def matches(self, digest: model.PolicyDigest) -> bool:
+        """Return whether a peer holds the same states.
+
+        If so, whatever the peer has in full is held here in full, too.
+
+        Args:
+            digest: The peer's digest.
+        """
+        own = (len(self.scopes), self.highest, self.hash)
+        if own != (digest.count, digest.highest, digest.hash):
+            return False
+        self.complete = max(self.complete, digest.complete)
+        return True
+
+    def list_after(self, number: int) -> list[model.ScopeState]:
+        """Return the states that tickets after a number have set."""
+        return [
+            state for state in self.scopes.values() if state.number > number
+        ]
+
     def find_service(self, service: str) -> tuple[model.ServicePolicy, int]:
         """Return the policy of a service and the number of its ticket."""
         state = self.scopes.get('service/' + service)
@@ -58,6 +95,20 @@
         state = self.scopes.get('upstream/' + instance)
         return state is None or state.policy.taking_work
 
+    def find_stop(self, instance: str) -> int | None:
+        """Return the ticket that stops new work of an upstream, or None."""
+        state = self.scopes.get('upstream/' + instance)
+        if state is None or state.policy.taking_work:
+            return None
+        return state.number
+
+
+def hash_state(state: model.ScopeState) -> int:
+    """Return a 63-bit hash of a scope and its number, same on all nodes."""
+    text = '%s %d' % (state.scope, state.number)
+    content = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(content) >> 1
+
 
 DEFAULT_GLOBAL_POLICY = model.GlobalPolicy()
 
--- a/oleanderknot/model/__init__.py
+++ b/oleanderknot/model/__init__.py
@@ -6,6 +6,8 @@
 from oleanderknot.model.call import Call
 from oleanderknot.model.call import Headers
 from oleanderknot.model.decision_key import DecisionKey
+from oleanderknot.model.filing_outcome import FilingOutcome
+from oleanderknot.model.filing_outcome import FilingResult
 from oleanderknot.model.global_policy import GlobalPolicy
 from oleanderknot.model.load_report import LoadReport
 from oleanderknot.model.member import Member
@@ -14,6 +16,7 @@
 from oleanderknot.model.order_key import OrderKey
 from oleanderknot.model.platform_fault import FaultKind
 from oleanderknot.model.platform_fault import PlatformFault
+from oleanderknot.model.policy_digest import PolicyDigest
 from oleanderknot.model.refusal import build_refusal
 from oleanderknot.model.refusal import Refusal
 from oleanderknot.model.request_class import RequestClass
@@ -24,10 +27,15 @@
 from oleanderknot.model.service_policy import ServicePolicy
 from oleanderknot.model.table_row import TableRow
 from oleanderknot.model.ticket import Ticket
+from oleanderknot.model.ticket_head import TicketHead
 from oleanderknot.model.upstream_policy import UpstreamPolicy
 from oleanderknot.model.verdict import Verdict
 
 __all__ = [
+    'PolicyDigest',
+    'TicketHead',
+    'FilingOutcome',
+    'FilingResult',
     'Answer',
     'Body',
     'BodyCut',
--- a/oleanderknot/wire/__init__.py
+++ b/oleanderknot/wire/__init__.py
@@ -33,8 +33,16 @@
 from oleanderknot.wire.translate import pair
 from oleanderknot.wire.translate import refusal_from_failure
 from oleanderknot.wire.translate import wire_member
+from oleanderknot.wire.translate_policy import model_digest
+from oleanderknot.wire.translate_policy import model_scope
+from oleanderknot.wire.translate_policy import wire_digest
+from oleanderknot.wire.translate_policy import wire_scope
 
 __all__ = [
+    'model_digest',
+    'model_scope',
+    'wire_digest',
+    'wire_scope',
     'BadFrame',
     'Cancel',
     'Chunk',
--- a/oleanderknot/wire/gen/peer/ttypes.py
+++ b/oleanderknot/wire/gen/peer/ttypes.py
@@ -1707,6 +1707,7 @@
      - count
      - highest
      - hash
+     - complete
 
     """
 
@@ -1714,13 +1715,15 @@
         'count',
         'highest',
         'hash',
+        'complete',
     )
 
 
-    def __init__(self, count=None, highest=None, hash=None,):
+    def __init__(self, count=None, highest=None, hash=None, complete=None,):
         self.count = count
         self.highest = highest
         self.hash = hash
+        self.complete = complete
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1746,6 +1749,11 @@
                     self.hash = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.complete = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1768,6 +1776,10 @@
             oprot.writeFieldBegin('hash', TType.I64, 3)
             oprot.writeI64(self.hash)
             oprot.writeFieldEnd()
+        if self.complete is not None:
+            oprot.writeFieldBegin('complete', TType.I64, 4)
+            oprot.writeI64(self.complete)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2071,18 +2083,21 @@
     Attributes:
      - kind
      - scopes
+     - digest
 
     """
 
     __slots__ = (
         'kind',
         'scopes',
+        'digest',
     )
 
 
-    def __init__(self, kind=None, scopes=None,):
+    def __init__(self, kind=None, scopes=None, digest=None,):
         self.kind = kind
         self.scopes = scopes
+        self.digest = digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2109,6 +2124,12 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.digest = PolicyDigest()
+                    self.digest.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2130,6 +2151,10 @@
                 iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRUCT, 3)
+            self.digest.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2535,6 +2560,7 @@
     (1, TType.I32, 'count', None, None, ),  # 1
     (2, TType.I64, 'highest', None, None, ),  # 2
     (3, TType.I64, 'hash', None, None, ),  # 3
+    (4, TType.I64, 'complete', None, None, ),  # 4
 )
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
@@ -2560,6 +2586,7 @@
     None,  # 0
     (1, TType.I32, 'kind', None, None, ),  # 1
     (2, TType.LIST, 'scopes', (TType.STRUCT, [ScopeState, None], False), None, ),  # 2
+    (3, TType.STRUCT, 'digest', [PolicyDigest, None], None, ),  # 3
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/oleanderknot/wire/peer.thrift
+++ b/oleanderknot/wire/peer.thrift
@@ -119,6 +119,7 @@
   1: i32 count
   2: i64 highest
   3: i64 hash
+  4: i64 complete
 }
 
 // kind: 0 probe, 1 probe answer, 2 indirect probe, 3 push, 4 versions of a
@@ -140,10 +141,12 @@
   3: string state
 }
 
-// kind: 0 push, 1 request for all scopes, 2 numbers of all scopes.
+// kind: 0 push, 1 request for all scopes, 2 digest, 3 push in answer to a
+// digest that differs.
 struct PolicySync {
   1: i32 kind
   2: list<ScopeState> scopes
+  3: PolicyDigest digest
 }
 
 struct Frame {
--- /dev/null
+++ b/oleanderknot/wire/translate_policy.py
@@ -0,0 +1,65 @@
+"""Translates policy between wire structs and data classes."""
+
+import json
+
+from oleanderknot import border
+from oleanderknot import model
+from oleanderknot.wire import bad_frame
+from oleanderknot.wire.gen.peer import ttypes
+
+MAX_NUMBER = 10**12
+
+
+def wire_scope(state: model.ScopeState) -> ttypes.ScopeState:
+    """Make the wire struct of a scope's state."""
+    return ttypes.ScopeState(
+        scope=state.scope,
+        number=state.number,
+        state=border.ticket_rows.format_state(state.policy),
+    )
+
+
+def model_scope(message: ttypes.ScopeState) -> model.ScopeState:
+    """Make a scope's state of its wire struct.
+
+    Raises:
+        BadFrame: A field is missing, out of range or no valid state.
+    """
+    if message.scope is None or message.state is None:
+        raise bad_frame.BadFrame('scope without name or state')
+    if message.number is None or not 0 < message.number < MAX_NUMBER:
+        raise bad_frame.BadFrame('scope with a wrong ticket number')
+    try:
+        policy = border.parse_policy(message.scope, json.loads(message.state))
+    except (ValueError, RecursionError) as error:
+        raise bad_frame.BadFrame('wrong scope: %s' % error) from error
+    return model.ScopeState(
+        scope=message.scope, number=message.number, policy=policy
+    )
+
+
+def wire_digest(digest: model.PolicyDigest) -> ttypes.PolicyDigest:
+    """Make the wire struct of a digest."""
+    return ttypes.PolicyDigest(
+        count=digest.count,
+        highest=digest.highest,
+        hash=digest.hash,
+        complete=digest.complete,
+    )
+
+
+def model_digest(message: ttypes.PolicyDigest | None) -> model.PolicyDigest:
+    """Make a digest of its wire struct.
+
+    Raises:
+        BadFrame: The digest or a field is missing or out of range.
+    """
+    if message is None:
+        raise bad_frame.BadFrame('policy message without a digest')
+    values = {name: getattr(message, name) for name in message.__slots__}
+    for name, value in values.items():
+        if value is None or value < 0:
+            raise bad_frame.BadFrame('digest with a wrong %s' % name)
+    if values['complete'] > values['highest']:
+        raise bad_frame.BadFrame('digest that is complete beyond its highest')
+    return model.PolicyDigest(**values)
