Spread tickets by polls, pushes and digests

Cause: the policy table of a node was never filled.

Change: each node polls ticket-head at half a second times the nodes of its data centre and loads the tickets that it lacks, passes news to four random nodes at home and two abroad, and compares digests with a random peer each second. A digest carries the number up to which its sender is complete, so a peer sends just what may be lacking. A cold node asks a peer for all scopes. An upstream that a ticket takes out of work gets no new work from any node, and its own node refuses new work as not run.

--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -14,10 +14,20 @@
 from oleanderknot.decisions.retry_budget import RetryBudget
 from oleanderknot.decisions.ticket_filing import number_ticket
 from oleanderknot.decisions.ticket_filing import settle
+from oleanderknot.decisions.ticket_schedule import choose_targets
+from oleanderknot.decisions.ticket_schedule import find_poll_delay
+from oleanderknot.decisions.ticket_schedule import list_alive
+from oleanderknot.decisions.ticket_schedule import POLL_PERIOD_S
+from oleanderknot.decisions.ticket_schedule import split_batches
 from oleanderknot.decisions.upstream_choice import Candidate
 from oleanderknot.decisions.upstream_choice import choose
 
 __all__ = [
+    'POLL_PERIOD_S',
+    'choose_targets',
+    'find_poll_delay',
+    'list_alive',
+    'split_batches',
     'describe_changes',
     'number_ticket',
     'settle',
--- a/oleanderknot/decisions/policy_table.py
+++ b/oleanderknot/decisions/policy_table.py
@@ -56,7 +56,7 @@
             complete=self.complete,
         )
 
-    def matches(self, digest: model.PolicyDigest) -> bool:
+    def take_digest(self, digest: model.PolicyDigest) -> bool:
         """Return whether a peer holds the same states.
 
         If so, whatever the peer has in full is held here in full, too.
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -13,6 +13,7 @@
 from oleanderknot import border
 from oleanderknot import decisions
 from oleanderknot import model
+from oleanderknot import platform
 from oleanderknot.tasks import dispatcher
 from oleanderknot.tasks import egress
 from oleanderknot.tasks import http_listener
@@ -24,6 +25,10 @@
 from oleanderknot.tasks import peer_listener
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import runner
+from oleanderknot.tasks import ticket_loader
+from oleanderknot.tasks import ticket_poll
+from oleanderknot.tasks import ticket_sync
+from oleanderknot.tasks import work_gate
 
 
 def build_incarnation() -> int:
@@ -114,6 +119,7 @@
             rng=random.Random(),
         )
         self.background.append(asyncio.create_task(self.membership.run()))
+        self.start_tickets()
         if self.settings.upstream is not None:
             await self.announce(self.settings.upstream)
         logging.info('node %s started: %s', self.identity.instance, ports)
@@ -127,8 +133,11 @@
         for listener in (self.callers, self.egress, self.operators):
             await listener.close()
         self.peer_listener.close()
+        self.tickets.close()
         self.pool.close()
         await self.runner.close()
+        if self.table is not None:
+            await self.table.close()
         logging.info('node %s stopped', self.identity.instance)
 
     def build_tasks(self) -> None:
@@ -138,7 +147,7 @@
             run=self.runner.run,
             query=self.runner.describe_key,
             gossip=lambda peer, item: self.membership.handle(peer, item),
-            policy=lambda peer, item: None,
+            policy=lambda peer, item: self.tickets.handle(peer, item),
             opened=self.greet,
             closed=lambda peer: self.pool.remove(peer),
             count=self.count,
@@ -149,6 +158,18 @@
             handlers=handlers,
             local_host=None if host.is_unspecified else str(host),
         )
+        self.tickets = ticket_sync.TicketSync(
+            identity=self.identity,
+            policy=self.policy,
+            members=self.members,
+            pool=self.pool,
+            count=self.count,
+            rng=random.Random(),
+        )
+        self.runner.gate = work_gate.build_gate(
+            self.policy, self.identity.instance
+        )
+        self.table = self.build_table_client()
         self.peer_listener = peer_listener.PeerListener(
             identity=self.identity, handlers=handlers
         )
@@ -176,6 +197,34 @@
             handle=operator_listener.build_handler(self.describe)
         )
 
+    def build_table_client(self) -> platform.TableClient | None:
+        """Build the client of the table service, if settings name one."""
+        settings = self.settings.platform
+        host = self.settings.listen.host
+        if not settings.table_url:
+            return None
+        return platform.TableClient(
+            url=settings.table_url,
+            timeout_s=settings.timeout_ms / 1000,
+            local_host=None if host.is_unspecified else str(host),
+        )
+
+    def start_tickets(self) -> None:
+        """Start to exchange policy with peers and to poll the table."""
+        self.background.append(asyncio.create_task(self.tickets.run()))
+        if self.table is None:
+            return
+        poll = ticket_poll.TicketPoll(
+            loader=ticket_loader.TicketLoader(
+                table=self.table, count=self.count
+            ),
+            policy=self.policy,
+            count_nodes=self.tickets.count_nodes,
+            on_news=self.tickets.spread,
+            rng=random.Random(),
+        )
+        self.background.append(asyncio.create_task(poll.run()))
+
     async def announce(self, upstream: border.UpstreamSettings) -> None:
         """Take the upstream's announcement and tell the other nodes."""
         await self.runner.attach(
@@ -212,6 +261,7 @@
         """Take a connection whose handshake is done."""
         self.pool.add(connection)
         self.membership.greet(connection)
+        self.tickets.greet(connection)
 
     def count(self, name: str) -> None:
         """Count an event."""
@@ -244,6 +294,7 @@
                 }
                 for member in self.members.members.values()
             ],
+            'policy': self.tickets.describe(),
             'connections': sorted(self.pool.connections),
             'counters': dict(self.counters),
         }
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -240,7 +240,13 @@
             for member in self.members.list_service(call.service)
             if member.state <= model.MemberState.SUSPECT
         ]
-        if taking:
+        stops = [self.policy.find_stop(item.instance) for item in taking]
+        if taking and None not in stops:
+            rule = model.Rule.NOT_TAKING_WORK
+            detail = 'tickets say that no upstream of %s takes work' % (
+                call.service
+            )
+        elif taking:
             rule = model.Rule.EARLY_REFUSAL
             detail = 'no upstream of %s admits this class now' % call.service
         else:
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -1,6 +1,7 @@
 """Runs calls at the own upstream."""
 
 import asyncio
+import collections.abc
 import time
 
 from expression import Error
@@ -17,6 +18,8 @@
 # Answers of an upstream that sheds load.
 SHED_STATUSES = (429, 503)
 
+GateFunction = collections.abc.Callable[[model.Call], model.Refusal | None]
+
 
 class Runner:
     """Owns the way to the own upstream and decides what it runs.
@@ -28,6 +31,7 @@
         chains: Accounts of the chains that the upstream runs.
         leaving: Whether the upstream takes no new work.
         running: Calls that this task works on, until their answer is whole.
+        gate: Returns why policy refuses a call, or None.
     """
 
     def __init__(self, *, chains: decisions.ChainTable) -> None:
@@ -37,6 +41,7 @@
         self.admission = admission.Admission(slots=1)
         self.leaving = False
         self.running = 0
+        self.gate: GateFunction = lambda call: None
 
     async def attach(
         self, *, service: str, host: str, port: int, slots: int
@@ -93,7 +98,7 @@
             rule = model.Rule.DEADLINE
             detail = 'the deadline passed before the call could start'
         else:
-            return None
+            return self.gate(call)
         return model.build_refusal(call, model.Verdict.NOT_RUN, rule, detail)
 
     async def execute(
--- /dev/null
+++ b/oleanderknot/tasks/ticket_poll.py
@@ -0,0 +1,98 @@
+"""Polls the platform's table for new tickets."""
+
+import asyncio
+import collections.abc
+import random
+import time
+
+from absl import logging
+
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.tasks import ticket_loader
+
+# The period grows with the nodes of the data centre; a node that sleeps
+# looks this often whether there are fewer of them now.
+LOOK_S = 1.0
+
+
+class TicketPoll:
+    """Owns the schedule of polls.
+
+    Attributes:
+        loader: Reads from the table.
+        policy: Policy in force; gets what is read.
+        count_nodes: Returns the nodes alive in the own data centre.
+        on_news: Takes states that are new here.
+        failures: Polls that have failed since the last success.
+        fault: What failed last; empty after a success.
+    """
+
+    def __init__(
+        self,
+        *,
+        loader: ticket_loader.TicketLoader,
+        policy: decisions.PolicyTable,
+        count_nodes: collections.abc.Callable[[], int],
+        on_news: collections.abc.Callable[[list[model.ScopeState]], None],
+        rng: random.Random,
+    ) -> None:
+        self.loader = loader
+        self.policy = policy
+        self.count_nodes = count_nodes
+        self.on_news = on_news
+        self.rng = rng
+        self.failures = 0
+        self.fault = ''
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        # A node that starts cold asks soon, but not in step with others.
+        await asyncio.sleep(self.rng.random() * decisions.POLL_PERIOD_S)
+        while True:
+            await self.poll()
+            await self.wait()
+
+    async def wait(self) -> None:
+        """Wait until the next poll is due."""
+        started = time.monotonic()
+        draw = self.rng.random()
+        while True:
+            delay = decisions.find_poll_delay(
+                nodes=self.count_nodes(), failures=self.failures, draw=draw
+            )
+            left = started + delay - time.monotonic()
+            if left <= 0:
+                return
+            await asyncio.sleep(min(left, LOOK_S))
+
+    async def poll(self) -> None:
+        """Read the newest ticket's number and load what is lacking."""
+        head = await self.loader.read_head()
+        if head.is_error():
+            self.note_failure(head.error)
+            return
+        number = head.ok.number
+        complete = self.policy.complete
+        if number > complete:
+            states = await self.loader.load(complete, number)
+            if states.is_error():
+                self.note_failure(states.error)
+                return
+            changed = self.policy.merge(states.ok)
+            self.policy.complete = max(self.policy.complete, number)
+            if changed:
+                logging.info('tickets up to %d are in force', number)
+                self.on_news(changed)
+        if self.failures:
+            logging.info('the table service answers again')
+        self.failures = 0
+        self.fault = ''
+
+    def note_failure(self, fault: model.PlatformFault) -> None:
+        """Count a failed poll; the policy in force stays."""
+        self.loader.count('ticket.poll_failures')
+        if not self.failures:
+            logging.warning('cannot load tickets: %s', fault.detail)
+        self.failures += 1
+        self.fault = fault.detail
--- a/oleanderknot/wire/peer.thrift
+++ b/oleanderknot/wire/peer.thrift
@@ -141,8 +141,8 @@
   3: string state
 }
 
-// kind: 0 push, 1 request for all scopes, 2 digest, 3 push in answer to a
-// digest that differs.
+// kind: 0 news that are passed on, 1 request for all scopes, 2 digest,
+// 3 reply to a digest that differs, 4 states that are neither.
 struct PolicySync {
   1: i32 kind
   2: list<ScopeState> scopes
