Add the ticket commands and check ticket files in a feature

Cause: operators had no way to file, read or follow a ticket.

Change: ticket file shows in plain words what changes, asks and files; ticket list and show read the table; ticket status asks the nodes of every data centre and names those that could not be asked. The stand-in platform can lose the answers of commits.

--- /dev/null
+++ b/features/support/tickets.py
@@ -0,0 +1,94 @@
+"""Ticket files and the command line for tests."""
+
+import json
+import pathlib
+import subprocess
+import sys
+
+import yaml
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+EXAMPLE = ROOT / 'docs' / 'examples' / 'ticket.yaml'
+LIMIT_S = 60
+
+
+def run_command(
+    *arguments: str, text: str = ''
+) -> subprocess.CompletedProcess:
+    """Run the command line to its end.
+
+    Args:
+        arguments: Arguments of the command line.
+        text: Standard input.
+
+    Returns:
+        The exit code and the output as text.
+    """
+    return subprocess.run(
+        [sys.executable, '-m', 'oleanderknot', *arguments],
+        input=text,
+        capture_output=True,
+        text=True,
+        timeout=LIMIT_S,
+    )
+
+
+def start_command(*arguments: str) -> subprocess.Popen:
+    """Start the command line without waiting for its end."""
+    return subprocess.Popen(
+        [sys.executable, '-m', 'oleanderknot', *arguments],
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def write_ticket(
+    path: pathlib.Path, *, author: str = 'Carys', **scopes: object
+) -> pathlib.Path:
+    """Write a ticket file.
+
+    Args:
+        path: The file.
+        author: Author of the ticket.
+        scopes: State by scope.
+
+    Returns:
+        The path.
+    """
+    content = {'author': author, 'reason': 'a test', 'scopes': scopes}
+    path.write_text(yaml.safe_dump(content))
+    return path
+
+
+def build_service_state(
+    *, deadline_ms: int = 5000, retries: int = 2
+) -> dict[str, object]:
+    """Build the state of a service with one route for everything."""
+    return {
+        'routes': [
+            {
+                'method': '*',
+                'prefix': '/',
+                'class': 'browsing',
+                'idempotent': True,
+                'deadline_ms': deadline_ms,
+                'retries': retries,
+            }
+        ]
+    }
+
+
+def file_ticket(table_url: str, path: pathlib.Path) -> dict[str, object]:
+    """File a ticket and return the command's JSON answer.
+
+    Raises:
+        AssertionError: The ticket was not filed.
+    """
+    result = run_command(
+        *('ticket', 'file', str(path), '--yes', '--output', 'json'),
+        *('--table', table_url),
+    )
+    assert result.returncode == 0, result.stderr
+    return json.loads(result.stdout)
--- a/oleanderknot/border/__init__.py
+++ b/oleanderknot/border/__init__.py
@@ -5,6 +5,8 @@
 from oleanderknot.border.announcement import Announcement
 from oleanderknot.border.mistake import Mistake
 from oleanderknot.border.model_mistakes import collect
+from oleanderknot.border.node_status import MemberStatus
+from oleanderknot.border.node_status import NodeStatus
 from oleanderknot.border.scopes import dump_policy
 from oleanderknot.border.scopes import parse_policy
 from oleanderknot.border.settings import ListenSettings
@@ -20,6 +22,8 @@
 from oleanderknot.border.yaml_lines import YamlText
 
 __all__ = [
+    'MemberStatus',
+    'NodeStatus',
     'ticket_rows',
     'dump_policy',
     'parse_policy',
--- a/oleanderknot/border/ticket_rows.py
+++ b/oleanderknot/border/ticket_rows.py
@@ -15,6 +15,9 @@
 
 Number = typing.Annotated[int, pydantic.Field(ge=1, lt=10**12, strict=True)]
 
+# The last second of the year 9999, which is the last that dates can show.
+LATEST = 253_402_300_799
+
 
 class HeadRow(settings.Model):
     """Value of the row ``ticket-head``."""
@@ -30,7 +33,9 @@
     id: str
     author: str
     reason: str
-    filed_at: float
+    filed_at: typing.Annotated[
+        float, pydantic.Field(ge=0, le=LATEST, allow_inf_nan=False)
+    ]
     scopes: dict[str, typing.Any]
 
 
--- a/oleanderknot/cli/main.py
+++ b/oleanderknot/cli/main.py
@@ -5,6 +5,10 @@
 from cleo import application
 
 from oleanderknot.cli import node
+from oleanderknot.cli import ticket_file
+from oleanderknot.cli import ticket_list
+from oleanderknot.cli import ticket_show
+from oleanderknot.cli import ticket_status
 
 
 def main() -> int:
@@ -16,6 +20,10 @@
     """
     app = application.Application('oleanderknot', '0.1.0')
     app.add(node.NodeCommand())
+    app.add(ticket_file.TicketFileCommand())
+    app.add(ticket_list.TicketListCommand())
+    app.add(ticket_show.TicketShowCommand())
+    app.add(ticket_status.TicketStatusCommand())
     return app.run()
 
 
--- /dev/null
+++ b/oleanderknot/cli/node_query.py
@@ -0,0 +1,89 @@
+"""Asks nodes for the policy that they hold."""
+
+import asyncio
+import json
+
+import aiohttp
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from oleanderknot import border
+from oleanderknot import model
+
+ASK_TIMEOUT_S = 3.0
+ASK_AT_ONCE = 100
+GONE = 'left'
+
+
+async def ask(
+    session: aiohttp.ClientSession, address: str
+) -> Result[border.NodeStatus, str]:
+    """Ask one node.
+
+    Args:
+        session: HTTP session.
+        address: ``host:port`` of its operator port.
+
+    Returns:
+        The node's status, or why it could not be asked.
+    """
+    try:
+        async with session.get('http://%s/status' % address) as answer:
+            content = await answer.read()
+            if answer.status != 200:
+                return Error('it answered with status %d' % answer.status)
+        return Ok(border.NodeStatus.model_validate(json.loads(content)))
+    except TimeoutError:
+        return Error('no answer within %g s' % ASK_TIMEOUT_S)
+    except (aiohttp.ClientError, OSError) as error:
+        return Error(str(error) or repr(error))
+    except ValueError as error:
+        return Error('its answer is malformed: %s' % error)
+
+
+async def ask_member(
+    session: aiohttp.ClientSession, member: border.MemberStatus
+) -> model.NodePolicy:
+    """Ask a member of the system; a failure is part of the answer."""
+    address = '%s:%d' % (member.host, member.operator_port)
+    result = await ask(session, address)
+    if result.is_ok() and result.ok.instance == member.instance:
+        return result.ok.build_policy()
+    fault = (
+        'another node answers at its address'
+        if result.is_ok()
+        else result.error
+    )
+    return model.NodePolicy(
+        instance=member.instance,
+        data_centre=member.data_centre,
+        fault='%s (state %s)' % (fault, member.state),
+    )
+
+
+async def ask_all(address: str) -> Result[list[model.NodePolicy], str]:
+    """Ask a node and all members that it knows, but those that have left.
+
+    Args:
+        address: ``host:port`` of the operator port of any node.
+
+    Returns:
+        What each node holds, or why the first one could not be asked.
+    """
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=ASK_AT_ONCE),
+        timeout=aiohttp.ClientTimeout(
+            sock_connect=ASK_TIMEOUT_S, sock_read=ASK_TIMEOUT_S
+        ),
+    ) as session:
+        first = await ask(session, address)
+        if first.is_error():
+            return first
+        others = [
+            ask_member(session, member)
+            for member in first.ok.members
+            if member.instance != first.ok.instance and member.state != GONE
+        ]
+        answers = await asyncio.gather(*others)
+    return Ok([first.ok.build_policy(), *answers])
--- /dev/null
+++ b/oleanderknot/cli/ticket_options.py
@@ -0,0 +1,141 @@
+"""Options and output that the ticket commands share."""
+
+import asyncio
+import collections.abc
+import datetime
+import re
+import typing
+
+from cleo.commands import command
+from cleo.helpers import option
+
+from oleanderknot import border
+from oleanderknot import model
+from oleanderknot import platform
+
+TABLE_TIMEOUT_S = 5.0
+
+TABLE = option('table', description='Address of the table service', flag=False)
+OUTPUT = option(
+    'output', description='text or json', flag=False, default='text'
+)
+
+ADDRESS_FORM = re.compile(r'[^\s/]+:[0-9]{1,5}')
+
+T = typing.TypeVar('T')
+
+
+class UsageError(Exception):
+    """The command line is wrong."""
+
+
+class FailedError(Exception):
+    """The operation failed."""
+
+
+def check_output(item: command.Command) -> bool:
+    """Return whether a command shall write JSON.
+
+    Raises:
+        UsageError: The option is neither text nor json.
+    """
+    value = item.option('output')
+    if value not in ('text', 'json'):
+        raise UsageError('--output: found %r, allowed: text or json' % value)
+    return value == 'json'
+
+
+def check_table(item: command.Command, *, needed: bool = True) -> str:
+    """Return the address of the table service; empty when not needed.
+
+    Raises:
+        UsageError: The address is missing or no HTTP address.
+    """
+    value = item.option('table') or ''
+    if not value and not needed:
+        return ''
+    if not value.startswith(('http://', 'https://')):
+        raise UsageError(
+            '--table: found %s, allowed: the address of the table service, '
+            'such as http://10.0.0.5:8080' % (repr(value) if value else '-')
+        )
+    return value
+
+
+def check_number(text: str) -> int:
+    """Return the number of a ticket.
+
+    Raises:
+        UsageError: The text is no whole number from 1.
+    """
+    if not text.isascii() or not text.isdigit() or not 0 < len(text) <= 12:
+        raise UsageError(
+            'number: found %r, allowed: the number of a ticket from 1' % text
+        )
+    if int(text) == 0:
+        raise UsageError('number: found 0, tickets start with 1')
+    return int(text)
+
+
+def check_address(text: str | None) -> str:
+    """Return ``host:port`` of a node's operator port.
+
+    Raises:
+        UsageError: The text is missing or has no port.
+    """
+    if not text or ADDRESS_FORM.fullmatch(text) is None:
+        raise UsageError(
+            '--node: found %s, allowed: host:port of the operator port of '
+            'any node' % (repr(text) if text else 'nothing')
+        )
+    return text
+
+
+def run_with_table(
+    url: str,
+    function: collections.abc.Callable[
+        [platform.TableClient], collections.abc.Awaitable[T]
+    ],
+) -> T:
+    """Run a function with a client of the table service."""
+
+    async def run() -> T:
+        table = platform.TableClient(url=url, timeout_s=TABLE_TIMEOUT_S)
+        try:
+            return await function(table)
+        finally:
+            await table.close()
+
+    return asyncio.run(run())
+
+
+def dump_ticket(ticket: model.Ticket) -> dict[str, object]:
+    """Return a ticket as JSON values."""
+    return {
+        'number': ticket.number,
+        'id': ticket.id,
+        'author': ticket.author,
+        'reason': ticket.reason,
+        'filed_at': format_time(ticket.filed_at),
+        'scopes': {
+            state.scope: border.dump_policy(state.policy)
+            for state in ticket.scopes
+        },
+    }
+
+
+def format_time(epoch: float) -> str:
+    """Return a time in UTC as operators read it."""
+    moment = datetime.datetime.fromtimestamp(epoch, datetime.timezone.utc)
+    return moment.strftime('%Y-%m-%d %H:%M:%S UTC')
+
+
+def summarise(ticket: model.Ticket) -> str:
+    """Return one line about a ticket."""
+    return '%6d  %s  %s: %s (%s)' % (
+        ticket.number,
+        format_time(ticket.filed_at),
+        ticket.author,
+        ' '.join(ticket.reason.split()),
+        ', '.join(state.scope for state in ticket.scopes),
+    )
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -14,6 +14,8 @@
 from oleanderknot.decisions.retry_budget import RetryBudget
 from oleanderknot.decisions.ticket_filing import number_ticket
 from oleanderknot.decisions.ticket_filing import settle
+from oleanderknot.decisions.ticket_force import group_by_centre
+from oleanderknot.decisions.ticket_force import is_in_force
 from oleanderknot.decisions.ticket_schedule import choose_targets
 from oleanderknot.decisions.ticket_schedule import find_poll_delay
 from oleanderknot.decisions.ticket_schedule import list_alive
@@ -23,6 +25,8 @@
 from oleanderknot.decisions.upstream_choice import choose
 
 __all__ = [
+    'group_by_centre',
+    'is_in_force',
     'POLL_PERIOD_S',
     'choose_targets',
     'find_poll_delay',
--- a/oleanderknot/model/__init__.py
+++ b/oleanderknot/model/__init__.py
@@ -13,6 +13,7 @@
 from oleanderknot.model.member import Member
 from oleanderknot.model.member_state import MemberState
 from oleanderknot.model.node_identity import NodeIdentity
+from oleanderknot.model.node_policy import NodePolicy
 from oleanderknot.model.order_key import OrderKey
 from oleanderknot.model.platform_fault import FaultKind
 from oleanderknot.model.platform_fault import PlatformFault
@@ -28,10 +29,13 @@
 from oleanderknot.model.table_row import TableRow
 from oleanderknot.model.ticket import Ticket
 from oleanderknot.model.ticket_head import TicketHead
+from oleanderknot.model.ticket_status import CentreStatus
 from oleanderknot.model.upstream_policy import UpstreamPolicy
 from oleanderknot.model.verdict import Verdict
 
 __all__ = [
+    'NodePolicy',
+    'CentreStatus',
     'PolicyDigest',
     'TicketHead',
     'FilingOutcome',
--- a/oleanderknot/standins/platform_server.py
+++ b/oleanderknot/standins/platform_server.py
@@ -15,7 +15,9 @@
 
     ``POST /-/faults`` sets faults: ``down`` refuses requests, ``delay_ms``
     answers late, ``drop_answers`` ends that many connections after the
-    request has taken effect. ``GET /-/counts`` tells reads and writes.
+    request has taken effect; ``drop_commits`` does so for commits only, and
+    ``down_after_drop`` refuses all requests after such a commit.
+    ``GET /-/counts`` tells reads and writes.
 
     Attributes:
         table: Rows of the table service.
@@ -23,6 +25,8 @@
         down: Whether requests are refused.
         delay_ms: Milliseconds before each answer.
         drop_answers: Answers to lose from now on.
+        drop_commits: Answers to commits to lose from now on.
+        down_after_drop: Whether to go down after a commit's lost answer.
         object_writes: Objects that were written.
     """
 
@@ -32,6 +36,8 @@
         self.down = False
         self.delay_ms = 0.0
         self.drop_answers = 0
+        self.drop_commits = 0
+        self.down_after_drop = False
         self.object_writes = 0
         self.server: asyncio.Server | None = None
         self.http: web.Server | None = None
@@ -80,6 +86,10 @@
         if self.drop_answers > 0:
             self.drop_answers -= 1
             request.transport.abort()
+        if self.drop_commits > 0 and request.path == '/commit':
+            self.drop_commits -= 1
+            self.down = self.down_after_drop
+            request.transport.abort()
         return response
 
     async def serve(self, request: web.BaseRequest) -> web.Response:
