--- a/oleanderknot/border/__init__.py
+++ b/oleanderknot/border/__init__.py
@@ -1,6 +1,7 @@
 """Validates what comes from outside: settings, tickets, headers, rows."""
 
 from oleanderknot.border import headers
+from oleanderknot.border import ticket_rows
 from oleanderknot.border.account_object import build_key
 from oleanderknot.border.account_object import dump_batch
 from oleanderknot.border.account_object import format_day
@@ -15,12 +16,17 @@
 from oleanderknot.border.log_settings import LogSettings
 from oleanderknot.border.mistake import Mistake
 from oleanderknot.border.model_mistakes import collect
+from oleanderknot.border.node_status import MemberStatus
+from oleanderknot.border.node_status import NodeStatus
+from oleanderknot.border.scopes import dump_policy
+from oleanderknot.border.scopes import parse_policy
 from oleanderknot.border.settings import ListenSettings
 from oleanderknot.border.settings import NodeSettings
 from oleanderknot.border.settings import PlatformSettings
 from oleanderknot.border.settings import UpstreamSettings
 from oleanderknot.border.settings_file import load_settings
 from oleanderknot.border.statsd_settings import StatsdSettings
+from oleanderknot.border.ticket_file import load_ticket
 from oleanderknot.border.tls_settings import TlsSettings
 from oleanderknot.border.tracing_settings import TracingSettings
 from oleanderknot.border.yaml_lines import load_yaml
@@ -33,6 +39,12 @@
     'ALERT_PREFIX',
     'AccountSettings',
     'AlertSettings',
+    'MemberStatus',
+    'NodeStatus',
+    'ticket_rows',
+    'dump_policy',
+    'parse_policy',
+    'load_ticket',
     'Announcement',
     'ListenSettings',
     'LogSettings',
--- a/oleanderknot/border/settings.py
+++ b/oleanderknot/border/settings.py
@@ -12,6 +12,9 @@
 from oleanderknot.border import tls_settings
 from oleanderknot.border import tracing_settings
 
+# Other border modules build on the same base.
+Model = base.Model
+
 
 class ListenSettings(base.Model):
     """Addresses that a node listens on; port 0 takes a free one.
--- a/oleanderknot/cli/main.py
+++ b/oleanderknot/cli/main.py
@@ -5,6 +5,10 @@
 from oleanderknot.cli import check
 from oleanderknot.cli import command_line
 from oleanderknot.cli import node
+from oleanderknot.cli import ticket_file
+from oleanderknot.cli import ticket_list
+from oleanderknot.cli import ticket_show
+from oleanderknot.cli import ticket_status
 
 
 def main() -> int:
@@ -17,6 +21,10 @@
     app = command_line.CommandLine('oleanderknot', '0.1.0')
     app.add(check.CheckCommand())
     app.add(node.NodeCommand())
+    app.add(ticket_file.TicketFileCommand())
+    app.add(ticket_list.TicketListCommand())
+    app.add(ticket_show.TicketShowCommand())
+    app.add(ticket_status.TicketStatusCommand())
     return app.execute()
 
 
--- a/oleanderknot/node/operations.py
+++ b/oleanderknot/node/operations.py
@@ -18,6 +18,20 @@
 SILENT = 'silent'
 
 
+def build_object_client(
+    settings: border.NodeSettings,
+) -> platform.ObjectClient | None:
+    """Build the client of the object store, if settings name one."""
+    host = settings.listen.host
+    if not settings.platform.object_url:
+        return None
+    return platform.ObjectClient(
+        url=settings.platform.object_url,
+        timeout_s=settings.platform.timeout_ms / 1000,
+        local_host=None if host.is_unspecified else str(host),
+    )
+
+
 class Operations:
     """Holds metrics, account and alerts, and runs their life cycle.
 
@@ -28,13 +42,13 @@
         alerts: Alerts of the node.
         watch: Looks for conditions that raise alerts.
         recorder: Takes each decision.
-        table: Client of the table service; None for none.
     """
 
     def __init__(
         self,
         *,
         settings: border.NodeSettings,
+        table: platform.TableClient | None,
         identity: model.NodeIdentity,
         members: decisions.MemberTable,
         policy: decisions.PolicyTable,
@@ -47,27 +61,16 @@
                 statsd.host and str(statsd.host), statsd.port, statsd.prefix
             )
         )
-        timeout_s = settings.platform.timeout_ms / 1000
-        urls = settings.platform
-        self.table = (
-            platform.TableClient(url=urls.table_url, timeout_s=timeout_s)
-            if urls.table_url
-            else None
-        )
         self.alerts = alerts.Alerts(
             identity=identity,
             settings=settings.alerts,
-            table=self.table,
+            table=table,
             count=self.metrics.count,
             draw=rng.random,
         )
         self.account = account.Account(
             identity=identity,
-            client=platform.ObjectClient(
-                url=urls.object_url, timeout_s=timeout_s
-            )
-            if urls.object_url
-            else None,
+            client=build_object_client(settings),
             settings=settings.account,
             hooks=account.AccountHooks(
                 count=self.metrics.count,
@@ -85,7 +88,7 @@
             policy=policy,
             alerts=self.alerts,
             note=self.account.note,
-            table=self.table,
+            table=table,
             settings=settings.alerts,
         )
         self.recorder = decision_recorder.DecisionRecorder(
@@ -139,6 +142,4 @@
         """Write what is held and stop; called after the last request."""
         self.watch.tell(model.EventKind.NODE_STOPPED, self.identity.instance)
         await asyncio.gather(self.account.close(), self.alerts.close())
-        if self.table is not None:
-            await self.table.close()
         self.metrics.close()
--- a/oleanderknot/tasks/metric_list.py
+++ b/oleanderknot/tasks/metric_list.py
@@ -2,119 +2,141 @@
 
 from oleanderknot import model
 
-
-def describe(kind: str, name: str, unit: str, text: str) -> model.Metric:
-    """Build the description of a metric."""
-    return model.Metric(name=name, kind=kind, unit=unit, text=text)
-
-
-METRICS = (
-    describe(
-        'counter',
-        'served.<class>',
-        'requests',
-        'Requests of callers that got a whole answer, by class.',
+# Name, unit and what it tells.
+COUNTERS = (
+    (
+        'account.batches_dropped',
+        'batches',
+        'Batches of the account lost because too many were held.',
     ),
-    describe(
-        'counter',
-        'refused.<rule>',
-        'calls',
-        'Calls that this node refused or lost for its caller, by rule.',
+    (
+        'account.batches_written',
+        'batches',
+        'Batches of the account written to the object store.',
     ),
-    describe(
-        'counter',
-        'refused_class.<class>',
-        'requests',
-        'Requests of callers that were refused or lost, by class.',
+    (
+        'alerts.posts_failed',
+        'posts',
+        'Posts to the webhook that failed; they are tried again.',
     ),
-    describe(
-        'counter', 'retried', 'calls', 'Calls sent once more by this node.'
+    (
+        'alerts.raised',
+        'alerts',
+        'Alerts that this node has raised.',
     ),
-    describe(
-        'counter',
+    (
         'log.left_out',
         'lines',
         'Log lines about refusals that were left out by sampling.',
     ),
-    describe(
-        'counter',
+    (
         'peer.bad_frame',
         'connections',
         'Connections to nodes ended after a malformed or wrong message.',
     ),
-    describe(
-        'counter',
+    (
         'peer.chunk_gap',
         'bodies',
         'Bodies cut because a part between two nodes was missing.',
     ),
-    describe(
-        'counter',
+    (
         'peer.silent',
         'connections',
         'Connections to nodes replaced because they had gone silent.',
     ),
-    describe(
-        'counter',
+    (
         'peer.unknown_answer',
         'messages',
         'Answers for calls that no longer wait; they are dropped.',
     ),
-    describe(
-        'counter',
+    (
         'peer.unknown_call',
         'messages',
         'Parts of requests for calls that have ended; they are dropped.',
     ),
-    describe(
-        'counter',
-        'account.batches_written',
-        'batches',
-        'Batches of the account written to the object store.',
-    ),
-    describe(
-        'counter',
-        'account.batches_dropped',
-        'batches',
-        'Batches of the account lost because too many were held.',
-    ),
-    describe(
-        'counter',
-        'alerts.raised',
-        'alerts',
-        'Alerts that this node has raised.',
+    (
+        'refused.<rule>',
+        'calls',
+        'Calls that this node refused or lost for its caller, by rule.',
     ),
-    describe(
-        'counter',
-        'alerts.posts_failed',
-        'posts',
-        'Posts to the webhook that failed; they are tried again.',
+    (
+        'refused_class.<class>',
+        'requests',
+        'Requests of callers that were refused or lost, by class.',
     ),
-    describe(
-        'gauge',
-        'runner.running',
+    (
+        'retried',
         'calls',
-        'Calls that run at the own upstream.',
+        'Calls sent once more by this node.',
     ),
-    describe(
-        'gauge',
-        'callers.active',
+    (
+        'served.<class>',
         'requests',
-        'Requests of callers that are being answered.',
+        'Requests of callers that got a whole answer, by class.',
+    ),
+    (
+        'ticket.digest_mismatches',
+        'messages',
+        'Policy digests of other nodes that differed from the own one.',
+    ),
+    (
+        'ticket.head_reads',
+        'reads',
+        'Reads of the newest ticket number from the table.',
+    ),
+    (
+        'ticket.load_reads',
+        'reads',
+        'Reads of tickets or scopes from the table.',
     ),
-    describe(
-        'gauge', 'peer.connections', 'connections', 'Connections to nodes.'
+    (
+        'ticket.poll_failures',
+        'reads',
+        'Polls that the table service did not answer.',
     ),
-    describe(
-        'gauge',
+    (
+        'ticket.push_failures',
+        'messages',
+        'Policy messages that did not reach a node.',
+    ),
+    (
+        'ticket.pushes',
+        'messages',
+        'Policy messages sent to other nodes.',
+    ),
+)
+
+# Name, unit and what it tells.
+GAUGES = (
+    (
         'account.batches_held',
         'batches',
         'Batches of the account that wait for the object store.',
     ),
-    describe(
-        'gauge',
+    (
         'alerts.pending',
         'alerts',
         'Alerts that are not yet stored and posted.',
     ),
+    (
+        'callers.active',
+        'requests',
+        'Requests of callers that are being answered.',
+    ),
+    (
+        'peer.connections',
+        'connections',
+        'Connections to nodes.',
+    ),
+    (
+        'runner.running',
+        'calls',
+        'Calls that run at the own upstream.',
+    ),
+)
+
+METRICS = tuple(
+    model.Metric(kind=kind, name=name, unit=unit, text=text)
+    for kind, rows in (('counter', COUNTERS), ('gauge', GAUGES))
+    for name, unit, text in rows
 )
