Explain the account of decisions in plain sentences

Decisions were counted in memory only, so an operator could not say in the morning what a node had done before it was replaced.

Each node writes a batch of its counts and events to the object store, by default every 30 s, holds up to 256 while the store is out, counts those it drops and writes the last one on a planned stop. `oleanderknot explain` adds the batches up for a ticket or a time and says what was served, not served and why, tried again, which upstreams left or went silent, and what is not known: missing and unreadable reports, nodes that ended without a last report, outages of the platform. The operators' port now opens last; a status request during the start of a node failed with an error before.

--- /dev/null
+++ b/features/steps/account_steps.py
@@ -0,0 +1,329 @@
+"""Steps about the account of decisions."""
+
+import collections
+import json
+import signal
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support import http
+from features.support import shop
+from oleanderknot import decisions
+from oleanderknot import model
+
+TICKET = """
+author: Mia
+reason: Browsing gives way to orders
+scopes:
+  service/catalogue:
+    routes:
+      - {method: GET, prefix: /, class: download, idempotent: true,
+         deadline_ms: 5000, retries: 2}
+"""
+
+
+@given('a system that reports every {period:g} s')
+def start_system(context, period, held=256):
+    """Start two upstreams of catalogue above one of inventory."""
+    system = context.system
+    system.start_platform()
+    system.extra_settings['account'] = {'period_s': period, 'max_held': held}
+    system.extra_settings['alerts'] = {'probe_s': 0.2, 'retry_min_s': 0.1}
+    for name, service in (
+        ('c', 'inventory'),
+        ('a', 'catalogue'),
+        ('b', 'catalogue'),
+    ):
+        node = system.start_node(name)
+        below = [] if service == 'inventory' else ['--calls', 'inventory']
+        system.start_upstream(node, service, *below)
+    context.shop = shop.Shop(front=system.start_node('front'))
+    system.wait_for_members('inventory', 1)
+    system.wait_for_members('catalogue', 2)
+
+
+@given('a system that reports every {period:g} s and holds {held:d} reports')
+def start_small_system(context, period, held):
+    """Start a system whose nodes can hold few reports."""
+    start_system(context, period, held)
+
+
+@when('upstream "{name}" sheds load')
+def shed(context, name):
+    """Let an upstream answer with 503."""
+    url = context.system.nodes[name].upstream_url('/-/options')
+    http.post_json(url, {'fail_status': 503})
+
+
+@when(
+    '{browse:d} customers browse, {order:d} order and {unknown:d} ask for an'
+    ' unknown service'
+)
+def visit(context, browse, order, unknown):
+    """Send requests and keep what the callers were told."""
+    context.shop.visit(browse, order, unknown)
+
+
+@when('the platform goes out')
+def stop_platform(context):
+    """Let the stand-in platform refuse requests."""
+    http.post_json(context.system.platform_url('/-/faults'), {'down': True})
+
+
+@when('the platform comes back')
+def resume_platform(context):
+    """Let the stand-in platform answer again."""
+    http.post_json(context.system.platform_url('/-/faults'), {'down': False})
+
+
+def read_accounts(context):
+    """Return the account part of each running node's status."""
+    return [
+        http.get_json(node.status_url())['account']
+        for node in context.system.nodes.values()
+        if node.process.is_running()
+    ]
+
+
+@when('the nodes have noticed the outage')
+def wait_for_outage(context):
+    """Wait until every node holds reports."""
+    context.system.wait_for(
+        lambda: all(item['held'] >= 3 for item in read_accounts(context)),
+        'all nodes hold reports',
+    )
+
+
+@when('the nodes have lost reports')
+def wait_for_loss(context):
+    """Wait until every node has dropped reports."""
+    context.system.wait_for(
+        lambda: all(item['dropped'] >= 3 for item in read_accounts(context)),
+        'all nodes drop reports',
+    )
+
+
+@when('no node holds reports')
+def wait_for_flush(context):
+    """Wait until every node has written what it held."""
+    before = sum(item['written'] for item in read_accounts(context))
+
+    def is_flushed():
+        found = read_accounts(context)
+        written = sum(item['written'] for item in found)
+        held = sum(item['held'] for item in found)
+        return not held and written > before
+
+    context.system.wait_for(is_flushed, 'all reports are written')
+    context.lost = sum(item['dropped'] for item in read_accounts(context))
+
+
+@when('all nodes are stopped as planned')
+def stop_nodes(context):
+    """Ask the upstreams what they ran, then stop all nodes."""
+    context.runs = {
+        service: len(context.system.list_runs(service))
+        for service in ('catalogue', 'inventory')
+    }
+    for node in context.system.nodes.values():
+        node.process.send(signal.SIGTERM)
+    for node in context.system.nodes.values():
+        assert node.process.wait() == 0, node.name
+
+
+@when('node "{name}" is killed')
+def kill_node(context, name):
+    """End a node without any chance to report."""
+    context.system.nodes[name].process.kill()
+
+
+def explain(context, *arguments):
+    """Run explain both ways and keep its JSON and its text."""
+    for output in ('json', 'text'):
+        process = context.system.run(
+            'explain',
+            'oleanderknot',
+            'explain',
+            *arguments,
+            '--output',
+            output,
+            '--objects',
+            context.system.platform_url(''),
+            '--table',
+            context.system.platform_url(''),
+        )
+        assert process.wait() == 0, process.read_log()
+        if output == 'text':
+            context.text_report = process.read_log()
+        else:
+            context.report = shop.parse_report(process.read_log())
+
+
+@when('an operator asks for the account of the last "{since}"')
+def explain_since(context, since):
+    """Run explain for a time."""
+    explain(context, '--since', since)
+
+
+@when('an operator asks for the account of ticket {number:d}')
+def explain_ticket(context, number):
+    """Run explain for a ticket."""
+    explain(context, '--ticket', str(number))
+
+
+@when('an operator asks for the account until it says "{text}"')
+def explain_until(context, text):
+    """Run explain until a sentence appears."""
+
+    def is_said():
+        explain(context, '--since', '10m')
+        return text in json.dumps(context.report['sentences'])
+
+    context.system.wait_for(is_said, 'the account says it')
+
+
+@when(
+    'an operator files a ticket that makes browsing of "catalogue" a download'
+)
+def file_ticket(context):
+    """File a ticket and wait until all nodes hold it."""
+    path = context.system.folder / 'ticket.yaml'
+    path.write_text(TICKET)
+    url = context.system.platform_url('')
+    process = context.system.run(
+        'file',
+        'oleanderknot',
+        'ticket',
+        'file',
+        str(path),
+        '--table',
+        url,
+        '--yes',
+    )
+    assert process.wait() == 0, process.read_log()
+    for node in context.system.nodes.values():
+        context.system.wait_for(
+            lambda node=node: (
+                http.get_json(node.status_url())['policy']['scopes'].get(
+                    'service/catalogue'
+                )
+                == 1
+            ),
+            'ticket 1 is in force',
+        )
+
+
+@when('the alert "{kind}" is in the table')
+def wait_for_alert(context, kind):
+    """Wait until the alert's row is written."""
+    context.system.wait_for(
+        lambda: any(kind in row['key'] for row in read_alert_rows(context)),
+        'the alert is stored',
+    )
+
+
+def read_alert_rows(context):
+    """Return the rows of alerts in the table."""
+    body = json.dumps({'prefix': 'alert/', 'after': '', 'limit': 100})
+    answer = http.request(
+        'POST', context.system.platform_url('/scan'), body=body.encode()
+    )
+    return json.loads(answer[2])['rows']
+
+
+@then('the account agrees with what the callers were told')
+def check_callers(context):
+    """Compare each class and rule."""
+    counted = shop.count_decisions(context.report, root=True)
+    for kind in ('browsing', 'order'):
+        counted.pop((kind, 'retried'), None)
+    assert counted == context.shop.told, (counted, context.shop.told)
+    assert context.shop.told['browsing', 'admitted'] > 0
+
+
+@then('the account agrees with what the upstreams ran')
+def check_upstreams(context):
+    """Each run is an answer or a retry; the service below ran as often."""
+    first = shop.count_decisions(context.report, root=True)
+    inner = shop.count_decisions(context.report, root=False)
+    answered = sum(
+        count
+        for (_, rule), count in first.items()
+        if rule in ('admitted', 'upstream_error', 'retried')
+    )
+    below = sum(
+        count for (_, rule), count in inner.items() if rule == 'admitted'
+    )
+    assert answered == context.runs['catalogue'], (first, context.runs)
+    assert below == context.runs['inventory'], (inner, context.runs)
+
+
+@then('the account\'s section "{name}" says "{text}"')
+def check_section(context, name, text):
+    """Check a sentence of the JSON report and that the text has it too."""
+    sentences = context.report['sentences'][name]
+    assert any(text in item for item in sentences), sentences
+    assert text in ' '.join(context.text_report.split()), context.text_report
+
+
+@then('the account\'s text says "{text}"')
+def check_text(context, text):
+    """Check the text report."""
+    assert text in ' '.join(context.text_report.split()), context.text_report
+
+
+@then('the account misses as many reports as the nodes lost')
+def check_missing(context):
+    """Compare the gaps with the nodes' own counters."""
+    assert context.lost > 0
+    assert context.report['missing_reports'] == context.lost, (
+        context.report['missing_reports'],
+        context.lost,
+    )
+
+
+@then(
+    'the account tells {count:d} of class "{kind}" as served and nothing else'
+)
+def check_only(context, count, kind):
+    """Check that other tickets' decisions are left out."""
+    assert context.report['served'] == {kind: count}, context.report['served']
+    tickets = {item['ticket'] for item in context.report['decisions']}
+    assert tickets == {1}, tickets
+
+
+@given('the counts')
+def build_counts(context):
+    """Build a sum of the account."""
+    context.totals = model.AccountTotals(since=0.0, until=60.0)
+    counts: collections.Counter = context.totals.counts
+    for row in context.table:
+        key = model.DecisionKey(
+            ticket=int(row['ticket']),
+            rule=model.Rule(row['rule']),
+            request_class=model.RequestClass[row['class'].upper()],
+            service=row['service'],
+            verdict=model.Verdict(row['verdict']),
+            root=row['root'] == 'yes',
+        )
+        counts[key] += int(row['count'])
+
+
+@when('the report is built')
+def build_report(context):
+    """Turn the sum into sentences."""
+    context.sections = decisions.build_report(context.totals, [], now=60.0)
+
+
+@then('it says')
+def check_sentences(context):
+    """Check each expected sentence."""
+    sentences = [
+        sentence
+        for section in context.sections
+        for sentence in section.sentences
+    ]
+    for line in context.text.splitlines():
+        assert line in sentences, (line, sentences)
--- /dev/null
+++ b/oleanderknot/cli/account_reader.py
@@ -0,0 +1,84 @@
+"""Reads batches of the account from the object store."""
+
+import asyncio
+
+from expression import Ok
+from expression import Result
+
+from oleanderknot import border
+from oleanderknot import model
+from oleanderknot import platform
+
+READS_AT_ONCE = 16
+PAGE = 1000
+DAY_S = 86400
+
+
+def list_days(since: float, until: float) -> list[str]:
+    """Return the UTC days of a time as they stand in keys."""
+    days = {border.format_day(until)}
+    while since < until:
+        days.add(border.format_day(since))
+        since += DAY_S
+    return sorted(days)
+
+
+async def list_keys(
+    client: platform.ObjectClient, prefix: str
+) -> Result[list[str], model.PlatformFault]:
+    """List all keys with a prefix."""
+    keys: list[str] = []
+    while True:
+        page = await client.list_keys(
+            prefix, after=keys[-1] if keys else '', limit=PAGE
+        )
+        if page.is_error():
+            return page
+        keys += page.ok
+        if len(page.ok) < PAGE:
+            return Ok(keys)
+
+
+async def read_batches(
+    client: platform.ObjectClient,
+    *,
+    since: float,
+    until: float,
+    data_centre: str = '',
+) -> Result[tuple[list[model.AccountBatch], int], model.PlatformFault]:
+    """Read the batches of a time.
+
+    Args:
+        client: Client of the object store.
+        since: Wall-clock start in seconds since 1970 (UTC).
+        until: Wall-clock end.
+        data_centre: Only batches of this data centre; empty for all.
+
+    Returns:
+        The batches and the number of those that could not be read, or the
+        fault when not even their keys could be listed.
+    """
+    keys: list[str] = []
+    for day in list_days(since, until):
+        prefix = '%s/%s/' % (border.ACCOUNT_PREFIX, day)
+        if data_centre:
+            prefix += data_centre + '/'
+        listed = await list_keys(client, prefix)
+        if listed.is_error():
+            return listed
+        keys += listed.ok
+    limit = asyncio.Semaphore(READS_AT_ONCE)
+
+    async def read(key: str) -> model.AccountBatch | None:
+        async with limit:
+            content = await client.get(key)
+        if content.is_error():
+            return None
+        try:
+            return border.parse_batch(content.ok)
+        except ValueError:
+            return None
+
+    found = await asyncio.gather(*(read(key) for key in keys))
+    batches = [item for item in found if item is not None]
+    return Ok((batches, len(found) - len(batches)))
--- /dev/null
+++ b/oleanderknot/cli/alert_ack.py
@@ -0,0 +1,79 @@
+"""The command that acknowledges an alert."""
+
+import dataclasses
+import getpass
+import time
+
+from cleo.helpers import argument
+from cleo.helpers import option
+from expression import Ok
+from expression import Result
+
+from oleanderknot import border
+from oleanderknot import model
+from oleanderknot import platform
+from oleanderknot.cli import platform_options
+from oleanderknot.cli import ticket_command
+from oleanderknot.cli import ticket_options
+
+# A node may write the same row at this moment.
+ATTEMPTS = 5
+
+
+class AlertAckCommand(ticket_command.TicketCommand):
+    """Takes an alert out of the morning report."""
+
+    name = 'alert ack'
+    description = 'Acknowledge an alert'
+    arguments = [argument('id', description='Id of the alert')]
+    options = [
+        option('by', description='Name of the operator', flag=False),
+        platform_options.SETTINGS,
+        ticket_options.TABLE,
+    ]
+
+    def carry_out(self) -> int:
+        """See the base class."""
+        addresses = platform_options.find_platform(self)
+        url = platform_options.require(addresses.table_url, 'table')
+        name = self.argument('id')
+        by = self.option('by') or getpass.getuser()
+        result = ticket_options.run_with_table(
+            url, lambda table: acknowledge(table, name, by, time.time())
+        )
+        if result.is_error():
+            raise ticket_options.FailedError(
+                'Cannot acknowledge %s: %s' % (name, result.error.detail)
+            )
+        if not result.ok:
+            raise ticket_options.FailedError('There is no alert %s.' % name)
+        print('%s is acknowledged by %s.' % (name, result.ok))
+        return 0
+
+
+async def acknowledge(
+    table: platform.TableClient, name: str, by: str, now: float
+) -> Result[str, model.PlatformFault]:
+    """Write into an alert's row who has acknowledged it.
+
+    Returns:
+        The operator who did so first; empty when there is no such alert.
+    """
+    key = border.ALERT_PREFIX + name
+    for attempt in range(ATTEMPTS):
+        rows = await table.read([key])
+        if rows.is_error():
+            return rows
+        row = rows.ok[0]
+        if not row.version:
+            return Ok('')
+        alert = border.parse_alert(row.value)
+        if alert.acknowledged_by:
+            return Ok(alert.acknowledged_by)
+        value = border.dump_alert(
+            dataclasses.replace(alert, acknowledged_by=by, acknowledged_at=now)
+        )
+        result = await table.commit({key: row.version}, {key: value})
+        if result.is_ok():
+            return Ok(by)
+    return result.map(lambda _: '')
--- /dev/null
+++ b/oleanderknot/cli/alert_list.py
@@ -0,0 +1,79 @@
+"""The command that lists alerts."""
+
+import json
+
+from cleo.helpers import option
+
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.cli import alert_reader
+from oleanderknot.cli import platform_options
+from oleanderknot.cli import ticket_command
+from oleanderknot.cli import ticket_options
+
+
+class AlertListCommand(ticket_command.TicketCommand):
+    """Lists the alerts that no one has acknowledged."""
+
+    name = 'alert list'
+    description = 'List the alerts that no one has acknowledged'
+    options = [
+        option('all', description='Acknowledged ones as well', flag=True),
+        platform_options.SETTINGS,
+        ticket_options.TABLE,
+        ticket_options.OUTPUT,
+    ]
+
+    def carry_out(self) -> int:
+        """See the base class."""
+        as_json = ticket_options.check_output(self)
+        addresses = platform_options.find_platform(self)
+        url = platform_options.require(addresses.table_url, 'table')
+        found = ticket_options.run_with_table(url, alert_reader.read_alerts)
+        if found.is_error():
+            raise ticket_options.FailedError(
+                'Cannot read the alerts: %s' % found.error.detail
+            )
+        alerts = [
+            item
+            for item in found.ok
+            if self.option('all') or not item.acknowledged_by
+        ]
+        if as_json:
+            print(json.dumps([dump(item) for item in alerts]))
+        else:
+            for item in alerts:
+                print(describe(item))
+            if not alerts:
+                print('No alert is open.')
+        return 0
+
+
+def describe(alert: model.Alert) -> str:
+    """Return one line about an alert."""
+    if alert.acknowledged_by:
+        state = 'acknowledged by %s' % alert.acknowledged_by
+    else:
+        state = 'open' if alert.posted else 'open, not posted'
+    return '%s  %s  %s  (%s)' % (
+        alert.id,
+        decisions.format_time(alert.at),
+        decisions.summarise(alert),
+        state,
+    )
+
+
+def dump(alert: model.Alert) -> dict[str, object]:
+    """Return an alert as JSON values."""
+    return {
+        'id': alert.id,
+        'kind': alert.kind.value,
+        'subject': alert.subject,
+        'instance': alert.by,
+        'data_centre': alert.data_centre,
+        'at': alert.at,
+        'posted': alert.posted,
+        'acknowledged_by': alert.acknowledged_by,
+        'text': decisions.summarise(alert),
+        'action': decisions.ALERT_TEXTS[alert.kind].action,
+    }
--- /dev/null
+++ b/oleanderknot/cli/alert_reader.py
@@ -0,0 +1,33 @@
+"""Reads alerts from the table service."""
+
+from expression import Ok
+from expression import Result
+
+from oleanderknot import border
+from oleanderknot import model
+from oleanderknot import platform
+
+PAGE = 500
+
+
+async def read_alerts(
+    table: platform.TableClient,
+) -> Result[list[model.Alert], model.PlatformFault]:
+    """Read all alerts, acknowledged ones as well, oldest first.
+
+    A row that is malformed is passed over.
+    """
+    alerts: list[model.Alert] = []
+    after = ''
+    while True:
+        page = await table.scan(border.ALERT_PREFIX, after=after, limit=PAGE)
+        if page.is_error():
+            return page
+        for row in page.ok:
+            try:
+                alerts.append(border.parse_alert(row.value))
+            except ValueError:
+                continue
+        if len(page.ok) < PAGE:
+            return Ok(sorted(alerts, key=lambda item: item.at))
+        after = page.ok[-1].key
--- /dev/null
+++ b/oleanderknot/cli/explain.py
@@ -0,0 +1,230 @@
+"""The command that explains what the system did."""
+
+import asyncio
+import dataclasses
+import json
+import textwrap
+import time
+
+from cleo.helpers import option
+
+from oleanderknot import border
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot import platform
+from oleanderknot.cli import account_reader
+from oleanderknot.cli import alert_reader
+from oleanderknot.cli import platform_options
+from oleanderknot.cli import since
+from oleanderknot.cli import ticket_command
+from oleanderknot.cli import ticket_options
+
+TIMEOUT_S = 5.0
+DEFAULT_SINCE = '24h'
+WIDTH = 79
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Question:
+    """What the operator asks for.
+
+    Attributes:
+        addresses: Addresses of the platform's services.
+        ticket: Number of a ticket; None for all.
+        since: Wall-clock start in seconds since 1970 (UTC); None for the
+            time at which the ticket was filed.
+        data_centre: Only this data centre; empty for all.
+        now: Wall-clock time in seconds since 1970 (UTC).
+    """
+
+    addresses: border.PlatformSettings
+    ticket: int | None
+    since: float | None
+    data_centre: str
+    now: float
+
+
+class ExplainCommand(ticket_command.TicketCommand):
+    """Says in plain sentences what the system did and why."""
+
+    name = 'explain'
+    description = 'Say what was served, refused and retried, and why'
+    options = [
+        option('ticket', description='Number of a ticket', flag=False),
+        option('since', description='Time, such as 8h', flag=False),
+        option('data-centre', description='Only this one', flag=False),
+        platform_options.SETTINGS,
+        platform_options.OBJECTS,
+        ticket_options.TABLE,
+        ticket_options.OUTPUT,
+    ]
+    help = """Reads the reports of all nodes and says how many whole requests \
+were served, what was refused and why, what was tried again, which copies of \
+services left or went silent, which alerts are open, and what is not known.
+Nodes report every 30 s, so the last half minute may be missing.
+
+Examples:
+
+    oleanderknot explain --since 12h --settings node.yaml
+    oleanderknot explain --ticket 12 --settings node.yaml"""
+
+    def carry_out(self) -> int:
+        """See the base class."""
+        as_json = ticket_options.check_output(self)
+        addresses = platform_options.find_platform(self)
+        platform_options.require(addresses.object_url, 'objects')
+        now = time.time()
+        number = self.option('ticket')
+        text = self.option('since') or (None if number else DEFAULT_SINCE)
+        question = Question(
+            addresses=addresses,
+            ticket=ticket_options.check_number(number) if number else None,
+            since=since.parse_since(text, now) if text else None,
+            data_centre=self.option('data-centre') or '',
+            now=now,
+        )
+        totals, alerts, remarks = asyncio.run(answer(question))
+        sections = decisions.build_report(
+            totals, alerts, now=now, remarks=remarks
+        )
+        if as_json:
+            print(json.dumps(dump(totals, sections)))
+        else:
+            print(format_text(sections))
+        return 0
+
+
+async def answer(
+    question: Question,
+) -> tuple[model.AccountTotals, list[model.Alert] | None, list[str]]:
+    """Read what the report needs.
+
+    Returns:
+        Sum of the account, open alerts, and remarks on what is not known.
+
+    Raises:
+        FailedError: The object store does not answer.
+    """
+    remarks: list[str] = []
+    alerts = None
+    start = question.since
+    url = question.addresses.table_url
+    if url:
+        table = platform.TableClient(url=url, timeout_s=TIMEOUT_S)
+        try:
+            found = await alert_reader.read_alerts(table)
+            if found.is_ok():
+                alerts = [x for x in found.ok if not x.acknowledged_by]
+            if question.ticket is not None and start is None:
+                start = await find_filing(table, question.ticket)
+        finally:
+            await table.close()
+    if start is None:
+        start = since.parse_since(DEFAULT_SINCE, question.now)
+        remarks.append(
+            'When the ticket was filed could not be read, so only the last'
+            ' 24 hours are covered.'
+        )
+    client = platform.ObjectClient(
+        url=question.addresses.object_url, timeout_s=TIMEOUT_S
+    )
+    try:
+        result = await account_reader.read_batches(
+            client,
+            since=start,
+            until=question.now,
+            data_centre=question.data_centre,
+        )
+    finally:
+        await client.close()
+    if result.is_error():
+        raise ticket_options.FailedError(
+            'Cannot read the account: %s' % result.error.detail
+        )
+    batches, unread = result.ok
+    totals = decisions.add_up(
+        batches,
+        since=start,
+        until=question.now,
+        unread=unread,
+        ticket=question.ticket,
+    )
+    return totals, alerts, remarks
+
+
+async def find_filing(
+    table: platform.TableClient, number: int
+) -> float | None:
+    """Return when a ticket was filed, or None when it cannot be read.
+
+    Raises:
+        FailedError: There is no such ticket.
+    """
+    rows = await table.read([border.ticket_rows.format_ticket_key(number)])
+    if rows.is_error():
+        return None
+    try:
+        ticket = border.ticket_rows.parse_ticket(rows.ok[0])
+    except ValueError:
+        return None
+    if ticket is None:
+        raise ticket_options.FailedError('There is no ticket %d.' % number)
+    return ticket.filed_at
+
+
+def format_text(sections: list[model.Section]) -> str:
+    """Return the report as text."""
+    lines = []
+    for section in sections:
+        lines.append(section.title)
+        for sentence in section.sentences:
+            lines += textwrap.wrap(
+                sentence,
+                WIDTH,
+                initial_indent='  - ',
+                subsequent_indent='    ',
+                break_long_words=False,
+                break_on_hyphens=False,
+            )
+        lines.append('')
+    return '\n'.join(lines).rstrip()
+
+
+def dump(
+    totals: model.AccountTotals, sections: list[model.Section]
+) -> dict[str, object]:
+    """Return the report as JSON values."""
+    return {
+        'since': totals.since,
+        'until': totals.until,
+        'served': {
+            kind.name.lower(): count
+            for kind, count in decisions.count_served(totals).items()
+        },
+        'decisions': [
+            {
+                'ticket': key.ticket,
+                'rule': key.rule.value,
+                'class': key.request_class.name.lower(),
+                'service': key.service,
+                'verdict': key.verdict.value,
+                'root': key.root,
+                'count': count,
+            }
+            for key, count in totals.counts.items()
+        ],
+        'events': [
+            {
+                'at': item.at,
+                'kind': item.kind.value,
+                'subject': item.subject,
+                'service': item.service,
+            }
+            for item in totals.events
+        ],
+        'missing_reports': sum(node.count_missing() for node in totals.nodes),
+        'unread_reports': totals.unread,
+        'sentences': {
+            section.name: list(section.sentences) for section in sections
+        },
+    }
--- a/oleanderknot/cli/main.py
+++ b/oleanderknot/cli/main.py
@@ -2,8 +2,11 @@
 
 import sys
 
+from oleanderknot.cli import alert_ack
+from oleanderknot.cli import alert_list
 from oleanderknot.cli import check
 from oleanderknot.cli import command_line
+from oleanderknot.cli import explain
 from oleanderknot.cli import node
 from oleanderknot.cli import ticket_file
 from oleanderknot.cli import ticket_list
@@ -25,6 +28,9 @@
     app.add(ticket_list.TicketListCommand())
     app.add(ticket_show.TicketShowCommand())
     app.add(ticket_status.TicketStatusCommand())
+    app.add(explain.ExplainCommand())
+    app.add(alert_list.AlertListCommand())
+    app.add(alert_ack.AlertAckCommand())
     return app.execute()
 
 
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -1,5 +1,9 @@
 """Pure decisions: no input or output, no clock, no random source."""
 
+from oleanderknot.decisions.account_report import build_report
+from oleanderknot.decisions.account_report import count_served
+from oleanderknot.decisions.account_sum import add_up
+from oleanderknot.decisions.account_words import format_time
 from oleanderknot.decisions.alert_texts import ALERT_TEXTS
 from oleanderknot.decisions.alert_texts import summarise
 from oleanderknot.decisions.chain_account import ChainAccount
@@ -33,6 +37,10 @@
 from oleanderknot.decisions.upstream_choice import choose
 
 __all__ = [
+    'add_up',
+    'build_report',
+    'count_served',
+    'format_time',
     'ALERT_TEXTS',
     'group_by_centre',
     'is_in_force',
--- /dev/null
+++ b/oleanderknot/decisions/account_gaps.py
@@ -0,0 +1,104 @@
+"""Says what the account does not know."""
+
+from oleanderknot import model
+from oleanderknot.decisions import account_words
+
+# Periods without a report after which a node counts as gone.
+QUIET_PERIODS = 3
+QUIET_SLACK_S = 5.0
+
+OUTAGES = (
+    (
+        model.EventKind.OBJECTS_OUT,
+        model.EventKind.OBJECTS_BACK,
+        'The object store, which keeps the reports,',
+    ),
+    (
+        model.EventKind.TABLE_OUT,
+        model.EventKind.TABLE_BACK,
+        'The table service, which keeps tickets and orders,',
+    ),
+)
+
+
+def find_gaps(totals: model.AccountTotals, now: float) -> list[str]:
+    """Return a sentence for each thing that is not known.
+
+    Args:
+        totals: Sum of the account.
+        now: Wall-clock time in seconds since 1970 (UTC).
+    """
+    sentences = []
+    if not totals.nodes:
+        sentences.append('No reports at all were found for this time.')
+    if totals.unread:
+        sentences.append(
+            '%s could not be read.'
+            % account_words.count_words(totals.unread, 'report', 'reports')
+        )
+    for node in totals.nodes:
+        sentences += describe_missing(node)
+        sentences += describe_end(node, now)
+    return sentences + describe_outages(totals)
+
+
+def describe_missing(node: model.NodeRecord) -> list[str]:
+    """Say which reports of a node are missing."""
+    missing = node.count_missing()
+    if not missing:
+        return []
+    reason = (
+        'lost, because the node could not hold more'
+        if node.dropped >= missing
+        else 'lost or not written yet'
+    )
+    return [
+        'Node %s: %s %s missing (%s), about %d seconds of its decisions; the'
+        ' true numbers are higher.'
+        % (
+            node.instance,
+            account_words.count_words(missing, 'report', 'reports'),
+            'is' if missing == 1 else 'are',
+            reason,
+            max(1, round(missing * node.period_s)),
+        )
+    ]
+
+
+def describe_end(node: model.NodeRecord, now: float) -> list[str]:
+    """Say that a node ended without a last report."""
+    quiet = now - node.last_ended
+    if node.final or quiet <= QUIET_PERIODS * node.period_s + QUIET_SLACK_S:
+        return []
+    return [
+        'Node %s sent its last report at %s and did not say that it stopped;'
+        ' what it decided after that is not known.'
+        % (node.instance, account_words.format_time(node.last_ended))
+    ]
+
+
+def describe_outages(totals: model.AccountTotals) -> list[str]:
+    """Say when the platform did not answer, for each data centre."""
+    sentences = []
+    for began, ended, name in OUTAGES:
+        open_since: dict[str, float] = {}
+        for event in totals.events:
+            if event.kind is began:
+                open_since.setdefault(event.subject, event.at)
+            elif event.kind is ended and event.subject in open_since:
+                start = open_since.pop(event.subject)
+                sentences.append(
+                    '%s did not answer in data centre %s from %s to %s.'
+                    % (
+                        name,
+                        event.subject,
+                        account_words.format_time(start),
+                        account_words.format_time(event.at),
+                    )
+                )
+        sentences += [
+            '%s has not answered in data centre %s since %s.'
+            % (name, subject, account_words.format_time(start))
+            for subject, start in open_since.items()
+        ]
+    return sentences
--- /dev/null
+++ b/oleanderknot/decisions/account_report.py
@@ -0,0 +1,223 @@
+"""Turns the sum of the account into plain sentences."""
+
+import collections
+import collections.abc
+
+from oleanderknot import model
+from oleanderknot.decisions import account_gaps
+from oleanderknot.decisions import account_words
+from oleanderknot.decisions import alert_texts
+from oleanderknot.decisions import rule_texts
+
+EVENT_TEXTS = {
+    model.EventKind.UPSTREAM_TAKING: '%s began to take work',
+    model.EventKind.UPSTREAM_LEAVING: '%s left as planned',
+    model.EventKind.UPSTREAM_SUSPECT: (
+        '%s did not answer for a moment and was used only if need be'
+    ),
+    model.EventKind.UPSTREAM_DEAD: '%s went silent and got no more work',
+    model.EventKind.CONNECTION_SILENT: (
+        'a connection to %s went silent and was replaced'
+    ),
+}
+
+
+def is_refusal(key: model.DecisionKey) -> bool:
+    """Return whether a decision left a call without a whole answer."""
+    return key.rule not in (model.Rule.ADMITTED, model.Rule.RETRIED)
+
+
+def build_report(
+    totals: model.AccountTotals,
+    alerts: collections.abc.Iterable[model.Alert] | None,
+    *,
+    now: float,
+    remarks: collections.abc.Iterable[str] = (),
+) -> list[model.Section]:
+    """Build the report for a reader with no technical background.
+
+    Args:
+        totals: Sum of the account.
+        alerts: Alerts that no one has acknowledged; None when they could
+            not be read.
+        now: Wall-clock time in seconds since 1970 (UTC).
+        remarks: More sentences about what is not known.
+
+    Returns:
+        The sections of the report.
+    """
+    unknown = [*account_gaps.find_gaps(totals, now), *remarks]
+    if alerts is None:
+        unknown.append('Whether alerts are open could not be read.')
+    if not unknown:
+        unknown.append('Nothing is missing: every report is there.')
+    return [
+        build_section('time', 'Time', [describe_time(totals)]),
+        build_section('served', 'Served', describe_served(totals)),
+        build_section('refused', 'Not served', describe_refused(totals, True)),
+        build_section('retried', 'Tried again', describe_retried(totals)),
+        build_section(
+            'inner', 'Between services', describe_refused(totals, False)
+        ),
+        build_section(
+            'upstreams', 'Copies of services', describe_events(totals)
+        ),
+        build_section('unknown', 'Not known', unknown),
+        build_section('alerts', 'Open alerts', describe_alerts(alerts or ())),
+    ]
+
+
+def build_section(
+    name: str, title: str, sentences: list[str]
+) -> model.Section:
+    """Build a section."""
+    return model.Section(name=name, title=title, sentences=tuple(sentences))
+
+
+def describe_time(totals: model.AccountTotals) -> str:
+    """Say which time and which nodes the report covers."""
+    centres = {node.data_centre for node in totals.nodes}
+    nodes = {node.instance for node in totals.nodes}
+    return 'This covers %s to %s; %s in %s reported.' % (
+        account_words.format_time(totals.since),
+        account_words.format_time(totals.until),
+        account_words.count_words(len(nodes), 'node', 'nodes'),
+        account_words.count_words(len(centres), 'data centre', 'data centres'),
+    )
+
+
+def count_served(
+    totals: model.AccountTotals,
+) -> dict[model.RequestClass, int]:
+    """Return the whole requests of callers that were served, by class."""
+    served: collections.Counter[model.RequestClass] = collections.Counter()
+    for key, count in totals.counts.items():
+        if key.root and key.rule is model.Rule.ADMITTED:
+            served[key.request_class] += count
+    return dict(sorted(served.items()))
+
+
+def describe_served(totals: model.AccountTotals) -> list[str]:
+    """Say how many whole requests were served."""
+    served = count_served(totals)
+    if not served:
+        return ['No request of a customer was served.']
+    parts = [
+        account_words.count_class(count, kind)
+        for kind, count in served.items()
+    ]
+    return [
+        '%s of customers %s served whole: %s.'
+        % (
+            account_words.count_words(
+                sum(served.values()), 'request', 'requests'
+            ),
+            'was' if sum(served.values()) == 1 else 'were',
+            account_words.join_words(parts),
+        )
+    ]
+
+
+def describe_refused(totals: model.AccountTotals, root: bool) -> list[str]:
+    """Say what was not served, why and by which rule, most first."""
+    groups = [
+        (key, count)
+        for key, count in totals.counts.items()
+        if key.root is root and is_refusal(key)
+    ]
+    groups.sort(
+        key=lambda item: (item[0].request_class, -item[1], item[0].service)
+    )
+    if not groups:
+        what = 'request of a customer' if root else 'call between services'
+        return ['No %s was refused or lost.' % what]
+    return [describe_group(key, count) for key, count in groups]
+
+
+def describe_group(key: model.DecisionKey, count: int) -> str:
+    """Say what became of the requests of one kind and why."""
+    one = count == 1
+    if key.verdict is model.Verdict.NOT_RUN:
+        fate = '%s turned away and did not run' % ('was' if one else 'were')
+    elif key.verdict is model.Verdict.MAY_HAVE_RUN:
+        fate = 'got no answer and may or may not have run'
+    else:
+        fate = 'ran but did not end well'
+    what = (
+        account_words.count_class(count, key.request_class)
+        if key.root
+        else account_words.count_words(count, 'call', 'calls')
+    )
+    return '%s%s %s, because %s (rule %s, %s).' % (
+        what,
+        ' to ' + key.service if key.service else '',
+        fate,
+        rule_texts.explain_rule(key.rule),
+        key.rule.value,
+        account_words.name_ticket(key.ticket),
+    )
+
+
+def count_retried(totals: model.AccountTotals, root: bool) -> int:
+    """Return the calls sent once more, at first nodes or between services."""
+    return sum(
+        count
+        for key, count in totals.counts.items()
+        if key.rule is model.Rule.RETRIED and key.root is root
+    )
+
+
+def describe_retried(totals: model.AccountTotals) -> list[str]:
+    """Say what was retried."""
+    first, inner = count_retried(totals, True), count_retried(totals, False)
+    if not first + inner:
+        return ['Nothing was tried again.']
+    return [
+        '%s: %d for customers directly, %d between services.'
+        % (
+            account_words.count_words(
+                first + inner,
+                'call was tried once more',
+                'calls were tried once more',
+            ),
+            first,
+            inner,
+        )
+    ]
+
+
+def describe_events(totals: model.AccountTotals) -> list[str]:
+    """Say which upstreams came, left or went silent."""
+    sentences = []
+    for event in totals.events:
+        text = EVENT_TEXTS.get(event.kind)
+        if text is not None:
+            name = event.subject
+            if event.service:
+                name += ' (%s)' % event.service
+            sentences.append(
+                '%s: %s.' % (account_words.format_time(event.at), text % name)
+            )
+        elif event.kind is model.EventKind.TICKET_IN_FORCE:
+            sentences.append(
+                '%s: ticket %s came into force.'
+                % (account_words.format_time(event.at), event.subject)
+            )
+    return sentences or ['No copy of a service came, left or went silent.']
+
+
+def describe_alerts(
+    alerts: collections.abc.Iterable[model.Alert],
+) -> list[str]:
+    """Say which alerts wait for an operator and what to do."""
+    return [
+        '%s: %s %s (Acknowledge with: oleanderknot alert ack %s)%s'
+        % (
+            account_words.format_time(alert.at),
+            alert_texts.summarise(alert),
+            alert_texts.ALERT_TEXTS[alert.kind].action,
+            alert.id,
+            '' if alert.posted else ' It has not reached the webhook.',
+        )
+        for alert in sorted(alerts, key=lambda item: item.at)
+    ] or ['No alert is open.']
--- /dev/null
+++ b/oleanderknot/decisions/account_words.py
@@ -0,0 +1,43 @@
+"""Words for numbers, times and kinds of requests."""
+
+import datetime
+
+from oleanderknot import model
+
+CLASS_WORDS = {
+    model.RequestClass.ORDER: ('order or booking', 'orders or bookings'),
+    model.RequestClass.BROWSING: (
+        'request of a browsing customer',
+        'requests of browsing customers',
+    ),
+    model.RequestClass.DOWNLOAD: ('download', 'downloads'),
+    model.RequestClass.INTERNAL: ('internal lookup', 'internal lookups'),
+}
+
+
+def count_words(number: int, singular: str, plural: str) -> str:
+    """Return a number with its noun, such as ``1,200 downloads``."""
+    return '{:,} {}'.format(number, singular if number == 1 else plural)
+
+
+def count_class(number: int, kind: model.RequestClass) -> str:
+    """Return a number of requests of one class."""
+    return count_words(number, *CLASS_WORDS[kind])
+
+
+def join_words(parts: list[str]) -> str:
+    """Join parts with commas and "and"."""
+    if len(parts) < 2:
+        return ''.join(parts)
+    return '%s and %s' % (', '.join(parts[:-1]), parts[-1])
+
+
+def format_time(epoch: float) -> str:
+    """Return a time in UTC as people read it."""
+    moment = datetime.datetime.fromtimestamp(epoch, datetime.timezone.utc)
+    return moment.strftime('%Y-%m-%d %H:%M:%S UTC')
+
+
+def name_ticket(number: int) -> str:
+    """Return how a ticket is called."""
+    return 'ticket %d' % number if number else 'the built-in policy'
--- a/oleanderknot/model/__init__.py
+++ b/oleanderknot/model/__init__.py
@@ -1,6 +1,7 @@
 """Data classes, enums and the verdict type that the other folders speak."""
 
 from oleanderknot.model.account_batch import AccountBatch
+from oleanderknot.model.account_totals import AccountTotals
 from oleanderknot.model.alert import Alert
 from oleanderknot.model.alert_kind import AlertKind
 from oleanderknot.model.answer import Answer
@@ -20,6 +21,7 @@
 from oleanderknot.model.metric import Metric
 from oleanderknot.model.node_identity import NodeIdentity
 from oleanderknot.model.node_policy import NodePolicy
+from oleanderknot.model.node_record import NodeRecord
 from oleanderknot.model.order_key import OrderKey
 from oleanderknot.model.platform_fault import FaultKind
 from oleanderknot.model.platform_fault import PlatformFault
@@ -31,6 +33,7 @@
 from oleanderknot.model.rule import Rule
 from oleanderknot.model.scope_state import Policy
 from oleanderknot.model.scope_state import ScopeState
+from oleanderknot.model.section import Section
 from oleanderknot.model.service_policy import ServicePolicy
 from oleanderknot.model.table_row import TableRow
 from oleanderknot.model.ticket import Ticket
@@ -40,6 +43,9 @@
 from oleanderknot.model.verdict import Verdict
 
 __all__ = [
+    'AccountTotals',
+    'NodeRecord',
+    'Section',
     'AccountBatch',
     'Alert',
     'AlertKind',
--- /dev/null
+++ b/oleanderknot/model/node_record.py
@@ -0,0 +1,36 @@
+"""Which reports of one life of a node are there."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class NodeRecord:
+    """What the account holds of one life of a node.
+
+    Attributes:
+        instance: Name of the instance.
+        incarnation: Life of the node.
+        data_centre: Data centre of the instance.
+        period_s: Seconds between two reports.
+        first: Number of the first report expected in the time asked for.
+        last: Number of the last report found.
+        found: Reports found.
+        dropped: Reports that the node itself counted as lost.
+        last_ended: Wall-clock end of the last report in seconds since 1970.
+        final: Whether the last report says that the node stopped as planned.
+    """
+
+    instance: str
+    incarnation: int
+    data_centre: str
+    period_s: float
+    first: int
+    last: int = 0
+    found: int = 0
+    dropped: int = 0
+    last_ended: float = 0.0
+    final: bool = False
+
+    def count_missing(self) -> int:
+        """Return how many reports are missing between first and last."""
+        return max(0, self.last - self.first + 1 - self.found)
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -81,6 +81,11 @@
         self.build_tasks()
         listen = self.settings.listen
         host = str(listen.host)
+        self.egress_port = await self.egress.start(
+            str(listen.egress_host), listen.egress_port
+        )
+        # The operators' port is last: its answers need all that is above, and
+        # nothing below waits before the record of this node exists.
         ports = {
             'peer_port': await self.peer_listener.start(
                 host, listen.peer_port
@@ -90,9 +95,6 @@
                 str(listen.operator_host), listen.operator_port
             ),
         }
-        self.egress_port = await self.egress.start(
-            str(listen.egress_host), listen.egress_port
-        )
         own = model.Member(
             instance=self.identity.instance,
             incarnation=self.identity.incarnation,
--- a/oleanderknot/node/operations.py
+++ b/oleanderknot/node/operations.py
@@ -140,6 +140,7 @@
 
     async def close(self) -> None:
         """Write what is held and stop; called after the last request."""
+        self.watch.check()
         self.watch.tell(model.EventKind.NODE_STOPPED, self.identity.instance)
         await asyncio.gather(self.account.close(), self.alerts.close())
         self.metrics.close()
