Add the demo

Cause: a newcomer should see the system at work with one command. Change: one process starts the stand-in platform, three services in two data centres with their nodes, files a ticket, serves traffic, drives a surge against a slow deep service and prints a table.

--- /dev/null
+++ b/oleanderknot/cli/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: the whole system in one process."""
--- /dev/null
+++ b/oleanderknot/cli/demo/demo_run.py
@@ -0,0 +1,140 @@
+"""The story that the demo plays."""
+
+import collections.abc
+import sys
+
+from oleanderknot import platform
+from oleanderknot.cli.demo import demo_system
+from oleanderknot.cli.demo import demo_ticket
+from oleanderknot.cli.demo import outcome
+from oleanderknot.cli.demo import phase_result
+from oleanderknot.cli.demo import report
+from oleanderknot.cli.demo import traffic
+
+SEED = 1
+CALM_RATE = 120.0
+SURGE_RATE = 900.0
+PHASE_S = 4.0
+SLOW_DELAY_MS = 40.0
+NORMAL_DELAY_MS = 10.0
+
+# Customers that get no answer send again at once, this many times in all.
+SURGE_TRIES = 3
+
+Progress = collections.abc.Callable[[str], None]
+
+
+def show_progress(text: str) -> None:
+    """Write a line of progress to standard error."""
+    print(text, file=sys.stderr, flush=True)
+
+
+async def run(progress: Progress = show_progress) -> int:
+    """Play the demo.
+
+    Args:
+        progress: Takes lines that say what happens now.
+
+    Returns:
+        The exit status: 0 when everything that the demo claims held.
+    """
+    system = demo_system.DemoSystem()
+    progress('Starting the platform, 6 upstreams and 6 nodes ...')
+    await system.start()
+    load = traffic.Traffic(system=system, seed=SEED)
+    try:
+        number = await file_ticket(system, progress)
+        results = await play(system, load, progress)
+    finally:
+        await load.close()
+        await system.stop_nodes()
+    print(report.format_table(results))
+    print()
+    failures = list_failures(system, results)
+    for line in await describe(system, number):
+        print(line)
+    for line in failures:
+        print('FAILED: ' + line)
+    await system.stop()
+    return 1 if failures else 0
+
+
+async def file_ticket(
+    system: demo_system.DemoSystem, progress: Progress
+) -> int:
+    """File the ticket and wait until it is in force at every node."""
+    progress('Filing a ticket: customers go before internal lookups ...')
+    table = platform.TableClient(url=system.url, timeout_s=1.0)
+    plan = await platform.ticket_filing.prepare(
+        table, demo_ticket.build_ticket()
+    )
+    filed = await platform.ticket_filing.file_ticket(table, plan.ok)
+    await table.close()
+    number = filed.ticket.number
+    await system.wait_for_ticket(number)
+    progress('Ticket %d is in force in both data centres.' % number)
+    return number
+
+
+async def play(
+    system: demo_system.DemoSystem,
+    load: traffic.Traffic,
+    progress: Progress,
+) -> list[phase_result.PhaseResult]:
+    """Play the phases: calm, surge with a slow deep service, calm again."""
+    progress('Serving ordinary traffic ...')
+    before = await load.run('before', rate=CALM_RATE, seconds=PHASE_S)
+    progress(
+        'Surge: %.0f times the traffic, inventory %.0f times slower, '
+        'customers send again at once ...'
+        % (SURGE_RATE / CALM_RATE, SLOW_DELAY_MS / NORMAL_DELAY_MS)
+    )
+    system.set_delay('inventory', SLOW_DELAY_MS)
+    surge = await load.run(
+        'surge', rate=SURGE_RATE, seconds=PHASE_S, tries=SURGE_TRIES
+    )
+    system.set_delay('inventory', NORMAL_DELAY_MS)
+    progress('The surge is over; nobody helps ...')
+    after = await load.run('after', rate=CALM_RATE, seconds=PHASE_S)
+    return [before, surge, after]
+
+
+def list_failures(
+    system: demo_system.DemoSystem, results: list[phase_result.PhaseResult]
+) -> list[str]:
+    """Compare what customers were told with what the upstreams ran."""
+    orders_run = sum(
+        run['method'] == 'POST'
+        for item in system.instances
+        for run in item.upstream.runs
+    )
+    unknown = (outcome.Outcome.MAY_HAVE_RUN, outcome.Outcome.FAILED)
+    return report.list_failures(
+        results[0],
+        results[-1],
+        orders_whole=sum(
+            item.count('order', outcome.Outcome.WHOLE) for item in results
+        ),
+        orders_run=orders_run,
+        orders_unknown=sum(item.count('order', *unknown) for item in results),
+    )
+
+
+async def describe(system: demo_system.DemoSystem, number: int) -> list[str]:
+    """Return the plain-language account of a ticket."""
+    counts = sum(
+        (item.node.decision_counts for item in system.instances),
+        start=system.instances[0].node.decision_counts.__class__(),
+    )
+    return [
+        '%s %s %s %s: %d'
+        % (
+            key.service,
+            key.request_class.name.lower(),
+            key.rule.value,
+            key.verdict.value,
+            count,
+        )
+        for key, count in counts.items()
+        if key.root and key.ticket == number and isinstance(count, int)
+    ]
--- /dev/null
+++ b/oleanderknot/cli/demo/demo_system.py
@@ -0,0 +1,123 @@
+"""Starts and stops the system that the demo shows."""
+
+import asyncio
+
+from oleanderknot import border
+from oleanderknot import model
+from oleanderknot import node
+from oleanderknot.cli.demo import demo_instance
+from oleanderknot.standins import platform_server
+from oleanderknot.standins import upstream
+from oleanderknot.standins import upstream_options
+
+HOST = '127.0.0.1'
+DATA_CENTRES = ('north', 'south')
+
+# Each service, what it calls, its slots and its milliseconds of work.
+SERVICES = (
+    ('catalogue', ['orders'], 70, 2.0),
+    ('orders', ['inventory'], 75, 2.0),
+    ('inventory', [], 10, 10.0),
+)
+
+POLL_S = 0.02
+ACCOUNT_FLUSH_S = 1.0
+
+
+class DemoSystem:
+    """The stand-in platform and two data centres with three services each.
+
+    Attributes:
+        platform: The stand-in platform.
+        url: Address of the platform.
+        instances: Upstreams with their nodes.
+    """
+
+    def __init__(self) -> None:
+        self.platform = platform_server.PlatformServer()
+        self.url = ''
+        self.instances: list[demo_instance.DemoInstance] = []
+
+    async def start(self) -> None:
+        """Start all parts and wait until every node knows every upstream."""
+        port = await self.platform.start(HOST, 0)
+        self.url = 'http://%s:%d' % (HOST, port)
+        for data_centre in DATA_CENTRES:
+            for service, calls, slots, delay_ms in SERVICES:
+                options = upstream_options.UpstreamOptions(
+                    service=service,
+                    slots=slots,
+                    delay_ms=delay_ms,
+                    calls=calls,
+                )
+                await self.start_instance(data_centre, options)
+        await self.wait_for_members()
+
+    async def start_instance(
+        self, data_centre: str, options: upstream_options.UpstreamOptions
+    ) -> None:
+        """Start a node, then its upstream, which announces itself."""
+        name = '%s-%s' % (options.service, data_centre)
+        seeds = [
+            '%s:%d' % (HOST, item.node.membership.own.peer_port)
+            for item in self.instances[:1]
+        ]
+        settings = border.NodeSettings.model_validate(
+            {
+                'instance': name,
+                'data_centre': data_centre,
+                'seeds': seeds,
+                'platform': {'table_url': self.url, 'object_url': self.url},
+            }
+        )
+        started = node.NodeApplication(settings=settings)
+        await started.start()
+        options.node = 'http://%s:%d' % (HOST, started.egress_port)
+        beside = upstream.Upstream(options=options)
+        await beside.start()
+        self.instances.append(
+            demo_instance.DemoInstance(
+                name=name,
+                service=options.service,
+                node=started,
+                upstream=beside,
+            )
+        )
+
+    async def wait_for_members(self) -> None:
+        """Wait until every node knows every upstream."""
+        while not all(
+            self.count_taking(item) == len(self.instances)
+            for item in self.instances
+        ):
+            await asyncio.sleep(POLL_S)
+
+    def count_taking(self, item: demo_instance.DemoInstance) -> int:
+        """Return how many upstreams a node knows that take work."""
+        return sum(
+            member.state is model.MemberState.TAKING
+            for member in item.node.members.members.values()
+        )
+
+    async def wait_for_ticket(self, number: int) -> None:
+        """Wait until a ticket is in force at every node."""
+        while any(
+            item.node.policy.highest < number for item in self.instances
+        ):
+            await asyncio.sleep(POLL_S)
+
+    def set_delay(self, service: str, delay_ms: float) -> None:
+        """Change the milliseconds of work of a service."""
+        for item in self.instances:
+            if item.service == service:
+                item.upstream.options.delay_ms = delay_ms
+
+    async def stop_nodes(self) -> None:
+        """Drain and stop all nodes, which writes the rest of the account."""
+        await asyncio.gather(*(item.node.stop() for item in self.instances))
+
+    async def stop(self) -> None:
+        """Stop the upstreams and the platform."""
+        for item in self.instances:
+            await item.upstream.stop()
+        await self.platform.stop()
--- /dev/null
+++ b/oleanderknot/cli/demo/phase_result.py
@@ -0,0 +1,41 @@
+"""Result of one phase of the demo."""
+
+import collections
+import dataclasses
+
+from oleanderknot.cli.demo import outcome
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class PhaseResult:
+    """Outcomes of the requests of one phase.
+
+    Attributes:
+        name: Name of the phase.
+        seconds: Length of the phase.
+        outcomes: Count by kind of request and outcome.
+        times_ms: Milliseconds of each whole customer request.
+    """
+
+    name: str
+    seconds: float
+    outcomes: collections.Counter[tuple[str, outcome.Outcome]] = (
+        dataclasses.field(default_factory=collections.Counter)
+    )
+    times_ms: list[float] = dataclasses.field(default_factory=list)
+
+    def count(self, kind: str, *wanted: outcome.Outcome) -> int:
+        """Return how many requests of a kind had one of some outcomes."""
+        return sum(self.outcomes[kind, item] for item in wanted)
+
+    def find_goodput(self) -> float:
+        """Return whole customer requests a second."""
+        whole = self.count('page', outcome.Outcome.WHOLE)
+        whole += self.count('order', outcome.Outcome.WHOLE)
+        return whole / self.seconds
+
+    def find_median_ms(self) -> float:
+        """Return the median time of whole customer requests."""
+        if not self.times_ms:
+            return 0.0
+        return sorted(self.times_ms)[len(self.times_ms) // 2]
--- a/oleanderknot/cli/main.py
+++ b/oleanderknot/cli/main.py
@@ -9,6 +9,7 @@
 from oleanderknot.cli import ticket_list
 from oleanderknot.cli import ticket_show
 from oleanderknot.cli import ticket_status
+from oleanderknot.cli.demo import command as demo
 
 
 def main() -> int:
@@ -19,6 +20,7 @@
         settings.
     """
     app = application.Application('oleanderknot', '0.1.0')
+    app.add(demo.DemoCommand())
     app.add(node.NodeCommand())
     app.add(ticket_file.TicketFileCommand())
     app.add(ticket_list.TicketListCommand())
