Add the decisions on order keys and their records

The runner runs every call without a look at its key, so a repeat of an order runs again. This adds the pure part of the remedy: the text and age of home keys, the records with their limits and retention, the answer to a question about a key, and the condition under which 'not run' may be said. Time never goes back in the records, since after a step of the wall clock a key whose record was dropped would become acceptable again.

Refused keys have a limit of their own (40,000), so that a refusal for want of records can still be recorded and said truthfully.

--- /dev/null
+++ b/features/steps/order_decision_steps.py
@@ -0,0 +1,165 @@
+"""Steps about the decisions on order keys."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from oleanderknot import decisions
+from oleanderknot import model
+
+HOME = model.NodeIdentity(instance='a', incarnation=7, data_centre='dc1')
+
+
+def build_key(**changes):
+    """Build a home key of a test."""
+    values = {
+        'instance': 'a',
+        'incarnation': 7,
+        'minted_at': 100,
+        'nonce': 'c123456789abcdef',
+    }
+    return model.OrderKey(**{**values, **changes})
+
+
+@when(
+    'an order key of home "{home}" incarnation {incarnation:d} made at'
+    ' {second:d} is formatted and parsed'
+)
+def format_and_parse(context, home, incarnation, second):
+    """Format a key and parse the text."""
+    context.key = build_key(
+        instance=home, incarnation=incarnation, minted_at=second
+    )
+    context.parsed = decisions.parse_order_key(
+        decisions.format_order_key(context.key)
+    )
+
+
+@then('the parsed order key is the same')
+def check_same(context):
+    """Check the parsed key."""
+    assert context.parsed == context.key, context.parsed
+
+
+@when('the order key text "{text}" is parsed')
+def parse(context, text):
+    """Parse a text and keep the outcome."""
+    try:
+        key = decisions.parse_order_key(text)
+        context.kind = 'caller-made' if key is None else 'home'
+    except ValueError:
+        context.kind = 'malformed'
+
+
+@when('an order key of age {age:g} s is checked')
+def check_age(context, age):
+    """Check the age of a key."""
+    accepted = decisions.is_acceptable(build_key(minted_at=1000), 1000 + age)
+    context.kind = 'accepted' if accepted else 'expired'
+
+
+@then('the order key is {kind}')
+def check_kind(context, kind):
+    """Check what a key was taken for."""
+    assert context.kind == kind, context.kind
+
+
+@given('order records for {count:d} keys and {size:d} bytes')
+def build_records(context, count, size):
+    """Build small records."""
+    context.records = decisions.OrderRecords(max_records=count, max_bytes=size)
+
+
+@when('order "{key}" with digest "{digest}" begins at {now:d}')
+def begin(context, key, digest, now):
+    """Let a request arrive whose key was made when it first arrived."""
+    context.decision = context.records.begin(
+        key, digest=digest.encode(), expires_at=now + 600, now=now
+    )
+
+
+@when(
+    'order "{key}" begins again at {now:d} with the end of its time at {end:d}'
+)
+def begin_again(context, key, now, end):
+    """Let a request arrive whose key has a given end."""
+    context.decision = context.records.begin(
+        key, digest=b'd', expires_at=end, now=now
+    )
+
+
+@when('order "{key}" is answered with {size:d} bytes')
+def finish(context, key, size):
+    """End a run."""
+    answer = model.Answer(status=200, headers=[], content=bytes(size))
+    context.records.finish(key, answer=answer)
+
+
+@when(
+    'orders {first:d} to {last:d} begin and are answered with {size:d}'
+    ' bytes each at {now:d}'
+)
+def run_orders(context, first, last, size, now):
+    """Run several keys."""
+    for number in range(first, last + 1):
+        begin(context, str(number), 'd', now)
+        finish(context, str(number), size)
+
+
+@when('order "{key}" is refused unseen at {now:d}')
+def refuse(context, key, now):
+    """Record a refusal of a key that was not seen before."""
+    refusal = model.Refusal(
+        verdict=model.Verdict.NOT_RUN,
+        rule=model.Rule.KEY_REFUSED,
+        service='orders',
+        detail='',
+    )
+    context.records.refuse(key, refusal=refusal, expires_at=now + 600)
+
+
+@then('the order decision is "{decision}"')
+def check_decision(context, decision):
+    """Check the last decision."""
+    assert context.decision.value == decision, context.decision
+
+
+@when(
+    'the home is asked at {now:d} about a key made at {made:d} for'
+    ' incarnation {incarnation:d} whose record is "{state}"'
+)
+def ask_home(context, now, made, incarnation, state):
+    """Ask about a key."""
+    record = None
+    if state != 'none':
+        record = decisions.OrderRecord(
+            state=model.OrderState(state), digest=b'', expires_at=700
+        )
+    key = build_key(minted_at=made, incarnation=incarnation)
+    context.answer = decisions.answer_query(key, record, home=HOME, now=now)
+
+
+@then('the home answers "{state}" and {does} a tombstone')
+def check_answer(context, state, does):
+    """Check the answer of the home."""
+    assert context.answer.state.value == state, context.answer
+    assert context.answer.tombstone == (does == 'writes'), context.answer
+
+
+@when('a key is known by "{knowledge}"')
+@when('a key is known by ""')
+def know(context, knowledge=''):
+    """Note what is known about a key."""
+    known = knowledge.split()
+    context.may = decisions.may_say_not_run(
+        tombstone='tombstone' in known,
+        claim_refused='claim_refused' in known,
+        own_attempt='own_attempt' in known,
+        sent='sent' in known,
+    )
+
+
+@then('not run {may} be said')
+def check_may(context, may):
+    """Check whether `not run` may be said."""
+    assert context.may == (may == 'may'), context.may
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -7,6 +7,16 @@
 from oleanderknot.decisions.instance_load import MAX_LEVEL
 from oleanderknot.decisions.member_table import is_newer
 from oleanderknot.decisions.member_table import MemberTable
+from oleanderknot.decisions.not_run import may_say_not_run
+from oleanderknot.decisions.order_key_age import is_acceptable
+from oleanderknot.decisions.order_key_age import KEY_RETENTION_S
+from oleanderknot.decisions.order_key_text import format_order_key
+from oleanderknot.decisions.order_key_text import is_single_attempt
+from oleanderknot.decisions.order_key_text import parse_order_key
+from oleanderknot.decisions.order_query import answer_query
+from oleanderknot.decisions.order_query import QueryAnswer
+from oleanderknot.decisions.order_record import OrderRecord
+from oleanderknot.decisions.order_records import OrderRecords
 from oleanderknot.decisions.policy_table import match_route
 from oleanderknot.decisions.policy_table import PolicyTable
 from oleanderknot.decisions.priority import rank
@@ -19,13 +29,23 @@
     'ChainAccount',
     'ChainTable',
     'InstanceLoad',
+    'KEY_RETENTION_S',
     'MAX_LEVEL',
     'MemberTable',
+    'OrderRecord',
+    'OrderRecords',
     'PolicyTable',
+    'QueryAnswer',
     'RetryBudget',
+    'answer_query',
     'choose',
+    'format_order_key',
+    'is_acceptable',
     'is_newer',
+    'is_single_attempt',
     'match_route',
+    'may_say_not_run',
     'open_account',
+    'parse_order_key',
     'rank',
 ]
--- a/oleanderknot/model/__init__.py
+++ b/oleanderknot/model/__init__.py
@@ -7,11 +7,13 @@
 from oleanderknot.model.call import Headers
 from oleanderknot.model.decision_key import DecisionKey
 from oleanderknot.model.global_policy import GlobalPolicy
+from oleanderknot.model.key_decision import KeyDecision
 from oleanderknot.model.load_report import LoadReport
 from oleanderknot.model.member import Member
 from oleanderknot.model.member_state import MemberState
 from oleanderknot.model.node_identity import NodeIdentity
 from oleanderknot.model.order_key import OrderKey
+from oleanderknot.model.order_state import OrderState
 from oleanderknot.model.platform_fault import FaultKind
 from oleanderknot.model.platform_fault import PlatformFault
 from oleanderknot.model.refusal import build_refusal
@@ -35,11 +37,13 @@
     'DecisionKey',
     'GlobalPolicy',
     'Headers',
+    'KeyDecision',
     'LoadReport',
     'Member',
     'MemberState',
     'NodeIdentity',
     'OrderKey',
+    'OrderState',
     'Policy',
     'Refusal',
     'RequestClass',
