--- /dev/null
+++ b/features/steps/order_fault_steps.py
@@ -0,0 +1,272 @@
+"""Steps about orders under faults."""
+
+import dataclasses
+import signal
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support import http as http_support
+from features.support import orders as order_support
+
+SERVICE = 'orders'
+
+
+def start_order_node(context, name, **settings):
+    """Start an instance of the orders service."""
+    node = context.system.start_node(name, proxied=True, **settings)
+    context.system.start_upstream(node, SERVICE, '--slots', '400')
+    return node
+
+
+@given('order nodes "{names}" behind fault proxies and a front node')
+def start_order_nodes(context, names):
+    """Start instances and a node that only takes requests of callers."""
+    context.front = context.system.start_node('front', proxied=True)
+    names = names.split(', ')
+    for name in names:
+        start_order_node(context, name)
+    context.system.wait_for_members(SERVICE, len(names))
+    wait_for_connections(context)
+    context.client = order_support.OrderClient()
+    context.add_cleanup(context.client.pool.shutdown, wait=False)
+
+
+def wait_for_connections(context):
+    """Wait until the front node is connected to all order nodes."""
+    others = len(context.system.nodes) - 1
+    context.system.wait_for(
+        lambda: (
+            len(
+                http_support.get_json(context.front.status_url())[
+                    'connections'
+                ]
+            )
+            >= others
+        ),
+        'the front node connects',
+    )
+
+
+def send_orders(context, kind, count, query, **headers):
+    """Send new orders to the front node."""
+    base = context.front.caller_url('')
+    orders = []
+    for number in range(count):
+        key = ''
+        if kind == 'home':
+            key = order_support.take_key(base, SERVICE)
+        elif kind == 'own':
+            key = 'my-order/%d' % number
+        orders.append(order_support.Order(number='n%d' % number, key=key))
+    context.url = base + '/orders/place?' + query
+    context.client.send(context.url, orders, headers=headers)
+
+
+@when('{count:d} orders with {kind} keys are sent')
+def send(context, count, kind):
+    """Send orders at once."""
+    send_orders(context, kind, count, 'x=1')
+
+
+@when('{count:d} orders with {kind} keys are sent with {work:d} ms of work')
+def send_slow(context, count, kind, work):
+    """Send orders that take a time."""
+    send_orders(context, kind, count, 'delay_ms=%d' % work)
+
+
+@when('{count:d} orders with {kind} keys are sent for {limit:d} ms')
+def send_limited(context, count, kind, limit):
+    """Send orders with a deadline."""
+    headers = {'Oleanderknot-Deadline-Ms': str(limit)}
+    send_orders(context, kind, count, 'x=1', **headers)
+
+
+@when(
+    '{count:d} orders with {kind} keys are sent for {limit:d} ms with'
+    ' {work:d} ms of work'
+)
+def send_late(context, count, kind, limit, work):
+    """Send orders that take longer than their deadline."""
+    headers = {'Oleanderknot-Deadline-Ms': str(limit)}
+    send_orders(context, kind, count, 'delay_ms=%d' % work, **headers)
+
+
+@when(
+    '{count:d} orders with {kind} keys are sent for an answer of {size:d}'
+    ' bytes'
+)
+def send_large(context, count, kind, size):
+    """Send orders with a large answer."""
+    send_orders(context, kind, count, 'size=%d' % size)
+
+
+@when('the same orders are sent again')
+@when('the same orders are sent again with {what}')
+def send_again(context, what=''):
+    """Repeat all orders with their keys."""
+    repeats = {order.number: order for order in context.client.orders}
+    context.repeats = [
+        order_support.Order(number=order.number, key=order.key)
+        for order in repeats.values()
+    ]
+    context.client.send(
+        context.url, context.repeats, body=what.encode() and b'other'
+    )
+
+
+@when('all orders run')
+def wait_for_runs(context):
+    """Wait until the upstreams have started all orders."""
+    count = len(context.client.orders)
+    context.system.wait_for(
+        lambda: len(order_support.count_runs(context.system)) >= count,
+        'all orders run',
+    )
+
+
+@when('the orders have been answered')
+def wait_for_answers(context):
+    """Wait for all answers."""
+    context.client.wait()
+
+
+@when('the connections between nodes {fault}')
+def inject(context, fault):
+    """Change all open connections between nodes."""
+    changes = {
+        'are cut': {'cut': True},
+        'go silent': {'freeze': 'both'},
+    }[fault]
+    for node in context.system.nodes.values():
+        context.system.inject(node, **changes)
+
+
+@when('the silent connections go on')
+def thaw(context):
+    """Deliver what the silent connections held back."""
+    for node in context.system.nodes.values():
+        context.system.inject(node, thaw=True)
+
+
+@when('every node has refused its delayed orders')
+def wait_for_refusals(context):
+    """Wait until the delayed frames have arrived."""
+    count = sum(order.verdict == 'not-run' for order in context.client.orders)
+
+    def count_refused():
+        return sum(
+            http_support.get_json(node.status_url())['counters'].get(
+                'orders.refused', 0
+            )
+            for node in context.system.nodes.values()
+        )
+
+    context.system.wait_for(
+        lambda: count_refused() >= count, 'the delayed orders arrive'
+    )
+
+
+@when('order node "{name}" is killed')
+def kill(context, name):
+    """End a node at once; its upstream goes on."""
+    context.system.nodes[name].process.kill()
+
+
+@when('order node "{name}" is started again with its upstream')
+def restart(context, name):
+    """Start a new life of a node; its upstream announces itself again."""
+    node = context.system.nodes[name]
+    context.system.restart_node(node)
+    http_support.post_json(
+        'http://127.0.0.1:%d/-/announce' % node.egress_port,
+        {
+            'service': SERVICE,
+            'host': '127.0.0.1',
+            'port': node.upstream_port,
+            'slots': 400,
+        },
+    )
+
+
+@when('order node "{name}" is stopped by a signal')
+def stop(context, name):
+    """Stop a process as a paused instance does."""
+    # Keys are taken before, since their home must be able to be the node.
+    context.system.nodes[name].process.send(signal.SIGSTOP)
+
+
+@when('order node "{name}" goes on')
+def resume(context, name):
+    """Let a stopped process go on."""
+    context.system.nodes[name].process.send(signal.SIGCONT)
+    context.system.wait_for(
+        lambda: http_support.get_json(context.system.nodes[name].status_url()),
+        'node %s answers' % name,
+    )
+
+
+@then('all orders were answered and ran once')
+def check_all(context):
+    """Check that each last request of an order got the order's answer."""
+    runs = order_support.count_runs(context.system)
+    last = {order.number: order for order in context.client.orders}
+    for number, order in last.items():
+        assert order.status == 200, dataclasses.astuple(order)
+        assert runs.get(number) == 1, (number, runs.get(number))
+
+
+@then('no order ran twice and none ran that was told "not-run"')
+def check_runs(context):
+    """Check the promise for each key."""
+    runs = order_support.count_runs(context.system)
+    for order in context.client.orders:
+        count = runs.get(order.number, 0)
+        assert count <= 1, (order, count)
+        if order.verdict == 'not-run':
+            assert count == 0, (order, count)
+        if order.status == 200:
+            assert count == 1, (order, count)
+
+
+@then('at least {count:d} orders were told "{verdict}"')
+def check_told(context, count, verdict):
+    """Check that a scenario reached the case that it is about."""
+    orders = context.client.orders
+    told = sum(order.verdict == verdict for order in orders)
+    assert told >= count, (told, summarise(orders))
+
+
+@then('at least {count:d} orders were refused as "{rule}"')
+def check_refused(context, count, rule):
+    """Check the rule of refusals."""
+    orders = context.client.orders
+    refused = sum(order.rule == rule for order in orders)
+    assert refused >= count, (refused, summarise(orders))
+
+
+@then('at least {count:d} orders were answered')
+def check_answered(context, count):
+    """Check that a part of the orders got its answer."""
+    orders = context.client.orders
+    answered = sum(order.status == 200 for order in orders)
+    assert answered >= count, (answered, summarise(orders))
+
+
+@then('no run was cancelled')
+def check_cancelled(context):
+    """Check the upstreams' count of cancelled runs."""
+    for node in context.system.nodes.values():
+        if node.upstream_port:
+            runs = http_support.get_json(node.upstream_url('/-/runs'))
+            assert runs['cancelled'] == 0, runs['cancelled']
+
+
+def summarise(orders):
+    """Count the orders by what they were told."""
+    counts = {}
+    for order in orders:
+        outcome = (order.status, order.verdict, order.rule)
+        counts[outcome] = counts.get(outcome, 0) + 1
+    return counts
--- /dev/null
+++ b/features/support/orders.py
@@ -0,0 +1,120 @@
+"""Sends many orders at once and keeps what their customers were told."""
+
+import asyncio
+import concurrent.futures
+import dataclasses
+
+import aiohttp
+
+from features.support import http
+from features.support import system as systems
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Order:
+    """One request of a customer.
+
+    Attributes:
+        number: Number in the path, by which runs are counted.
+        key: Idempotency key; empty for none.
+        status: HTTP status of the answer; 0 when the connection failed.
+        verdict: Verdict of a refusal.
+        rule: Rule of a refusal.
+        content: Body of the answer.
+    """
+
+    number: str
+    key: str = ''
+    status: int = 0
+    verdict: str = ''
+    rule: str = ''
+    content: bytes = b''
+
+
+class OrderClient:
+    """Sends orders in a thread of its own.
+
+    Attributes:
+        orders: All orders sent so far.
+    """
+
+    def __init__(self) -> None:
+        self.orders: list[Order] = []
+        self.pool = concurrent.futures.ThreadPoolExecutor(max_workers=4)
+        self.waiting: list[concurrent.futures.Future] = []
+
+    def send(
+        self,
+        url: str,
+        orders: list[Order],
+        *,
+        body: bytes = b'',
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        """Start to send orders at once.
+
+        Args:
+            url: Address; ``id`` is added to its query.
+            orders: The orders.
+            body: Request body of each.
+            headers: More headers of each.
+        """
+        self.orders += orders
+        self.waiting.append(
+            self.pool.submit(
+                lambda: asyncio.run(send_all(url, orders, body, headers or {}))
+            )
+        )
+
+    def wait(self) -> None:
+        """Wait until all orders have an answer."""
+        for item in self.waiting:
+            item.result(60)
+        self.waiting.clear()
+
+
+async def send_all(
+    url: str, orders: list[Order], body: bytes, headers: dict[str, str]
+) -> None:
+    """Send orders at once and note their answers."""
+    connector = aiohttp.TCPConnector(limit=0)
+    mark = '&' if '?' in url else '?'
+
+    async def send_one(order: Order) -> None:
+        keyed = {'Idempotency-Key': order.key} if order.key else {}
+        try:
+            async with session.post(
+                '%s%sid=%s' % (url, mark, order.number),
+                data=body,
+                headers={**headers, **keyed},
+            ) as answer:
+                order.content = await answer.read()
+                order.status = answer.status
+                order.verdict = answer.headers.get('Oleanderknot-Verdict', '')
+                order.rule = answer.headers.get('Oleanderknot-Rule', '')
+        except aiohttp.ClientError:
+            order.status = 0
+
+    async with aiohttp.ClientSession(connector=connector) as session:
+        await asyncio.gather(*(send_one(order) for order in orders))
+
+
+def take_key(base: str, service: str) -> str:
+    """Return a new home key."""
+    status, _, content = http.request(
+        'POST', '%s/-/order-keys/%s' % (base, service)
+    )
+    assert status == 201, (status, content)
+    return http.json.loads(content)['key']
+
+
+def count_runs(system: systems.System) -> dict[str, int]:
+    """Return the runs of each order at all upstreams, by its number."""
+    counts: dict[str, int] = {}
+    for node in system.nodes.values():
+        if node.upstream_port:
+            url = node.upstream_url('/-/runs')
+            for run in http.get_json(url)['runs']:
+                number = run['path'].rpartition('id=')[2]
+                counts[number] = counts.get(number, 0) + 1
+    return counts
--- a/oleanderknot/border/__init__.py
+++ b/oleanderknot/border/__init__.py
@@ -2,6 +2,7 @@
 
 from oleanderknot.border import headers
 from oleanderknot.border.announcement import Announcement
+from oleanderknot.border.claim_row import ClaimRow
 from oleanderknot.border.settings import ListenSettings
 from oleanderknot.border.settings import NodeSettings
 from oleanderknot.border.settings import PlatformSettings
@@ -11,6 +12,7 @@
 
 __all__ = [
     'Announcement',
+    'ClaimRow',
     'ListenSettings',
     'NodeSettings',
     'PlatformSettings',
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -3,16 +3,20 @@
 from oleanderknot.decisions.chain_account import ChainAccount
 from oleanderknot.decisions.chain_account import open_account
 from oleanderknot.decisions.chain_table import ChainTable
+from oleanderknot.decisions.home_key_check import check_home_key
 from oleanderknot.decisions.instance_load import InstanceLoad
 from oleanderknot.decisions.instance_load import MAX_LEVEL
+from oleanderknot.decisions.key_account_table import KeyAccountTable
 from oleanderknot.decisions.member_table import is_newer
 from oleanderknot.decisions.member_table import MemberTable
 from oleanderknot.decisions.not_run import may_say_not_run
 from oleanderknot.decisions.order_key_age import is_acceptable
 from oleanderknot.decisions.order_key_age import KEY_RETENTION_S
+from oleanderknot.decisions.order_key_text import CALLER_KEY
 from oleanderknot.decisions.order_key_text import format_order_key
 from oleanderknot.decisions.order_key_text import is_single_attempt
 from oleanderknot.decisions.order_key_text import parse_order_key
+from oleanderknot.decisions.order_key_text import SINGLE_ATTEMPT
 from oleanderknot.decisions.order_query import answer_query
 from oleanderknot.decisions.order_query import QueryAnswer
 from oleanderknot.decisions.order_record import OrderRecord
@@ -25,11 +29,13 @@
 from oleanderknot.decisions.upstream_choice import choose
 
 __all__ = [
+    'CALLER_KEY',
     'Candidate',
     'ChainAccount',
     'ChainTable',
     'InstanceLoad',
     'KEY_RETENTION_S',
+    'KeyAccountTable',
     'MAX_LEVEL',
     'MemberTable',
     'OrderRecord',
@@ -37,7 +43,9 @@
     'PolicyTable',
     'QueryAnswer',
     'RetryBudget',
+    'SINGLE_ATTEMPT',
     'answer_query',
+    'check_home_key',
     'choose',
     'format_order_key',
     'is_acceptable',
--- /dev/null
+++ b/oleanderknot/decisions/key_account_table.py
@@ -0,0 +1,61 @@
+"""Retries that the repeats of a key draw on."""
+
+import collections
+
+from oleanderknot import model
+from oleanderknot.decisions import chain_account
+from oleanderknot.decisions import order_key_age
+
+# About 400 bytes each; 83 new keys a second at one node for ten minutes.
+MAX_ACCOUNTS = 50_000
+
+
+class KeyAccountTable:
+    """Keeps the account of each key at its first node for ten minutes.
+
+    An account is never dropped before its time, since the next repeat would
+    then start with a whole allowance.
+
+    Attributes:
+        max_accounts: Largest number of accounts.
+        accounts: Time of the first request and account by service and key,
+            oldest first.
+    """
+
+    def __init__(self, *, max_accounts: int = MAX_ACCOUNTS) -> None:
+        self.max_accounts = max_accounts
+        self.accounts: collections.OrderedDict[
+            tuple[str, str], tuple[float, chain_account.ChainAccount]
+        ] = collections.OrderedDict()
+
+    def enter(
+        self,
+        call: model.Call,
+        account: chain_account.ChainAccount,
+        now: float,
+    ) -> chain_account.ChainAccount | None:
+        """Return the account that a request with a key draws on.
+
+        Args:
+            call: The root call of the request.
+            account: Account of the request, used when the key is new.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The account, from which a repeat has taken one retry; None when
+            nothing is left for a repeat, or no account can be kept.
+        """
+        accounts = self.accounts
+        while accounts:
+            started, _ = next(iter(accounts.values()))
+            if now - started <= order_key_age.KEY_RETENTION_S:
+                break
+            accounts.popitem(last=False)
+        name = (call.service, call.key)
+        kept = accounts.get(name)
+        if kept is not None:
+            return kept[1] if kept[1].spend() else None
+        if len(accounts) >= self.max_accounts:
+            return None
+        accounts[name] = (now, account)
+        return account
--- a/oleanderknot/decisions/order_key_text.py
+++ b/oleanderknot/decisions/order_key_text.py
@@ -10,6 +10,9 @@
 # attempt and that no caller has seen.
 SINGLE_ATTEMPT = 'a'
 
+# First character of the random part of a key that was made for a caller.
+CALLER_KEY = 'c'
+
 FORM = re.compile(
     r'ok1~([a-z0-9][a-z0-9.-]{0,62})~([0-9]{1,19})~([0-9]{1,11})'
     r'~([0-9A-Za-z]{16,64})'
--- a/oleanderknot/decisions/order_record.py
+++ b/oleanderknot/decisions/order_record.py
@@ -18,6 +18,8 @@
         refusal: Why there is no answer; its verdict is ``not run`` exactly
             for a refused key.
         size: Bytes of the kept answer.
+        body_digest: Digest of a request body that arrived in parts, once it
+            has arrived whole.
     """
 
     state: model.OrderState
@@ -26,3 +28,4 @@
     answer: model.Answer | None = None
     refusal: model.Refusal | None = None
     size: int = 0
+    body_digest: bytes = b''
--- a/oleanderknot/model/__init__.py
+++ b/oleanderknot/model/__init__.py
@@ -5,6 +5,8 @@
 from oleanderknot.model.body_cut import BodyCut
 from oleanderknot.model.call import Call
 from oleanderknot.model.call import Headers
+from oleanderknot.model.claim import Claim
+from oleanderknot.model.claim import ClaimState
 from oleanderknot.model.decision_key import DecisionKey
 from oleanderknot.model.global_policy import GlobalPolicy
 from oleanderknot.model.key_decision import KeyDecision
@@ -34,6 +36,8 @@
     'Body',
     'BodyCut',
     'Call',
+    'Claim',
+    'ClaimState',
     'DecisionKey',
     'GlobalPolicy',
     'Headers',
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -13,6 +13,7 @@
 from oleanderknot import border
 from oleanderknot import decisions
 from oleanderknot import model
+from oleanderknot.node import order_assembly
 from oleanderknot.tasks import dispatcher
 from oleanderknot.tasks import egress
 from oleanderknot.tasks import http_listener
@@ -128,6 +129,7 @@
             await listener.close()
         self.peer_listener.close()
         self.pool.close()
+        await self.orders.close()
         await self.runner.close()
         logging.info('node %s stopped', self.identity.instance)
 
@@ -136,7 +138,7 @@
         self.runner = runner.Runner(chains=self.chains)
         handlers = peer_handlers.PeerHandlers(
             run=self.runner.run,
-            query=self.runner.describe_key,
+            query=lambda key, wait_s: self.orders.describe(key, wait_s),
             gossip=lambda peer, item: self.membership.handle(peer, item),
             policy=lambda peer, item: None,
             opened=self.greet,
@@ -160,6 +162,12 @@
             pool=self.pool,
             count=self.count_decision,
         )
+        self.orders = order_assembly.build_orders(
+            settings=self.settings,
+            runner=self.runner,
+            dispatcher=self.dispatcher,
+            count=self.count,
+        )
         self.callers = http_listener.HttpListener(
             handle=ingress.build_handler(self.dispatcher, self.policy)
         )
@@ -203,11 +211,17 @@
         self.callers.stop_accepting()
         try:
             async with asyncio.timeout(self.settings.drain_timeout_s):
-                while self.callers.active or self.runner.running:
+                while self.is_busy():
                     await asyncio.sleep(0.02)
         except TimeoutError:
             logging.error('requests still in flight when the drain ended')
 
+    def is_busy(self) -> bool:
+        """Return whether a request is in flight."""
+        return bool(
+            self.callers.active or self.runner.running or self.orders.is_busy()
+        )
+
     def greet(self, connection: peer_connection.PeerConnection) -> None:
         """Take a connection whose handshake is done."""
         self.pool.add(connection)
--- /dev/null
+++ b/oleanderknot/node/order_assembly.py
@@ -0,0 +1,106 @@
+"""Puts the tasks together that run orders at most once."""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+from oleanderknot import border
+from oleanderknot import platform
+from oleanderknot import wire
+from oleanderknot.tasks import claims
+from oleanderknot.tasks import dispatcher as dispatchers
+from oleanderknot.tasks import key_answerer
+from oleanderknot.tasks import key_inquiry
+from oleanderknot.tasks import order_dispatcher
+from oleanderknot.tasks import order_runner
+from oleanderknot.tasks import order_sender
+from oleanderknot.tasks import order_table
+from oleanderknot.tasks import runner as runners
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Orders:
+    """The tasks that belong to orders.
+
+    Attributes:
+        answerer: Answers questions about keys.
+        claims: Claim rows of caller-made keys.
+        table: Records and running tasks.
+    """
+
+    answerer: key_answerer.KeyAnswerer
+    claims: claims.Claims
+    table: order_table.OrderTable
+
+    async def describe(self, key: str, wait_s: float) -> wire.KeyState:
+        """Say what became of a key; see ``KeyAnswerer.describe``."""
+        return await self.answerer.describe(key, wait_s)
+
+    def is_busy(self) -> bool:
+        """Return whether an order runs."""
+        return bool(self.table.tasks)
+
+    async def close(self) -> None:
+        """Stop what still runs and close the connections to the platform."""
+        tasks = list(self.table.tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.claims.close()
+
+
+def build_orders(
+    *,
+    settings: border.NodeSettings,
+    runner: runners.Runner,
+    dispatcher: dispatchers.Dispatcher,
+    count: collections.abc.Callable[[str], None],
+) -> Orders:
+    """Build the tasks for orders and connect them to runner and dispatcher.
+
+    Args:
+        settings: Settings of the node.
+        runner: Runs calls at the own upstream.
+        dispatcher: Chooses upstreams.
+        count: Counts an event by name.
+
+    Returns:
+        The tasks.
+    """
+    identity = dispatcher.identity
+    table_client = None
+    if settings.platform.table_url:
+        table_client = platform.TableClient(
+            url=settings.platform.table_url,
+            timeout_s=settings.platform.timeout_ms / 1000,
+        )
+    rows = claims.Claims(identity=identity, table=table_client)
+    table = order_table.OrderTable()
+    inquiry = key_inquiry.KeyInquiry(
+        members=dispatcher.members, pool=dispatcher.pool, count=count
+    )
+    runner.orders = order_runner.OrderRunner(
+        identity=identity,
+        run_call=runner.admit,
+        find_service=lambda: runner.service,
+        claims=rows,
+        ask=inquiry.ask,
+        count=count,
+        table=table,
+    )
+    dispatcher.orders = order_dispatcher.OrderDispatcher(
+        identity=identity,
+        calls=dispatcher,
+        inquiry=inquiry,
+        sender=order_sender.OrderSender(
+            identity=identity, calls=dispatcher, inquiry=inquiry
+        ),
+        claims=rows,
+    )
+    answerer = key_answerer.KeyAnswerer(
+        identity=identity,
+        find_service=lambda: runner.service,
+        claims=rows,
+        table=table,
+    )
+    return Orders(answerer=answerer, claims=rows, table=table)
--- a/oleanderknot/standins/fault_link.py
+++ b/oleanderknot/standins/fault_link.py
@@ -12,7 +12,7 @@
     Attributes:
         reader: Where the bytes come from.
         writer: Where the bytes go to.
-        frozen: Whether bytes are held back for good.
+        frozen: Whether bytes are held back.
         delay_s: Seconds that each part waits.
         swap: Frames to pass on in another order: each odd one after the
             even one that follows it.
--- a/oleanderknot/standins/fault_proxy.py
+++ b/oleanderknot/standins/fault_proxy.py
@@ -35,7 +35,8 @@
     Control: ``POST /<port>`` with JSON. Fields of ``Faults`` stay in force;
     ``cut`` (true, or address prefixes) ends open connections once;
     ``freeze`` (``forward``, ``back`` or ``both``) makes the open connections
-    silent for good while new ones work; ``drop_answers`` loses the next part
+    silent while new ones work, until ``thaw`` (true) lets them go on with
+    what they held back; ``drop_answers`` loses the next part
     towards the caller and cuts.
 
     Attributes:
@@ -108,6 +109,7 @@
         changes = json.loads(await request.read())
         cut = changes.pop('cut', False)
         freeze = changes.pop('freeze', '')
+        thaw = changes.pop('thaw', False)
         drop = changes.pop('drop_answers', False)
         self.faults[port] = dataclasses.replace(self.faults[port], **changes)
         faults = self.faults[port]
@@ -117,6 +119,8 @@
             back.swap = faults.swap
             forward.frozen = forward.frozen or freeze in ('forward', 'both')
             back.frozen = back.frozen or freeze in ('back', 'both')
+            if thaw:
+                forward.frozen = back.frozen = False
             back.drop = back.drop or drop
             if cut is True or (cut and source.startswith(tuple(cut))):
                 abort(link)
--- /dev/null
+++ b/oleanderknot/tasks/claims.py
@@ -0,0 +1,143 @@
+"""Claim rows of caller-made keys in the table service."""
+
+import asyncio
+import secrets
+import urllib.parse
+
+import pydantic
+
+from oleanderknot import border
+from oleanderknot import model
+from oleanderknot import platform
+
+# Writes of one row before its outcome is given up as unknown.
+MAX_WRITES = 3
+
+WRITE_PAUSE_S = 0.05
+
+
+class Claims:
+    """Writes claim rows and settles writes whose answer was lost.
+
+    Attributes:
+        identity: Identity of this node.
+        table: The table service; None when the settings name none.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: model.NodeIdentity,
+        table: platform.TableClient | None,
+    ) -> None:
+        self.identity = identity
+        self.table = table
+
+    async def acquire(
+        self, service: str, key: str, digest: bytes
+    ) -> model.Claim:
+        """Claim a key for this node, unless it is claimed already.
+
+        Args:
+            service: Service of the request.
+            key: The key.
+            digest: Digest of the request.
+
+        Returns:
+            The claim; only ``OWN`` lets the key run here.
+        """
+        return await self.write(service, key, 'held', digest, 0)
+
+    async def refuse(
+        self, service: str, key: str, digest: bytes, *, claimed: bool = False
+    ) -> model.Claim:
+        """Record that a key has not run and never will.
+
+        Args:
+            service: Service of the request.
+            key: The key.
+            digest: Digest of the request; empty when not known.
+            claimed: Whether this node holds the claim and has not run it.
+
+        Returns:
+            The claim; ``OWN`` and ``REFUSED`` mean that the row holds a
+            refusal.
+        """
+        version = 0
+        if claimed:
+            rows = await self.table.read([build_name(service, key)])
+            if rows.is_error():
+                return forget(rows.error.detail)
+            version = rows.ok[0].version
+        return await self.write(service, key, 'refused', digest, version)
+
+    async def write(
+        self, service: str, key: str, state: str, digest: bytes, version: int
+    ) -> model.Claim:
+        """Write a row once, whatever answers are lost on the way.
+
+        The same row is written again until a reading shows a row: a lost
+        write may take effect late, and then the second one fails and the
+        next reading finds the first.
+        """
+        if self.table is None:
+            return forget('no table service is configured')
+        name = build_name(service, key)
+        value = border.ClaimRow(
+            state=state,
+            instance=self.identity.instance,
+            incarnation=self.identity.incarnation,
+            claim=secrets.token_hex(16),
+            digest=digest.hex(),
+        ).model_dump_json()
+        detail = ''
+        for _ in range(MAX_WRITES):
+            result = await self.table.commit({name: version}, {name: value})
+            if result.is_ok():
+                return model.Claim(state=model.ClaimState.OWN)
+            rows = await self.table.read([name])
+            if rows.is_error():
+                detail = rows.error.detail
+                if result.error.kind is model.FaultKind.NOT_SENT:
+                    break
+                await asyncio.sleep(WRITE_PAUSE_S)
+                continue
+            row = rows.ok[0]
+            if row.value == value:
+                return model.Claim(state=model.ClaimState.OWN)
+            if row.version != version:
+                return parse_claim(row)
+        return forget(detail or 'the row does not keep what was written')
+
+    async def close(self) -> None:
+        """Close the connections to the table service."""
+        if self.table is not None:
+            await self.table.close()
+
+
+def build_name(service: str, key: str) -> str:
+    """Return the key of a claim row."""
+    return 'claim/%s/%s' % (service, urllib.parse.quote(key, safe=''))
+
+
+def forget(detail: str) -> model.Claim:
+    """Return a claim that the table service did not settle."""
+    return model.Claim(state=model.ClaimState.UNKNOWN, detail=detail)
+
+
+def parse_claim(row: model.TableRow) -> model.Claim:
+    """Read a claim row that another write has left."""
+    try:
+        value = border.ClaimRow.model_validate_json(row.value)
+        digest = bytes.fromhex(value.digest)
+    except (pydantic.ValidationError, ValueError) as error:
+        return forget('malformed row %s: %s' % (row.key, error))
+    state = model.ClaimState.HELD
+    if value.state == 'refused':
+        state = model.ClaimState.REFUSED
+    return model.Claim(
+        state=state,
+        instance=value.instance,
+        incarnation=value.incarnation,
+        digest=digest,
+    )
--- /dev/null
+++ b/oleanderknot/tasks/digest_body.py
@@ -0,0 +1,54 @@
+"""Body of a request that is digested while it passes."""
+
+import hashlib
+
+from oleanderknot import model
+
+
+class DigestBody:
+    """Passes a body on and digests it.
+
+    Attributes:
+        body: The body.
+        hash: Digest of what has passed.
+        whole: Whether the body has passed to its end.
+    """
+
+    def __init__(self, *, body: model.Body, first: bytes) -> None:
+        self.body = body
+        self.hash = hashlib.blake2b(first, digest_size=16)
+        self.whole = False
+
+    async def read(self) -> bytes:
+        """Return the next part; empty bytes mark the end.
+
+        Raises:
+            BodyCut: The body ended before it was whole.
+        """
+        data = await self.body.read()
+        self.hash.update(data)
+        self.whole = self.whole or not data
+        return data
+
+    def cancel(self) -> None:
+        """Tell the sender that nobody reads on."""
+        self.body.cancel()
+
+    def digest(self) -> bytes:
+        """Return the digest of the whole body, or nothing if it was cut."""
+        return self.hash.digest() if self.whole else b''
+
+
+def digest_request(call: model.Call, content: bytes) -> bytes:
+    """Return the digest that tells two requests of one key apart.
+
+    Args:
+        call: The call.
+        content: The body when it is short; a long one is digested as it
+            passes.
+
+    Returns:
+        16 bytes.
+    """
+    head = '%s\n%s\n%s\n' % (call.service, call.method, call.path)
+    return hashlib.blake2b(head.encode() + content, digest_size=16).digest()
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -11,6 +11,7 @@
 
 from oleanderknot import decisions
 from oleanderknot import model
+from oleanderknot.tasks import order_dispatcher
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import runner
 
@@ -34,6 +35,7 @@
         loads: Load by instance.
         budget: Retries of this node as a share of its successes.
         rng: Source of randomness.
+        orders: Sends non-idempotent calls.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         self.loads: dict[str, decisions.InstanceLoad] = {}
         self.budget = decisions.RetryBudget()
         self.rng = rng or random.Random()
+        self.orders: order_dispatcher.OrderDispatcher | None = None
 
     async def dispatch(
         self,
@@ -75,6 +78,8 @@
         Returns:
             The answer, or the refusal of the last attempt.
         """
+        if not call.idempotent:
+            return await self.orders.dispatch(call, account, content, body)
         tried: set[str] = set()
         while True:
             member = self.choose(call, tried)
--- a/oleanderknot/tasks/egress.py
+++ b/oleanderknot/tasks/egress.py
@@ -82,7 +82,7 @@
         try:
             call = ingress.build_call(request, policy)
         except ValueError as error:
-            return ingress.refuse_request(str(error))
+            return ingress.refuse_request(request, str(error))
         account = chains.find(call.trace_id)
         if account is None:
             return await ingress.exchange(request, call, isolate(call), calls)
--- a/oleanderknot/tasks/ingress.py
+++ b/oleanderknot/tasks/ingress.py
@@ -12,6 +12,7 @@
 from oleanderknot.tasks import http_answer
 from oleanderknot.tasks import http_exchange
 from oleanderknot.tasks import http_listener
+from oleanderknot.tasks import order_keys
 
 # From this status on, a client may take an answer for worth repeating.
 FIRST_FAILURE_STATUS = 500
@@ -100,10 +101,12 @@
     """
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path.startswith(order_keys.PATH):
+            return order_keys.answer(request, calls, policy)
         try:
             call = build_call(request, policy)
         except ValueError as error:
-            return refuse_request(str(error))
+            return refuse_request(request, str(error))
         return await exchange(
             request, call, decisions.open_account(call), calls
         )
@@ -112,13 +115,19 @@
 
 
 def refuse_request(
-    detail: str, rule: model.Rule = model.Rule.BAD_REQUEST
+    request: web.BaseRequest,
+    detail: str,
+    rule: model.Rule = model.Rule.BAD_REQUEST,
 ) -> web.Response:
-    """Build the response to a request that cannot be understood."""
+    """Build the response to a request that cannot be understood.
+
+    An earlier request with the same key may have run.
+    """
+    verdict = model.Verdict.NOT_RUN
+    if border.headers.IDEMPOTENCY_KEY in request.headers:
+        verdict = model.Verdict.MAY_HAVE_RUN
     return http_answer.build_refusal(
-        model.Refusal(
-            verdict=model.Verdict.NOT_RUN, rule=rule, service='', detail=detail
-        )
+        model.Refusal(verdict=verdict, rule=rule, service='', detail=detail)
     )
 
 
@@ -142,7 +151,7 @@
     try:
         content, body = await http_exchange.read_body(request)
     except model.BodyCut as error:
-        return refuse_request(str(error), error.rule)
+        return refuse_request(request, str(error), error.rule)
     if not account.admit_repeat(call):
         return refuse(call, calls, build_spent_refusal(call))
     result = await calls.dispatch(call, account, content, body)
@@ -168,9 +177,10 @@
 
 def build_spent_refusal(call: model.Call) -> model.Refusal:
     """Build the refusal of a repeated call without a retry left for it."""
+    keyed = call.key and not call.idempotent
     return model.build_refusal(
         call,
-        model.Verdict.NOT_RUN,
+        model.Verdict.MAY_HAVE_RUN if keyed else model.Verdict.NOT_RUN,
         model.Rule.RETRY_ALLOWANCE,
         'the request has no retry left for a repeated call',
     )
--- /dev/null
+++ b/oleanderknot/tasks/key_inquiry.py
@@ -0,0 +1,167 @@
+"""Asks the home of a key what became of it."""
+
+import asyncio
+import collections.abc
+import random
+import time
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot import wire
+from oleanderknot.tasks import peer_connection
+from oleanderknot.tasks import peer_pool
+
+# Pause before the home is tried again, with full jitter.
+PAUSE_S = 0.1
+
+# Part of the remaining time that is left for the answer's way back.
+ANSWER_MARGIN_S = 0.2
+
+# States of a life that will not answer again.
+HOPELESS = (model.MemberState.LEFT, model.MemberState.DEAD)
+
+
+class HomeLost(Exception):
+    """The home of a key cannot answer any more.
+
+    Attributes:
+        rule: The rule that this falls under.
+    """
+
+    def __init__(self, *, rule: model.Rule, detail: str) -> None:
+        super().__init__(detail)
+        self.rule = rule
+
+
+class KeyInquiry:
+    """Finds the home of a key and puts questions to it.
+
+    Attributes:
+        members: Nodes that are known.
+        pool: Connections to other nodes.
+        count: Counts an event by name.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: decisions.MemberTable,
+        pool: peer_pool.PeerPool,
+        count: collections.abc.Callable[[str], None],
+    ) -> None:
+        self.members = members
+        self.pool = pool
+        self.count = count
+
+    async def connect(
+        self, instance: str, incarnation: int
+    ) -> peer_connection.PeerConnection:
+        """Return a connection to one life of a node.
+
+        Raises:
+            HomeLost: That life has ended.
+            ConnectionError: The node cannot be reached now.
+        """
+        connection = self.pool.find(instance)
+        member = self.members.members.get(instance)
+        if connection is None:
+            if member is None:
+                raise ConnectionError('node %s is not known' % instance)
+            connection = await self.pool.connect(member)
+        if connection.peer.incarnation != incarnation:
+            raise HomeLost(
+                rule=model.Rule.KEY_EARLIER_INCARNATION,
+                detail='node %s was restarted since' % instance,
+            )
+        return connection
+
+    def is_hopeless(self, instance: str, incarnation: int) -> bool:
+        """Return whether a life of a node is known to have ended."""
+        member = self.members.members.get(instance)
+        return member is not None and (
+            member.incarnation > incarnation
+            or (member.incarnation == incarnation and member.state in HOPELESS)
+        )
+
+    async def ask(
+        self, instance: str, incarnation: int, call: model.Call
+    ) -> Result[model.Answer, model.Refusal]:
+        """Ask a home until it answers or the call's deadline passes.
+
+        Args:
+            instance: Instance of the home.
+            incarnation: Life of the home.
+            call: The call; its key is asked about.
+
+        Returns:
+            What became of the key.
+        """
+        self.count('orders.inquiry')
+        while True:
+            try:
+                async with asyncio.timeout_at(call.deadline):
+                    return await self.ask_once(instance, incarnation, call)
+            except HomeLost as error:
+                return refuse(call, error.rule, str(error))
+            except (OSError, TimeoutError) as error:
+                detail = str(error) or 'no answer from node %s' % instance
+            left = call.deadline - time.monotonic()
+            if left <= PAUSE_S or self.is_hopeless(instance, incarnation):
+                return refuse(call, model.Rule.KEY_HOME_UNREACHABLE, detail)
+            await asyncio.sleep(random.random() * PAUSE_S)
+
+    async def ask_once(
+        self, instance: str, incarnation: int, call: model.Call
+    ) -> Result[model.Answer, model.Refusal]:
+        """Ask a home once.
+
+        Raises:
+            HomeLost: That life of the node has ended.
+            OSError: The node cannot be reached, or the connection was lost.
+            TimeoutError: The node did not answer.
+        """
+        connection = await self.connect(instance, incarnation)
+        left = call.deadline - time.monotonic() - ANSWER_MARGIN_S
+        state = await connection.query(call.key, max(0.0, left))
+        return read_state(call, state)
+
+
+def read_state(
+    call: model.Call, message: wire.KeyState
+) -> Result[model.Answer, model.Refusal]:
+    """Make a result of what a home says about a key."""
+    try:
+        state, answer, refusal = wire.read_key_state(message)
+    except wire.BadFrame as error:
+        return refuse(call, model.Rule.KEY_HOME_UNREACHABLE, str(error))
+    if answer is not None:
+        return Ok(answer)
+    if state is model.OrderState.RUNNING:
+        return refuse(
+            call,
+            model.Rule.KEY_RUNNING,
+            'the request still ran when its deadline came',
+        )
+    if refusal is not None and (
+        refusal.verdict is model.Verdict.MAY_HAVE_RUN
+        or state is model.OrderState.REFUSED
+    ):
+        return Error(refusal)
+    return refuse(
+        call,
+        model.Rule.KEY_ANSWER_NOT_KEPT,
+        'the home of the key did not keep the answer',
+    )
+
+
+def refuse(
+    call: model.Call, rule: model.Rule, detail: str
+) -> Result[model.Answer, model.Refusal]:
+    """Refuse a call whose key may have run."""
+    return Error(
+        model.build_refusal(call, model.Verdict.MAY_HAVE_RUN, rule, detail)
+    )
--- /dev/null
+++ b/oleanderknot/tasks/order_claim.py
@@ -0,0 +1,142 @@
+"""Runs a caller-made key under its claim row."""
+
+import collections.abc
+import time
+
+from expression import Error
+
+from oleanderknot import model
+from oleanderknot.tasks import claims as claim_rows
+from oleanderknot.tasks import order_result
+
+# Called once a call is admitted; a refusal keeps it from running.
+GateFunction = collections.abc.Callable[
+    [], collections.abc.Awaitable[model.Refusal | None]
+]
+
+# Asks one life of a node, by instance and incarnation, about a call's key.
+AskFunction = collections.abc.Callable[
+    [str, int, model.Call],
+    collections.abc.Awaitable[order_result.CallResult],
+]
+
+REFUSED_STATES = (model.ClaimState.OWN, model.ClaimState.REFUSED)
+
+
+async def run_claimed(
+    call: model.Call,
+    digest: bytes,
+    *,
+    claims: claim_rows.Claims,
+    run: collections.abc.Callable[
+        [GateFunction], collections.abc.Awaitable[order_result.CallResult]
+    ],
+    ask: AskFunction,
+    refusal: model.Refusal | None = None,
+) -> tuple[order_result.CallResult, bool]:
+    """Run a call if its claim row lets this node run it.
+
+    Args:
+        call: The call.
+        digest: Digest of the request.
+        claims: Claim rows.
+        run: Admits the call, passes the gate and runs it.
+        ask: Asks another home about the key.
+        refusal: Why the call cannot run, when that is known before.
+
+    Returns:
+        The result, and whether it stands for all repeats; otherwise a repeat
+        asks again.
+    """
+    claim = None
+
+    async def gate() -> model.Refusal | None:
+        nonlocal claim
+        claim = await claims.acquire(call.service, call.key, digest)
+        if (
+            claim.state is model.ClaimState.OWN
+            and call.deadline > time.monotonic()
+        ):
+            return None
+        return model.build_refusal(
+            call,
+            model.Verdict.NOT_RUN,
+            model.Rule.DEADLINE,
+            'the deadline passed before the key was claimed',
+        )
+
+    if refusal is None:
+        result = await run(gate)
+        if (
+            result.is_ok()
+            or result.error.verdict is model.Verdict.MAY_HAVE_RUN
+        ):
+            return result, True
+        refusal = result.error
+    if claim is None or claim.state is model.ClaimState.OWN:
+        claim = await claims.refuse(
+            call.service, call.key, digest, claimed=claim is not None
+        )
+        if claim.state is model.ClaimState.OWN:
+            return Error(refusal), True
+    return await follow(call, digest, claim, claims, ask)
+
+
+async def follow(
+    call: model.Call,
+    digest: bytes,
+    claim: model.Claim,
+    claims: claim_rows.Claims,
+    ask: AskFunction,
+) -> tuple[order_result.CallResult, bool]:
+    """Find out what became of a key that this node does not hold."""
+    if claim.state is model.ClaimState.UNKNOWN:
+        # An earlier attempt at another node cannot be ruled out.
+        result = order_result.refuse(
+            call, model.Rule.CLAIM_UNKNOWN, claim.detail
+        )
+        return result, False
+    if claim.digest and digest and claim.digest != digest:
+        return order_result.refuse_other(call), False
+    if claim.state is model.ClaimState.REFUSED:
+        result = order_result.refuse(
+            call,
+            model.Rule.KEY_REFUSED,
+            'the claim row of the key holds a refusal',
+            model.Verdict.NOT_RUN,
+        )
+        return result, True
+    own = claims.identity
+    if (claim.instance, claim.incarnation) == (
+        own.instance,
+        own.incarnation,
+    ):
+        result = order_result.refuse(
+            call,
+            model.Rule.CLAIM_HELD,
+            'this node has claimed the key and does not know the outcome',
+        )
+        return result, False
+    result = await ask(claim.instance, claim.incarnation, call)
+    final = result.is_ok() or result.error.verdict is model.Verdict.NOT_RUN
+    return result, final
+
+
+async def refuse_claimed(
+    call: model.Call, refusal: model.Refusal, claims: claim_rows.Claims
+) -> order_result.CallResult:
+    """Refuse a caller-made key that was sent to no node.
+
+    Args:
+        call: The call.
+        refusal: Why it is refused; ``not run`` is said only if the claim row
+            holds a refusal.
+        claims: Claim rows.
+
+    Returns:
+        The refusal.
+    """
+    claim = await claims.refuse(call.service, call.key, b'')
+    if claim.state not in REFUSED_STATES:
+        refusal.verdict = model.Verdict.MAY_HAVE_RUN
+    return Error(refusal)
--- /dev/null
+++ b/oleanderknot/tasks/order_dispatcher.py
@@ -0,0 +1,197 @@
+"""Sends non-idempotent calls to the one node that may run them."""
+
+import asyncio
+import random
+import time
+import typing
+
+from expression import Error
+
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.tasks import claims as claim_rows
+from oleanderknot.tasks import key_inquiry
+from oleanderknot.tasks import order_claim
+from oleanderknot.tasks import order_result
+from oleanderknot.tasks import order_sender
+
+if typing.TYPE_CHECKING:
+    from oleanderknot.tasks import dispatcher
+
+# Longest pause before a home that cannot be reached is tried again.
+PAUSE_S = 0.1
+
+
+class OrderDispatcher:
+    """Owns the accounts of keys whose first node is this one.
+
+    Attributes:
+        identity: Identity of this node.
+        calls: Chooses upstreams and bounds retries.
+        inquiry: Asks homes about keys.
+        sender: Sends calls to the homes of their keys.
+        claims: Claim rows of caller-made keys.
+        accounts: What repeats of these keys draw on.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: model.NodeIdentity,
+        calls: 'dispatcher.Dispatcher',
+        inquiry: key_inquiry.KeyInquiry,
+        sender: order_sender.OrderSender,
+        claims: claim_rows.Claims,
+    ) -> None:
+        self.identity = identity
+        self.calls = calls
+        self.inquiry = inquiry
+        self.sender = sender
+        self.claims = claims
+        self.accounts = decisions.KeyAccountTable()
+
+    async def dispatch(
+        self,
+        call: model.Call,
+        account: decisions.ChainAccount,
+        content: bytes,
+        body: model.Body | None,
+    ) -> order_result.CallResult:
+        """Send a non-idempotent call so that its key runs at most once.
+
+        Args:
+            call: The call.
+            account: Account that retries are taken from.
+            content: First bytes of the request body.
+            body: Rest of the request body, if it arrives in parts.
+
+        Returns:
+            The answer, or a refusal that says whether the key may have run.
+        """
+        if not call.key:
+            return await self.dispatch_new(call, account, content, body)
+        try:
+            key = decisions.parse_order_key(call.key)
+        except ValueError as error:
+            return order_result.refuse_request(call, str(error))
+        if key is not None and decisions.is_single_attempt(key):
+            return order_result.refuse_request(call, 'the key is not yours')
+        if call.depth == 0:
+            kept = self.accounts.enter(call, account, time.monotonic())
+            if kept is None:
+                return order_result.refuse(
+                    call,
+                    model.Rule.RETRY_ALLOWANCE,
+                    'the key has no retry left for another repeat',
+                )
+            account = kept
+        if key is None:
+            return await self.dispatch_claimed(call, account, content, body)
+        return await self.dispatch_home(call, key, account, content, body)
+
+    async def dispatch_new(
+        self,
+        call: model.Call,
+        account: decisions.ChainAccount,
+        content: bytes,
+        body: model.Body | None,
+    ) -> order_result.CallResult:
+        """Send a call without a key, with a new key for each attempt."""
+        tried: set[str] = set()
+        while True:
+            member = self.calls.choose(call, tried)
+            if member is None:
+                return Error(self.calls.refuse_early(call))
+            tried.add(member.instance)
+            result = await self.sender.attempt(
+                member, call, account, content, body
+            )
+            now = time.monotonic()
+            if result.is_ok():
+                self.calls.budget.count_success(now)
+                return result
+            if not self.calls.may_retry(call, account, result, body, now):
+                return result
+            self.calls.count_decision(
+                call, model.Rule.RETRIED, model.Verdict.NOT_RUN
+            )
+            await self.calls.pause()
+
+    async def dispatch_claimed(
+        self,
+        call: model.Call,
+        account: decisions.ChainAccount,
+        content: bytes,
+        body: model.Body | None,
+    ) -> order_result.CallResult:
+        """Send a call with a key of the caller's own.
+
+        Only a node that cannot be reached is followed by another: after a
+        refusal the claim row keeps the key from running anywhere.
+        """
+        tried: set[str] = set()
+        while True:
+            member = self.calls.choose(call, tried)
+            if member is None:
+                refusal = self.calls.refuse_early(call)
+                return await order_claim.refuse_claimed(
+                    call, refusal, self.claims
+                )
+            tried.add(member.instance)
+            result = await self.sender.attempt(
+                member, call, account, content, body
+            )
+            if result.is_ok():
+                self.calls.budget.count_success(time.monotonic())
+                return result
+            if result.error.rule is not model.Rule.CONNECTION_REFUSED:
+                return result
+            if result.error.verdict is model.Verdict.MAY_HAVE_RUN or (
+                not self.calls.may_retry(
+                    call, account, result, body, time.monotonic()
+                )
+            ):
+                return await order_claim.refuse_claimed(
+                    call, result.error, self.claims
+                )
+            await self.calls.pause()
+
+    async def dispatch_home(
+        self,
+        call: model.Call,
+        key: model.OrderKey,
+        account: decisions.ChainAccount,
+        content: bytes,
+        body: model.Body | None,
+    ) -> order_result.CallResult:
+        """Send a call to the home of its key, and nowhere else.
+
+        A home that cannot be reached is tried again until the deadline.
+        ``not run`` is never said here: an earlier request with the key may
+        have come through another node.
+        """
+        home = model.NodeIdentity(
+            instance=key.instance, incarnation=key.incarnation, data_centre=''
+        )
+        while True:
+            try:
+                connection = None
+                if key.instance != self.identity.instance:
+                    connection = await self.inquiry.connect(
+                        key.instance, key.incarnation
+                    )
+                return await self.sender.send(
+                    connection, home, call, call.key, account, content, body
+                )
+            except key_inquiry.HomeLost as error:
+                return order_result.refuse(call, error.rule, str(error))
+            except ConnectionError as error:
+                detail = str(error)
+            left = call.deadline - time.monotonic()
+            if left <= PAUSE_S or self.inquiry.is_hopeless(
+                key.instance, key.incarnation
+            ):
+                return order_result.refuse(
+                    call, model.Rule.KEY_HOME_UNREACHABLE, detail
+                )
+            await asyncio.sleep(random.random() * PAUSE_S)
--- /dev/null
+++ b/oleanderknot/tasks/order_keys.py
@@ -0,0 +1,69 @@
+"""Makes home keys for callers."""
+
+import json
+import time
+
+from aiohttp import web
+
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.tasks import dispatcher
+from oleanderknot.tasks import http_answer
+
+PATH = '/-/order-keys/'
+
+
+def build_probe(service: str, policy: decisions.PolicyTable) -> model.Call:
+    """Build the call for which an upstream is chosen."""
+    service_policy, number = policy.find_service(service)
+    route = decisions.match_route(service_policy, 'POST', '/')
+    return model.Call(
+        service=service,
+        method='POST',
+        path='/',
+        headers=[],
+        request_class=model.RequestClass.ORDER,
+        deadline=time.monotonic() + route.deadline_ms / 1000,
+        idempotent=False,
+        trace_id='0' * 32,
+        span_id='0' * 16,
+        route=route.prefix,
+        ticket=number,
+    )
+
+
+def answer(
+    request: web.BaseRequest,
+    calls: dispatcher.Dispatcher,
+    policy: decisions.PolicyTable,
+) -> web.Response:
+    """Answer a request for a home key.
+
+    Args:
+        request: The request, ``POST /-/order-keys/<service>``.
+        calls: Chooses the upstream whose node becomes the home.
+        policy: Policy in force.
+
+    Returns:
+        Status 201 with the key, or a refusal.
+    """
+    service = request.path.removeprefix(PATH)
+    if request.method != 'POST':
+        return web.Response(status=405, headers={'Allow': 'POST'})
+    call = build_probe(service, policy)
+    member = calls.choose(call, set())
+    if member is None:
+        return http_answer.build_refusal(calls.refuse_early(call))
+    key = calls.orders.sender.make_key(
+        member.instance, member.incarnation, decisions.CALLER_KEY
+    )
+    content = {
+        'key': key,
+        'service': service,
+        'valid_s': decisions.KEY_RETENTION_S,
+    }
+    return web.Response(
+        status=201,
+        text=json.dumps(content),
+        content_type='application/json',
+    )
--- /dev/null
+++ b/oleanderknot/tasks/order_sender.py
@@ -0,0 +1,122 @@
+"""Sends calls to the homes of their keys."""
+
+import dataclasses
+import secrets
+import time
+import typing
+
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.tasks import key_inquiry
+from oleanderknot.tasks import order_result
+from oleanderknot.tasks import peer_connection
+
+if typing.TYPE_CHECKING:
+    from oleanderknot.tasks import dispatcher
+
+
+class OrderSender:
+    """Makes home keys and settles attempts whose answer was lost.
+
+    Attributes:
+        identity: Identity of this node.
+        calls: Owns the view of other upstreams' load.
+        inquiry: Asks homes about keys.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: model.NodeIdentity,
+        calls: 'dispatcher.Dispatcher',
+        inquiry: key_inquiry.KeyInquiry,
+    ) -> None:
+        self.identity = identity
+        self.calls = calls
+        self.inquiry = inquiry
+
+    def make_key(self, instance: str, incarnation: int, purpose: str) -> str:
+        """Make a home key.
+
+        Args:
+            instance: Instance of the home.
+            incarnation: Life of the home.
+            purpose: First character of the random part.
+        """
+        return decisions.format_order_key(
+            model.OrderKey(
+                instance=instance,
+                incarnation=incarnation,
+                minted_at=int(time.time()),
+                nonce=purpose + secrets.token_hex(16),
+            )
+        )
+
+    async def attempt(
+        self,
+        member: model.Member,
+        call: model.Call,
+        account: decisions.ChainAccount,
+        content: bytes,
+        body: model.Body | None,
+    ) -> order_result.CallResult:
+        """Send a call once, to a chosen node, and settle a lost answer."""
+        load = self.calls.find_load(member)
+        load.outstanding += 1
+        try:
+            if member.instance == self.identity.instance:
+                connection, home = None, self.identity
+            else:
+                connection = await self.calls.pool.connect(member)
+                home = connection.peer
+            key = call.key or self.make_key(
+                home.instance, home.incarnation, decisions.SINGLE_ATTEMPT
+            )
+            return await self.send(
+                connection, home, call, key, account, content, body
+            )
+        except ConnectionError as error:
+            return order_result.refuse(
+                call,
+                model.Rule.CONNECTION_REFUSED,
+                str(error),
+                model.Verdict.NOT_RUN,
+            )
+        finally:
+            load.outstanding -= 1
+
+    async def send(
+        self,
+        connection: peer_connection.PeerConnection | None,
+        home: model.NodeIdentity,
+        call: model.Call,
+        key: str,
+        account: decisions.ChainAccount,
+        content: bytes,
+        body: model.Body | None,
+    ) -> order_result.CallResult:
+        """Send a call to the home of its key.
+
+        Raises:
+            ConnectionError: The connection closed before the call was sent.
+        """
+        if connection is not None and connection.closed:
+            raise ConnectionError('the connection closed before the call')
+        granted = account.grant()
+        attempt = dataclasses.replace(call, key=key, allowance=granted)
+        if connection is None:
+            result = await self.calls.runner.run(attempt, content, body)
+        else:
+            result = await connection.open(attempt, content, body)
+        if (
+            connection is not None
+            and result.is_error()
+            and result.error.rule is model.Rule.CONNECTION_LOST
+        ):
+            result = await self.inquiry.ask(
+                home.instance, home.incarnation, attempt
+            )
+        self.calls.take_reports(home.instance, result, time.monotonic())
+        outcome = result.error if result.is_error() else result.ok
+        account.refund(outcome.unspent, granted)
+        return result
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -9,9 +9,10 @@
 
 from oleanderknot import decisions
 from oleanderknot import model
-from oleanderknot import wire
 from oleanderknot.tasks import admission
 from oleanderknot.tasks import finished_body
+from oleanderknot.tasks import order_claim
+from oleanderknot.tasks import order_runner
 from oleanderknot.tasks import upstream_client
 
 # Answers of an upstream that sheds load.
@@ -28,6 +29,7 @@
         chains: Accounts of the chains that the upstream runs.
         leaving: Whether the upstream takes no new work.
         running: Calls that this task works on, until their answer is whole.
+        orders: Runs non-idempotent calls at most once.
     """
 
     def __init__(self, *, chains: decisions.ChainTable) -> None:
@@ -37,6 +39,7 @@
         self.admission = admission.Admission(slots=1)
         self.leaving = False
         self.running = 0
+        self.orders: order_runner.OrderRunner | None = None
 
     async def attach(
         self, *, service: str, host: str, port: int, slots: int
@@ -68,6 +71,28 @@
             content: First bytes of the request body.
             body: Rest of the request body, if it arrives in parts.
 
+        Returns:
+            The answer, or a refusal that says whether the call may have run.
+        """
+        if not call.idempotent:
+            return await self.orders.run(call, content, body)
+        return await self.admit(call, content, body)
+
+    async def admit(
+        self,
+        call: model.Call,
+        content: bytes,
+        body: model.Body | None,
+        gate: order_claim.GateFunction | None = None,
+    ) -> Result[model.Answer, model.Refusal]:
+        """Run a call at the upstream if it may be run now.
+
+        Args:
+            call: The call.
+            content: First bytes of the request body.
+            body: Rest of the request body, if it arrives in parts.
+            gate: Has the last word once the call has a slot.
+
         Returns:
             The answer, or a refusal that says whether the call may have run.
         """
@@ -75,12 +100,30 @@
         if refusal is None:
             slots = self.admission
             refusal = await slots.enter(call)
+            if refusal is None and gate is not None:
+                refusal = await self.pass_gate(call, slots, gate)
         if refusal is not None:
             refusal.unspent = call.allowance
             refusal.reports = (self.admission.build_report(call),)
             return Error(refusal)
         return await self.execute(call, content, body, slots)
 
+    async def pass_gate(
+        self,
+        call: model.Call,
+        slots: admission.Admission,
+        gate: order_claim.GateFunction,
+    ) -> model.Refusal | None:
+        """Ask the gate, and free the slot of a call that it refuses."""
+        passed = False
+        try:
+            refusal = await gate()
+            passed = refusal is None
+            return refusal
+        finally:
+            if not passed:
+                slots.leave(call, own_time_s=0.0, failed=False)
+
     def check(self, call: model.Call) -> model.Refusal | None:
         """Return why a call cannot run at all, or None."""
         if self.client is None or call.service != self.service:
@@ -168,18 +211,6 @@
                 )
             )
 
-    async def describe_key(self, key: str, wait_s: float) -> wire.KeyState:
-        """Say what became of a key.
-
-        Args:
-            key: The key.
-            wait_s: Seconds to wait for a running call.
-
-        Returns:
-            The state of the key.
-        """
-        return wire.KeyState(state='unknown')
-
     async def close(self) -> None:
         """Close the connections to the upstream."""
         if self.client is not None:
--- a/oleanderknot/wire/__init__.py
+++ b/oleanderknot/wire/__init__.py
@@ -23,6 +23,8 @@
 from oleanderknot.wire.gen.peer.ttypes import PolicySync
 from oleanderknot.wire.gen.peer.ttypes import Pong
 from oleanderknot.wire.gen.peer.ttypes import ScopeState
+from oleanderknot.wire.key_state import build_key_state
+from oleanderknot.wire.key_state import read_key_state
 from oleanderknot.wire.translate import answer_from_head
 from oleanderknot.wire.translate import call_from_open
 from oleanderknot.wire.translate import failure_from_refusal
@@ -35,6 +37,8 @@
 from oleanderknot.wire.translate import wire_member
 
 __all__ = [
+    'build_key_state',
+    'read_key_state',
     'BadFrame',
     'Cancel',
     'Chunk',
--- /dev/null
+++ b/oleanderknot/wire/key_state.py
@@ -0,0 +1,59 @@
+"""Translates the answer to a question about a key."""
+
+from oleanderknot import model
+from oleanderknot.wire import bad_frame
+from oleanderknot.wire import translate
+from oleanderknot.wire.gen.peer import ttypes
+
+STATES = {state.value: state for state in model.OrderState}
+
+
+def build_key_state(
+    state: model.OrderState,
+    *,
+    answer: model.Answer | None = None,
+    refusal: model.Refusal | None = None,
+) -> ttypes.KeyState:
+    """Make the message that says what became of a key.
+
+    Args:
+        state: State of the key.
+        answer: The whole answer, when it was kept.
+        refusal: Why there is no answer.
+
+    Returns:
+        The message.
+    """
+    message = ttypes.KeyState(state=state.value)
+    if answer is not None:
+        message.status = answer.status
+        message.headers = translate.flatten(answer.headers)
+        message.body = answer.content
+    if refusal is not None:
+        message.failure = translate.failure_from_refusal(refusal)
+    return message
+
+
+def read_key_state(
+    message: ttypes.KeyState,
+) -> tuple[model.OrderState, model.Answer | None, model.Refusal | None]:
+    """Read the message that says what became of a key.
+
+    Returns:
+        State, answer and refusal.
+
+    Raises:
+        BadFrame: A field is missing or out of range.
+    """
+    state = STATES.get(message.state)
+    if state is None:
+        raise bad_frame.BadFrame('key state %r is unknown' % message.state)
+    answer = refusal = None
+    if message.status is not None:
+        head = ttypes.Head(
+            status=message.status, headers=message.headers, body=message.body
+        )
+        answer = translate.answer_from_head(head, None)
+    if message.failure is not None:
+        refusal = translate.refusal_from_failure(message.failure)
+    return state, answer, refusal
