Let nodes of a test reach their seeds through the fault proxies

Cause: seeds named a node's own port, so a connection dialled by its seed address went beside the fault proxy and took none of its faults. Change: seeds name the proxy's port where there is a proxy.

--- a/features/support/node.py
+++ b/features/support/node.py
@@ -45,6 +45,15 @@
         """Return the address of a path at the upstream itself."""
         return 'http://127.0.0.1:%d%s' % (self.upstream_port, path)
 
+    def seed_address(self) -> str:
+        """Return the peer address, through the fault proxy if there is one.
+
+        A seed beside the proxy would give connections without its faults.
+        """
+        if self.proxy_port:
+            return '127.0.0.1:%d' % self.proxy_port
+        return '%s:%d' % (self.host, self.peer_port)
+
     def status_url(self) -> str:
         """Return the address of the operators' status page."""
         return 'http://127.0.0.1:%d/status' % self.operator_port
--- a/features/support/system.py
+++ b/features/support/system.py
@@ -152,10 +152,7 @@
                 'operator_port': operator,
                 **advertised,
             },
-            'seeds': [
-                '%s:%d' % (item.host, item.peer_port)
-                for item in self.nodes.values()
-            ],
+            'seeds': [item.seed_address() for item in self.nodes.values()],
             **self.extra_settings,
             **settings,
         }
