--- a/features/support/system.py
+++ b/features/support/system.py
@@ -152,7 +152,9 @@
                 'operator_port': operator,
                 **advertised,
             },
-            'seeds': [item.seed_address() for item in self.nodes.values()],
+            'seeds': [
+                item.find_peer_address() for item in self.nodes.values()
+            ],
             **self.extra_settings,
             **settings,
         }
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -13,6 +13,7 @@
 from oleanderknot import border
 from oleanderknot import decisions
 from oleanderknot import model
+from oleanderknot import platform
 from oleanderknot.node import order_assembly
 from oleanderknot.tasks import dispatcher
 from oleanderknot.tasks import egress
@@ -25,6 +26,10 @@
 from oleanderknot.tasks import peer_listener
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import runner
+from oleanderknot.tasks import ticket_loader
+from oleanderknot.tasks import ticket_poll
+from oleanderknot.tasks import ticket_sync
+from oleanderknot.tasks import work_gate
 
 
 def build_incarnation() -> int:
@@ -115,6 +120,7 @@
             rng=random.Random(),
         )
         self.background.append(asyncio.create_task(self.membership.run()))
+        self.start_tickets()
         if self.settings.upstream is not None:
             await self.announce(self.settings.upstream)
         logging.info('node %s started: %s', self.identity.instance, ports)
@@ -128,9 +134,12 @@
         for listener in (self.callers, self.egress, self.operators):
             await listener.close()
         self.peer_listener.close()
+        self.tickets.close()
         self.pool.close()
         await self.orders.close()
         await self.runner.close()
+        if self.table is not None:
+            await self.table.close()
         logging.info('node %s stopped', self.identity.instance)
 
     def build_tasks(self) -> None:
@@ -140,7 +149,7 @@
             run=self.runner.run,
             query=lambda key, wait_s: self.orders.describe(key, wait_s),
             gossip=lambda peer, item: self.membership.handle(peer, item),
-            policy=lambda peer, item: None,
+            policy=lambda peer, item: self.tickets.handle(peer, item),
             opened=self.greet,
             closed=lambda peer: self.pool.remove(peer),
             count=self.count,
@@ -151,6 +160,18 @@
             handlers=handlers,
             local_host=None if host.is_unspecified else str(host),
         )
+        self.tickets = ticket_sync.TicketSync(
+            identity=self.identity,
+            policy=self.policy,
+            members=self.members,
+            pool=self.pool,
+            count=self.count,
+            rng=random.Random(),
+        )
+        self.runner.gate = work_gate.build_gate(
+            self.policy, self.identity.instance
+        )
+        self.table = self.build_table_client()
         self.peer_listener = peer_listener.PeerListener(
             identity=self.identity, handlers=handlers
         )
@@ -163,7 +184,7 @@
             count=self.count_decision,
         )
         self.orders = order_assembly.build_orders(
-            settings=self.settings,
+            table_client=self.table,
             runner=self.runner,
             dispatcher=self.dispatcher,
             count=self.count,
@@ -184,6 +205,34 @@
             handle=operator_listener.build_handler(self.describe)
         )
 
+    def build_table_client(self) -> platform.TableClient | None:
+        """Build the client of the table service, if settings name one."""
+        settings = self.settings.platform
+        host = self.settings.listen.host
+        if not settings.table_url:
+            return None
+        return platform.TableClient(
+            url=settings.table_url,
+            timeout_s=settings.timeout_ms / 1000,
+            local_host=None if host.is_unspecified else str(host),
+        )
+
+    def start_tickets(self) -> None:
+        """Start to exchange policy with peers and to poll the table."""
+        self.background.append(asyncio.create_task(self.tickets.run()))
+        if self.table is None:
+            return
+        poll = ticket_poll.TicketPoll(
+            loader=ticket_loader.TicketLoader(
+                table=self.table, count=self.count
+            ),
+            policy=self.policy,
+            count_nodes=self.tickets.count_nodes,
+            on_news=self.tickets.spread,
+            rng=random.Random(),
+        )
+        self.background.append(asyncio.create_task(poll.run()))
+
     async def announce(self, upstream: border.UpstreamSettings) -> None:
         """Take the upstream's announcement and tell the other nodes."""
         await self.runner.attach(
@@ -226,6 +275,7 @@
         """Take a connection whose handshake is done."""
         self.pool.add(connection)
         self.membership.greet(connection)
+        self.tickets.greet(connection)
 
     def count(self, name: str) -> None:
         """Count an event."""
@@ -258,6 +308,7 @@
                 }
                 for member in self.members.members.values()
             ],
+            'policy': self.tickets.describe(),
             'connections': sorted(self.pool.connections),
             'counters': dict(self.counters),
         }
--- a/oleanderknot/node/order_assembly.py
+++ b/oleanderknot/node/order_assembly.py
@@ -4,7 +4,6 @@
 import collections.abc
 import dataclasses
 
-from oleanderknot import border
 from oleanderknot import platform
 from oleanderknot import wire
 from oleanderknot.tasks import claims
@@ -24,12 +23,10 @@
 
     Attributes:
         answerer: Answers questions about keys.
-        claims: Claim rows of caller-made keys.
         table: Records and running tasks.
     """
 
     answerer: key_answerer.KeyAnswerer
-    claims: claims.Claims
     table: order_table.OrderTable
 
     async def describe(self, key: str, wait_s: float) -> wire.KeyState:
@@ -41,17 +38,16 @@
         return bool(self.table.tasks)
 
     async def close(self) -> None:
-        """Stop what still runs and close the connections to the platform."""
+        """Stop what still runs."""
         tasks = list(self.table.tasks.values())
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        await self.claims.close()
 
 
 def build_orders(
     *,
-    settings: border.NodeSettings,
+    table_client: platform.TableClient | None,
     runner: runners.Runner,
     dispatcher: dispatchers.Dispatcher,
     count: collections.abc.Callable[[str], None],
@@ -59,7 +55,7 @@
     """Build the tasks for orders and connect them to runner and dispatcher.
 
     Args:
-        settings: Settings of the node.
+        table_client: The table service; None when settings name none.
         runner: Runs calls at the own upstream.
         dispatcher: Chooses upstreams.
         count: Counts an event by name.
@@ -68,12 +64,6 @@
         The tasks.
     """
     identity = dispatcher.identity
-    table_client = None
-    if settings.platform.table_url:
-        table_client = platform.TableClient(
-            url=settings.platform.table_url,
-            timeout_s=settings.platform.timeout_ms / 1000,
-        )
     rows = claims.Claims(identity=identity, table=table_client)
     table = order_table.OrderTable()
     inquiry = key_inquiry.KeyInquiry(
@@ -103,4 +93,4 @@
         claims=rows,
         table=table,
     )
-    return Orders(answerer=answerer, claims=rows, table=table)
+    return Orders(answerer=answerer, table=table)
--- a/oleanderknot/tasks/claims.py
+++ b/oleanderknot/tasks/claims.py
@@ -109,11 +109,6 @@
                 return parse_claim(row)
         return forget(detail or 'the row does not keep what was written')
 
-    async def close(self) -> None:
-        """Close the connections to the table service."""
-        if self.table is not None:
-            await self.table.close()
-
 
 def build_name(service: str, key: str) -> str:
     """Return the key of a claim row."""
--- a/oleanderknot/tasks/order_claim.py
+++ b/oleanderknot/tasks/order_claim.py
@@ -10,7 +10,7 @@
 from oleanderknot.tasks import order_result
 
 # Called once a call is admitted; a refusal keeps it from running.
-GateFunction = collections.abc.Callable[
+ClaimFunction = collections.abc.Callable[
     [], collections.abc.Awaitable[model.Refusal | None]
 ]
 
@@ -29,7 +29,7 @@
     *,
     claims: claim_rows.Claims,
     run: collections.abc.Callable[
-        [GateFunction], collections.abc.Awaitable[order_result.CallResult]
+        [ClaimFunction], collections.abc.Awaitable[order_result.CallResult]
     ],
     ask: AskFunction,
     refusal: model.Refusal | None = None,
@@ -40,7 +40,7 @@
         call: The call.
         digest: Digest of the request.
         claims: Claim rows.
-        run: Admits the call, passes the gate and runs it.
+        run: Admits the call, claims its key and runs it.
         ask: Asks another home about the key.
         refusal: Why the call cannot run, when that is known before.
 
@@ -50,7 +50,7 @@
     """
     claim = None
 
-    async def gate() -> model.Refusal | None:
+    async def claim_row() -> model.Refusal | None:
         nonlocal claim
         claim = await claims.acquire(call.service, call.key, digest)
         if (
@@ -66,7 +66,7 @@
         )
 
     if refusal is None:
-        result = await run(gate)
+        result = await run(claim_row)
         if (
             result.is_ok()
             or result.error.verdict is model.Verdict.MAY_HAVE_RUN
--- a/oleanderknot/tasks/order_runner.py
+++ b/oleanderknot/tasks/order_runner.py
@@ -21,7 +21,7 @@
         model.Call,
         bytes,
         model.Body | None,
-        order_claim.GateFunction | None,
+        order_claim.ClaimFunction | None,
     ],
     collections.abc.Awaitable[order_result.CallResult],
 ]
@@ -197,7 +197,7 @@
                 call,
                 digest,
                 claims=self.claims,
-                run=lambda gate: self.run_call(call, content, body, gate),
+                run=lambda row: self.run_call(call, content, body, row),
                 ask=self.ask,
                 refusal=cut,
             )
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -1,6 +1,7 @@
 """Runs calls at the own upstream."""
 
 import asyncio
+import collections.abc
 import time
 
 from expression import Error
@@ -18,6 +19,8 @@
 # Answers of an upstream that sheds load.
 SHED_STATUSES = (429, 503)
 
+GateFunction = collections.abc.Callable[[model.Call], model.Refusal | None]
+
 
 class Runner:
     """Owns the way to the own upstream and decides what it runs.
@@ -30,6 +33,7 @@
         leaving: Whether the upstream takes no new work.
         running: Calls that this task works on, until their answer is whole.
         orders: Runs non-idempotent calls at most once.
+        gate: Returns why policy refuses a call, or None.
     """
 
     def __init__(self, *, chains: decisions.ChainTable) -> None:
@@ -40,6 +44,7 @@
         self.leaving = False
         self.running = 0
         self.orders: order_runner.OrderRunner | None = None
+        self.gate: GateFunction = lambda call: None
 
     async def attach(
         self, *, service: str, host: str, port: int, slots: int
@@ -83,7 +88,7 @@
         call: model.Call,
         content: bytes,
         body: model.Body | None,
-        gate: order_claim.GateFunction | None = None,
+        claim: order_claim.ClaimFunction | None = None,
     ) -> Result[model.Answer, model.Refusal]:
         """Run a call at the upstream if it may be run now.
 
@@ -91,7 +96,7 @@
             call: The call.
             content: First bytes of the request body.
             body: Rest of the request body, if it arrives in parts.
-            gate: Has the last word once the call has a slot.
+            claim: Has the last word once the call has a slot.
 
         Returns:
             The answer, or a refusal that says whether the call may have run.
@@ -100,24 +105,24 @@
         if refusal is None:
             slots = self.admission
             refusal = await slots.enter(call)
-            if refusal is None and gate is not None:
-                refusal = await self.pass_gate(call, slots, gate)
+            if refusal is None and claim is not None:
+                refusal = await self.take_claim(call, slots, claim)
         if refusal is not None:
             refusal.unspent = call.allowance
             refusal.reports = (self.admission.build_report(call),)
             return Error(refusal)
         return await self.execute(call, content, body, slots)
 
-    async def pass_gate(
+    async def take_claim(
         self,
         call: model.Call,
         slots: admission.Admission,
-        gate: order_claim.GateFunction,
+        claim: order_claim.ClaimFunction,
     ) -> model.Refusal | None:
-        """Ask the gate, and free the slot of a call that it refuses."""
+        """Claim a call's key, and free the slot when that fails."""
         passed = False
         try:
-            refusal = await gate()
+            refusal = await claim()
             passed = refusal is None
             return refusal
         finally:
@@ -136,7 +141,7 @@
             rule = model.Rule.DEADLINE
             detail = 'the deadline passed before the call could start'
         else:
-            return None
+            return self.gate(call)
         return model.build_refusal(call, model.Verdict.NOT_RUN, rule, detail)
 
     async def execute(
