--- a/oleanderknot/border/__init__.py
+++ b/oleanderknot/border/__init__.py
@@ -3,6 +3,7 @@
 from oleanderknot.border import headers
 from oleanderknot.border import ticket_rows
 from oleanderknot.border.announcement import Announcement
+from oleanderknot.border.claim_row import ClaimRow
 from oleanderknot.border.mistake import Mistake
 from oleanderknot.border.model_mistakes import collect
 from oleanderknot.border.node_status import MemberStatus
@@ -29,6 +30,7 @@
     'parse_policy',
     'load_ticket',
     'Announcement',
+    'ClaimRow',
     'ListenSettings',
     'Mistake',
     'MistakesError',
