--- /dev/null
+++ b/features/support/ticket_system.py
@@ -0,0 +1,71 @@
+"""Data centres that can be cut off, for tests of tickets."""
+
+import json
+
+from features.support import http
+from features.support import node as nodes
+from features.support import ports
+from features.support import system as systems
+from features.support import tickets
+
+
+def start_platform(system: systems.System) -> None:
+    """Start the platform behind a proxy that tells data centres apart."""
+    system.start_platform()
+    port, control = ports.take_ports(2)
+    system.ticket_table = 'http://127.0.0.1:%d' % port
+    system.ticket_control = 'http://127.0.0.1:%d/%d' % (control, port)
+    system.run(
+        'proxy-platform',
+        'oleanderknot.standins.fault_proxy',
+        *('--control', str(control)),
+        '%d:127.0.0.1:%d' % (port, system.platform_port),
+    )
+    system.wait_for(
+        lambda: http.post_json(system.ticket_control, {}),
+        'the proxy of the platform starts',
+    )
+    system.extra_settings['platform'] = {
+        'table_url': system.ticket_table,
+        'object_url': system.ticket_table,
+    }
+
+
+def cut(system: systems.System, name: str, *, refuse: bool) -> None:
+    """Cut a data centre off from the platform and the others, or join it."""
+    prefixes = {
+        centre: '127.0.%d.' % number
+        for centre, number in system.networks.items()
+    }
+    own = [prefixes[name]]
+    others = [prefixes[item] for item in prefixes if item != name]
+
+    def build_faults(sources: list[str]) -> dict[str, object]:
+        return (
+            {'refuse_from': sources, 'cut': sources}
+            if refuse
+            else {'refuse_from': []}
+        )
+
+    http.post_json(system.ticket_control, build_faults(own))
+    for node in system.nodes.values():
+        inner = node.data_centre == name
+        system.inject(node, **build_faults(others if inner else own))
+
+
+def read_policy(node: nodes.Node) -> dict:
+    """Return the policy part of a node's status."""
+    return http.get_json(node.status_url())['policy']
+
+
+def ask_status(
+    system: systems.System, number: int, *, through: str
+) -> tuple[int, dict]:
+    """Run ``ticket status`` and return its exit code and JSON answer."""
+    node = system.nodes[through]
+    result = tickets.run_command(
+        *('ticket', 'status', str(number), '--output', 'json'),
+        *('--node', '127.0.0.1:%d' % node.operator_port),
+        *('--table', system.ticket_table),
+    )
+    return result.returncode, json.loads(result.stdout or '{}')
--- a/features/support/tickets.py
+++ b/features/support/tickets.py
@@ -37,13 +37,26 @@
     """Start the command line without waiting for its end."""
     return subprocess.Popen(
         [sys.executable, '-m', 'oleanderknot', *arguments],
-        stdin=subprocess.DEVNULL,
+        stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
         text=True,
     )
 
 
+def wait_for_question(command: subprocess.Popen) -> None:
+    """Wait until a command asks for confirmation.
+
+    Raises:
+        AssertionError: The command ended without a question.
+    """
+    shown = ''
+    while '(yes/no)' not in shown:
+        part = command.stderr.read(1)
+        assert part, shown
+        shown += part
+
+
 def write_ticket(
     path: pathlib.Path, *, author: str = 'Carys', **scopes: object
 ) -> pathlib.Path:
--- a/oleanderknot/cli/ticket_file.py
+++ b/oleanderknot/cli/ticket_file.py
@@ -58,8 +58,10 @@
         )
         if as_json:
             print(json.dumps(dump(outcome)))
-        else:
+        elif outcome.result is model.FilingResult.FILED:
             print(describe(outcome))
+        else:
+            raise ticket_options.FailedError(describe(outcome))
         return int(outcome.result is not model.FilingResult.FILED)
 
 
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -243,9 +243,8 @@
         stops = [self.policy.find_stop(item.instance) for item in taking]
         if taking and None not in stops:
             rule = model.Rule.NOT_TAKING_WORK
-            detail = 'tickets say that no upstream of %s takes work' % (
-                call.service
-            )
+            detail = 'tickets take all upstreams of %s out' % call.service
+            call.ticket = max(stops)
         elif taking:
             rule = model.Rule.EARLY_REFUSAL
             detail = 'no upstream of %s admits this class now' % call.service
