--- a/features/steps/account_steps.py
+++ b/features/steps/account_steps.py
@@ -133,12 +133,6 @@
         assert node.process.wait() == 0, node.name
 
 
-@when('node "{name}" is killed')
-def kill_node(context, name):
-    """End a node without any chance to report."""
-    context.system.nodes[name].process.kill()
-
-
 def explain(context, *arguments):
     """Run explain both ways and keep its JSON and its text."""
     for output in ('json', 'text'):
--- a/oleanderknot/border/__init__.py
+++ b/oleanderknot/border/__init__.py
@@ -13,6 +13,7 @@
 from oleanderknot.border.alert_row import PREFIX as ALERT_PREFIX
 from oleanderknot.border.alert_settings import AlertSettings
 from oleanderknot.border.announcement import Announcement
+from oleanderknot.border.claim_row import ClaimRow
 from oleanderknot.border.log_settings import LogSettings
 from oleanderknot.border.mistake import Mistake
 from oleanderknot.border.model_mistakes import collect
@@ -46,6 +47,7 @@
     'parse_policy',
     'load_ticket',
     'Announcement',
+    'ClaimRow',
     'ListenSettings',
     'LogSettings',
     'Mistake',
--- a/oleanderknot/border/settings.py
+++ b/oleanderknot/border/settings.py
@@ -14,6 +14,8 @@
 
 # Other border modules build on the same base.
 Model = base.Model
+Name = base.Name
+Port = base.Port
 
 
 class ListenSettings(base.Model):
--- a/oleanderknot/cli/main.py
+++ b/oleanderknot/cli/main.py
@@ -12,6 +12,7 @@
 from oleanderknot.cli import ticket_list
 from oleanderknot.cli import ticket_show
 from oleanderknot.cli import ticket_status
+from oleanderknot.cli.demo import command as demo
 
 
 def main() -> int:
@@ -23,6 +24,7 @@
     """
     app = command_line.CommandLine('oleanderknot', '0.1.0')
     app.add(check.CheckCommand())
+    app.add(demo.DemoCommand())
     app.add(node.NodeCommand())
     app.add(ticket_file.TicketFileCommand())
     app.add(ticket_list.TicketListCommand())
--- a/oleanderknot/model/__init__.py
+++ b/oleanderknot/model/__init__.py
@@ -9,12 +9,15 @@
 from oleanderknot.model.body_cut import BodyCut
 from oleanderknot.model.call import Call
 from oleanderknot.model.call import Headers
+from oleanderknot.model.claim import Claim
+from oleanderknot.model.claim import ClaimState
 from oleanderknot.model.decision_key import DecisionKey
 from oleanderknot.model.event import Event
 from oleanderknot.model.event_kind import EventKind
 from oleanderknot.model.filing_outcome import FilingOutcome
 from oleanderknot.model.filing_outcome import FilingResult
 from oleanderknot.model.global_policy import GlobalPolicy
+from oleanderknot.model.key_decision import KeyDecision
 from oleanderknot.model.load_report import LoadReport
 from oleanderknot.model.member import Member
 from oleanderknot.model.member_state import MemberState
@@ -23,6 +26,7 @@
 from oleanderknot.model.node_policy import NodePolicy
 from oleanderknot.model.node_record import NodeRecord
 from oleanderknot.model.order_key import OrderKey
+from oleanderknot.model.order_state import OrderState
 from oleanderknot.model.platform_fault import FaultKind
 from oleanderknot.model.platform_fault import PlatformFault
 from oleanderknot.model.policy_digest import PolicyDigest
@@ -59,17 +63,21 @@
     'Body',
     'BodyCut',
     'Call',
+    'Claim',
+    'ClaimState',
     'DecisionKey',
     'Event',
     'EventKind',
     'GlobalPolicy',
     'Headers',
+    'KeyDecision',
     'LoadReport',
     'Member',
     'MemberState',
     'Metric',
     'NodeIdentity',
     'OrderKey',
+    'OrderState',
     'Policy',
     'Refusal',
     'RequestClass',
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -11,6 +11,7 @@
 
 from oleanderknot import decisions
 from oleanderknot import model
+from oleanderknot.tasks import order_dispatcher
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import runner
 
@@ -37,6 +38,7 @@
         loads: Load by instance.
         budget: Retries of this node as a share of its successes.
         rng: Source of randomness.
+        orders: Sends non-idempotent calls.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         self.loads: dict[str, decisions.InstanceLoad] = {}
         self.budget = decisions.RetryBudget()
         self.rng = rng or random.Random()
+        self.orders: order_dispatcher.OrderDispatcher | None = None
 
     async def dispatch(
         self,
@@ -78,15 +81,15 @@
         Returns:
             The answer, or the refusal of the last attempt.
         """
+        if not call.idempotent:
+            return await self.orders.dispatch(call, account, content, body)
         tried: set[str] = set()
         while True:
             member = self.choose(call, tried)
             if member is None:
                 return Error(self.refuse_early(call))
             if tried:
-                self.count_decision(
-                    call, model.Rule.RETRIED, model.Verdict.NOT_RUN
-                )
+                self.count_retry(call)
             tried.add(member.instance)
             granted = account.grant()
             attempt = dataclasses.replace(call, allowance=granted)
@@ -247,9 +250,8 @@
         stops = [self.policy.find_stop(item.instance) for item in taking]
         if taking and None not in stops:
             rule = model.Rule.NOT_TAKING_WORK
-            detail = 'tickets say that no upstream of %s takes work' % (
-                call.service
-            )
+            detail = 'tickets take all upstreams of %s out' % call.service
+            call.ticket = max(stops)
         elif taking:
             rule = model.Rule.EARLY_REFUSAL
             detail = 'no upstream of %s admits this class now' % call.service
@@ -258,6 +260,10 @@
             detail = 'no upstream of %s is known' % call.service
         return model.build_refusal(call, model.Verdict.NOT_RUN, rule, detail)
 
+    def count_retry(self, call: model.Call) -> None:
+        """Record that a call is sent once more."""
+        self.count_decision(call, model.Rule.RETRIED, model.Verdict.NOT_RUN)
+
     def count_decision(
         self,
         call: model.Call,
--- a/oleanderknot/tasks/egress.py
+++ b/oleanderknot/tasks/egress.py
@@ -12,6 +12,7 @@
 from oleanderknot.tasks import dispatcher
 from oleanderknot.tasks import http_listener
 from oleanderknot.tasks import ingress
+from oleanderknot.tasks import request_refusal
 
 ANNOUNCE_PATH = '/-/announce'
 LEAVE_PATH = '/-/leave'
@@ -84,7 +85,7 @@
         try:
             call = ingress.build_call(request, policy)
         except ValueError as error:
-            return ingress.refuse_bad_request(calls, 1, str(error))
+            return request_refusal.refuse(calls, request, str(error), depth=1)
         account = chains.find(call.trace_id)
         if account is None:
             return await ingress.exchange(request, call, isolate(call), calls)
--- a/oleanderknot/tasks/ingress.py
+++ b/oleanderknot/tasks/ingress.py
@@ -16,7 +16,9 @@
 from oleanderknot.tasks import http_answer
 from oleanderknot.tasks import http_exchange
 from oleanderknot.tasks import http_listener
+from oleanderknot.tasks import order_keys
 from oleanderknot.tasks import outcome
+from oleanderknot.tasks import request_refusal
 
 # From this status on, a client may take an answer for worth repeating.
 FIRST_FAILURE_STATUS = 500
@@ -105,10 +107,12 @@
     """
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path.startswith(order_keys.PATH):
+            return order_keys.answer(request, calls, policy)
         try:
             call = build_call(request, policy)
         except ValueError as error:
-            return refuse_bad_request(calls, 0, str(error))
+            return request_refusal.refuse(calls, request, str(error), depth=0)
         return await exchange(
             request, call, decisions.open_account(call), calls
         )
@@ -116,38 +120,6 @@
     return handle
 
 
-def refuse_request(
-    detail: str, rule: model.Rule = model.Rule.BAD_REQUEST
-) -> web.Response:
-    """Build the response to a request that cannot be understood."""
-    return http_answer.build_refusal(
-        model.Refusal(
-            verdict=model.Verdict.NOT_RUN, rule=rule, service='', detail=detail
-        )
-    )
-
-
-def refuse_bad_request(
-    calls: dispatcher.Dispatcher, depth: int, detail: str
-) -> web.Response:
-    """Count a request that cannot be understood and refuse it."""
-    call = model.Call(
-        service='',
-        method='',
-        path='',
-        headers=[],
-        request_class=model.RequestClass.BROWSING,
-        deadline=0.0,
-        trace_id='',
-        span_id='',
-        depth=depth,
-    )
-    calls.count_decision(
-        call, model.Rule.BAD_REQUEST, model.Verdict.NOT_RUN, detail
-    )
-    return refuse_request(detail)
-
-
 async def exchange(
     request: web.BaseRequest,
     call: model.Call,
@@ -168,10 +140,8 @@
     try:
         content, body = await http_exchange.read_body(request)
     except model.BodyCut as error:
-        calls.count_decision(
-            call, error.rule, model.Verdict.NOT_RUN, str(error)
-        )
-        return refuse_request(str(error), error.rule)
+        refusal = request_refusal.build(request, str(error), error.rule)
+        return refuse(call, calls, refusal)
     if not account.admit_repeat(call):
         return refuse(call, calls, build_spent_refusal(call))
     result = await dispatch_safely(call, account, content, body, calls)
@@ -235,9 +205,10 @@
 
 def build_spent_refusal(call: model.Call) -> model.Refusal:
     """Build the refusal of a repeated call without a retry left for it."""
+    keyed = call.key and not call.idempotent
     return model.build_refusal(
         call,
-        model.Verdict.NOT_RUN,
+        model.Verdict.MAY_HAVE_RUN if keyed else model.Verdict.NOT_RUN,
         model.Rule.RETRY_ALLOWANCE,
         'the request has no retry left for a repeated call',
     )
--- a/oleanderknot/tasks/metric_list.py
+++ b/oleanderknot/tasks/metric_list.py
@@ -29,6 +29,11 @@
         'lines',
         'Log lines about refusals that were left out by sampling.',
     ),
+    (
+        'orders.inquiry',
+        'questions',
+        'Questions to other nodes about what became of an order.',
+    ),
     (
         'peer.bad_frame',
         'connections',
--- a/oleanderknot/wire/__init__.py
+++ b/oleanderknot/wire/__init__.py
@@ -1,7 +1,7 @@
 """Encodes the messages between nodes by thrift."""
 
 from oleanderknot.wire.bad_frame import BadFrame
-from oleanderknot.wire.codec import decode
+from oleanderknot.wire.codec import Codec
 from oleanderknot.wire.codec import encode
 from oleanderknot.wire.codec import MAX_FRAME_BYTES
 from oleanderknot.wire.frame_reader import FrameReader
@@ -23,6 +23,8 @@
 from oleanderknot.wire.gen.peer.ttypes import PolicySync
 from oleanderknot.wire.gen.peer.ttypes import Pong
 from oleanderknot.wire.gen.peer.ttypes import ScopeState
+from oleanderknot.wire.key_state import build_key_state
+from oleanderknot.wire.key_state import read_key_state
 from oleanderknot.wire.translate import answer_from_head
 from oleanderknot.wire.translate import call_from_open
 from oleanderknot.wire.translate import failure_from_refusal
@@ -39,6 +41,8 @@
 from oleanderknot.wire.translate_policy import wire_scope
 
 __all__ = [
+    'build_key_state',
+    'read_key_state',
     'model_digest',
     'model_scope',
     'wire_digest',
@@ -46,6 +50,7 @@
     'BadFrame',
     'Cancel',
     'Chunk',
+    'Codec',
     'Credit',
     'Failure',
     'Frame',
@@ -66,7 +71,6 @@
     'ScopeState',
     'answer_from_head',
     'call_from_open',
-    'decode',
     'encode',
     'failure_from_refusal',
     'flatten',
