Raise alerts and keep them until an operator acknowledges them

Nothing told an operator that the platform was out, that a member had died or that orders were refused while nobody watched.

A node that sees such a condition writes row alert/<id> and posts to the webhook of the settings, with back-off until both are done; equal ids and two reporters in each data centre keep one cause to one post. Open alerts stand in the report of `explain` until `oleanderknot alert ack ID`.

--- a/features/steps/account_steps.py
+++ b/features/steps/account_steps.py
@@ -30,7 +30,9 @@
     system = context.system
     system.start_platform()
     system.extra_settings['account'] = {'period_s': period, 'max_held': held}
-    system.extra_settings['alerts'] = {'probe_s': 0.2, 'retry_min_s': 0.1}
+    system.extra_settings.setdefault(
+        'alerts', {'probe_s': 0.2, 'retry_min_s': 0.1}
+    )
     for name, service in (
         ('c', 'inventory'),
         ('a', 'catalogue'),
--- /dev/null
+++ b/features/steps/alert_steps.py
@@ -0,0 +1,215 @@
+"""Steps about alerts."""
+
+import json
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support import http
+from features.support import webhook
+from oleanderknot import decisions
+from oleanderknot import model
+
+
+@given('a webhook that answers with status {status:d}')
+def start_webhook(context, status):
+    """Start the stand-in of the webhook; nodes started later use it."""
+    context.webhook = webhook.Webhook(status=status)
+    context.system.stack.callback(context.webhook.close)
+    context.system.extra_settings['alerts'] = {
+        'webhook_url': context.webhook.url,
+        'retry_min_s': 0.1,
+        'retry_max_s': 0.2,
+        'probe_s': 0.2,
+        'order_refusals_s': 0.5,
+    }
+
+
+@when('the webhook answers with status {status:d}')
+def change_webhook(context, status):
+    """Change what the webhook answers."""
+    context.webhook.status = status
+
+
+@when('the webhook has refused {count:d} posts of "{kind}"')
+def wait_for_refused(context, count, kind):
+    """Wait until posts were tried again."""
+    context.system.wait_for(
+        lambda: context.webhook.refused[kind] >= count, 'posts are repeated'
+    )
+
+
+@when('orders are refused by node "{name}" until the webhook has "{kind}"')
+def refuse_orders(context, name, kind):
+    """Send orders to an unknown service until the alert arrives."""
+    url = context.system.nodes[name].caller_url('/nothing/order')
+
+    def is_posted():
+        assert http.request('POST', url)[0] == 503
+        return context.webhook.list_kind(kind)
+
+    context.system.wait_for(is_posted, 'the alert is posted')
+
+
+@then('the webhook has taken the alert "{kind}" once')
+def check_taken(context, kind):
+    """Wait for an alert; two nodes that see the same post it once."""
+    context.system.wait_for(
+        lambda: context.webhook.list_kind(kind), 'the alert is posted'
+    )
+    context.alert = context.webhook.list_kind(kind)[0]
+    wait_for_empty(context)
+    assert len(context.webhook.list_kind(kind)) == 1, context.webhook.taken
+
+
+def wait_for_empty(context):
+    """Wait until each node has stored and posted its alerts."""
+    for node in context.system.nodes.values():
+        context.system.wait_for(
+            lambda node=node: http.get_json(node.status_url())['alerts'] == [],
+            'no alert is on its way',
+        )
+
+
+@then('no node has alerts on their way')
+def check_empty(context):
+    """Check that each node has finished with its alerts."""
+    wait_for_empty(context)
+
+
+@then('the post names instance "{name}" and what to do')
+def check_post(context, name):
+    """Check the fields of the post."""
+    assert context.alert['instance'] == name, context.alert
+    assert name in context.alert['text'], context.alert
+    assert context.alert['action'], context.alert
+
+
+def run_alert(context, *arguments):
+    """Run a command about alerts and return its output."""
+    process = context.system.run(
+        'alert',
+        'oleanderknot',
+        'alert',
+        *arguments,
+        '--table',
+        context.system.platform_url(''),
+    )
+    assert process.wait() == 0, process.read_log()
+    return process.read_log()
+
+
+def list_alerts(context):
+    """Return the open alerts as the command lists them."""
+    return json.loads(run_alert(context, 'list', '--output', 'json'))
+
+
+@then('the command alert list names "{kind}" as open')
+def check_open(context, kind):
+    """Check that an alert is listed as posted and open."""
+    found = [item for item in list_alerts(context) if item['kind'] == kind]
+    assert len(found) == 1, found
+    assert found[0]['posted'] and not found[0]['acknowledged_by'], found
+
+
+@when('an operator acknowledges the alert "{kind}"')
+def acknowledge(context, kind):
+    """Acknowledge the alert with its id."""
+    (found,) = [item for item in list_alerts(context) if item['kind'] == kind]
+    run_alert(context, 'ack', found['id'], '--by', 'Mia')
+
+
+@then('the command alert list names no alert')
+def check_none_open(context):
+    """Check that no alert is open."""
+    assert list_alerts(context) == []
+    assert 'No alert is open.' in run_alert(context, 'list')
+
+
+@then('the morning report names "{text}"')
+def check_morning(context, text):
+    """Run explain and look into the section about alerts."""
+    url = context.system.platform_url('')
+    process = context.system.run(
+        'explain',
+        'oleanderknot',
+        'explain',
+        '--since',
+        '12h',
+        '--objects',
+        url,
+        '--table',
+        url,
+    )
+    assert process.wait() == 0, process.read_log()
+    report = ' '.join(process.read_log().partition('Open alerts')[2].split())
+    assert text in report, report
+
+
+@given('orders are watched with a limit of {limit:d} s')
+def build_watch(context, limit):
+    """Build the watch."""
+    context.watch = decisions.OrderWatch(limit_s=limit)
+    context.due = []
+
+
+@when('orders are refused at {times} s')
+def note_refusals(context, times):
+    """Note refusals on a clock that is passed in."""
+    for moment in times.split(', '):
+        context.watch.note(1000.0 + float(moment))
+        context.due.append(context.watch.check())
+
+
+@then('no alert about orders is due')
+def check_not_due(context):
+    """Check that no check asked for an alert."""
+    assert not any(context.due), context.due
+
+
+@then('an alert about orders is due once')
+def check_due(context):
+    """Check that exactly one check asked for an alert."""
+    assert sum(context.due) == 1, context.due
+
+
+@given('members')
+def build_members(context):
+    """Build records of members."""
+    context.members = [
+        model.Member(
+            instance=row['instance'],
+            incarnation=1,
+            version=1,
+            state=model.MemberState[row['state'].upper()],
+            data_centre=row['data centre'],
+            host='127.0.0.1',
+            peer_port=1,
+        )
+        for row in context.table
+    ]
+
+
+@then('"{names}" speak for "{centre}"')
+def check_reporters(context, names, centre):
+    """Check which nodes raise alerts for their data centre."""
+    found = [
+        item.instance
+        for item in context.members
+        if item.data_centre == centre
+        and item.state is not model.MemberState.DEAD
+        and decisions.is_reporter(
+            context.members,
+            model.NodeIdentity(
+                instance=item.instance, incarnation=1, data_centre=centre
+            ),
+        )
+    ]
+    assert found == names.split(', '), found
+
+
+@then('"{names}" counts as out of reach for "{centre}"')
+def check_dark(context, names, centre):
+    """Check which data centres have no living member."""
+    assert decisions.find_dark(context.members, centre) == {names}
--- a/oleanderknot/node/operations.py
+++ b/oleanderknot/node/operations.py
@@ -14,6 +14,7 @@
 from oleanderknot.tasks import decision_recorder
 from oleanderknot.tasks import metrics
 from oleanderknot.tasks import peer_connection
+from oleanderknot.tasks import task_log
 
 SILENT = 'silent'
 
@@ -109,12 +110,15 @@
             self.alerts.pending
         )
         self.watch.tell(model.EventKind.NODE_STARTED, self.identity.instance)
-        return [
+        tasks = [
             asyncio.create_task(self.metrics.run()),
             asyncio.create_task(self.account.run(random.random)),
             asyncio.create_task(self.watch.run()),
             asyncio.create_task(self.watch.probe_table()),
         ]
+        for task in tasks:
+            task.add_done_callback(task_log.log_failure)
+        return tasks
 
     def note_closed(self, connection: peer_connection.PeerConnection) -> None:
         """Take a connection to another node that has ended."""
--- a/oleanderknot/tasks/alerts.py
+++ b/oleanderknot/tasks/alerts.py
@@ -93,6 +93,8 @@
         """Try to store and post an alert until both are done."""
         pause = self.settings.retry_min_s
         attempt = 0
+        # Many nodes may see the same at once; whoever comes first stores it.
+        await asyncio.sleep(self.draw() * pause)
         while not await self.settle(alert.id, attempt):
             await asyncio.sleep(pause * (0.5 + self.draw() / 2))
             pause = min(2 * pause, self.settings.retry_max_s)
