Cancel idempotent work when the caller goes away

Cause: work went on for callers that had left, and clients that wait for status 100 before they send a body got no answer. Change: the HTTP listener cancels the handler of a lost connection; non-idempotent requests run in tasks of their own and go on. Status 100 is sent when a client asks for it.

--- a/oleanderknot/standins/upstream.py
+++ b/oleanderknot/standins/upstream.py
@@ -24,12 +24,14 @@
         options: How it behaves.
         runs: Method, path and key of each request that started to run.
         cancelled: Runs whose caller went away.
+        finished: Runs that came to their end.
     """
 
     def __init__(self, *, options: upstream_options.UpstreamOptions) -> None:
         self.options = options
         self.runs: list[dict[str, str]] = []
         self.cancelled = 0
+        self.finished = 0
         self.busy = 0
         self.free = asyncio.Condition()
         self.session: aiohttp.ClientSession | None = None
@@ -85,7 +87,11 @@
         """Answer one request; called by the HTTP server."""
         if request.path == '/-/runs':
             return web.json_response(
-                {'runs': self.runs, 'cancelled': self.cancelled}
+                {
+                    'runs': self.runs,
+                    'cancelled': self.cancelled,
+                    'finished': self.finished,
+                }
             )
         if request.path == '/-/options':
             changes = await request.json()
@@ -108,7 +114,9 @@
             received = 0
             async for part in request.content.iter_any():
                 received += len(part)
-            return await self.work(request, received)
+            response = await self.work(request, received)
+            self.finished += 1
+            return response
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
--- a/oleanderknot/tasks/http_exchange.py
+++ b/oleanderknot/tasks/http_exchange.py
@@ -29,6 +29,10 @@
     """
     if not request.body_exists:
         return b'', None
+    if request.headers.get('Expect', '').lower() == '100-continue':
+        await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        # The line above is no part of the answer.
+        request.writer.output_size = 0
     rest = request_body.RequestBody(request=request, limit=MAX_BODY_BYTES)
     length = request.content_length
     if length is None or length > send_window.CHUNK_BYTES:
--- a/oleanderknot/tasks/http_listener.py
+++ b/oleanderknot/tasks/http_listener.py
@@ -28,6 +28,9 @@
         self.server = web.Server(
             self.answer,
             access_log=None,
+            # Ends idempotent work when the caller goes away; what must not
+            # be cancelled runs in tasks of its own.
+            handler_cancellation=True,
             max_field_size=border.headers.MAX_HEADER_BYTES,
             max_line_size=border.headers.MAX_HEADER_BYTES,
             auto_decompress=False,
--- a/oleanderknot/tasks/ingress.py
+++ b/oleanderknot/tasks/ingress.py
@@ -1,5 +1,6 @@
 """Takes requests of callers, the roots of call chains."""
 
+import asyncio
 import random
 import time
 
@@ -154,7 +155,13 @@
         return refuse_request(request, str(error), error.rule)
     if not account.admit_repeat(call):
         return refuse(call, calls, build_spent_refusal(call))
-    result = await calls.dispatch(call, account, content, body)
+    try:
+        result = await calls.dispatch(call, account, content, body)
+    except asyncio.CancelledError:
+        calls.count_decision(
+            call, model.Rule.CALLER_LEFT, model.Verdict.MAY_HAVE_RUN
+        )
+        raise
     if result.is_error():
         account.note_failure(call)
         return refuse(call, calls, result.error)
