--- a/oleanderknot/tasks/ingress.py
+++ b/oleanderknot/tasks/ingress.py
@@ -142,6 +142,9 @@
     except model.BodyCut as error:
         refusal = request_refusal.build(request, str(error), error.rule)
         return refuse(call, calls, refusal)
+    except asyncio.CancelledError:
+        note_left(call, calls, model.Verdict.NOT_RUN)
+        raise
     if not account.admit_repeat(call):
         return refuse(call, calls, build_spent_refusal(call))
     result = await dispatch_safely(call, account, content, body, calls)
@@ -176,12 +179,7 @@
     try:
         return await calls.dispatch(call, account, content, body)
     except asyncio.CancelledError:
-        calls.count_decision(
-            call,
-            model.Rule.CALLER_LEFT,
-            model.Verdict.MAY_HAVE_RUN,
-            'the connection of the caller ended',
-        )
+        note_left(call, calls, model.Verdict.MAY_HAVE_RUN)
         raise
     except Exception:
         logging.exception('dispatching a call to %s failed', call.service)
@@ -195,6 +193,18 @@
         )
 
 
+def note_left(
+    call: model.Call, calls: dispatcher.Dispatcher, verdict: model.Verdict
+) -> None:
+    """Count a call whose caller left before there was an answer."""
+    calls.count_decision(
+        call,
+        model.Rule.CALLER_LEFT,
+        verdict,
+        'the caller left before there was an answer',
+    )
+
+
 def refuse(
     call: model.Call, calls: dispatcher.Dispatcher, refusal: model.Refusal
 ) -> web.Response:
