Record a span for each hop of a sampled call

Operators could not see at which hop a request was refused or retried, and a new random span id towards the upstream broke the caller's trace.

With an endpoint in the settings, first node, inner calls and the node beside the upstream each record a span with class, ticket, rule and verdict, sent over OTLP by the library's batch processor. The caller's decision to record is kept; requests without a traceparent are drawn by the ratio. The upstream gets the id of the recorded hop, else the caller's. The exporter is loaded only when it is needed, since its import takes half a second.

--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -32,4 +32,7 @@
     'latency.added_p99': Bound(
         at_most=0.35, source='0.35 ms added to a call for 99 in 100'
     ),
+    'tracing.unsampled': Bound(
+        at_most=5.0, source='a few microseconds for a call without a span'
+    ),
 }
--- /dev/null
+++ b/features/support/collector.py
@@ -0,0 +1,64 @@
+"""Stand-in of an OTLP collector over HTTP."""
+
+import http.server
+import threading
+
+from opentelemetry.proto.collector.trace.v1 import trace_service_pb2
+
+
+class Collector:
+    """Takes spans in a thread of the test.
+
+    Attributes:
+        spans: Name, ids and attributes of each span taken.
+        url: Address for the settings.
+    """
+
+    def __init__(self) -> None:
+        self.spans: list[dict[str, object]] = []
+        collector = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            """Answers one post."""
+
+            def do_POST(self) -> None:
+                """Take spans; called by the HTTP server."""
+                size = int(self.headers['Content-Length'])
+                collector.take(self.rfile.read(size))
+                self.send_response(200)
+                self.send_header('Content-Length', '0')
+                self.end_headers()
+
+            def log_message(self, *arguments: object) -> None:
+                """Keep the output of the test readable."""
+
+        self.server = http.server.ThreadingHTTPServer(
+            ('127.0.0.1', 0), Handler
+        )
+        self.url = 'http://127.0.0.1:%d/v1/traces' % self.server.server_port
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def take(self, content: bytes) -> None:
+        """Keep the spans of one post."""
+        message = trace_service_pb2.ExportTraceServiceRequest()
+        message.ParseFromString(content)
+        for resource in message.resource_spans:
+            for scope in resource.scope_spans:
+                for span in scope.spans:
+                    self.spans.append(
+                        {
+                            'name': span.name,
+                            'trace': span.trace_id.hex(),
+                            'id': span.span_id.hex(),
+                            'above': span.parent_span_id.hex(),
+                            **{
+                                item.key: item.value.string_value
+                                for item in span.attributes
+                            },
+                        }
+                    )
+
+    def close(self) -> None:
+        """Stop to listen."""
+        self.server.shutdown()
+        self.server.server_close()
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -160,7 +160,7 @@
         )
         self.runner = runner.Runner(chains=self.chains)
         handlers = peer_handlers.PeerHandlers(
-            run=self.runner.run,
+            run=self.operations.tracing.wrap(self.runner.run),
             query=lambda key, wait_s: self.orders.describe(key, wait_s),
             gossip=lambda peer, item: self.membership.handle(peer, item),
             policy=lambda peer, item: self.tickets.handle(peer, item),
@@ -195,6 +195,7 @@
             runner=self.runner,
             pool=self.pool,
             record=self.operations.recorder.record,
+            begin=self.operations.tracing.begin,
         )
         self.orders = order_assembly.build_orders(
             table_client=self.table,
--- a/oleanderknot/node/operations.py
+++ b/oleanderknot/node/operations.py
@@ -15,6 +15,7 @@
 from oleanderknot.tasks import metrics
 from oleanderknot.tasks import peer_connection
 from oleanderknot.tasks import task_log
+from oleanderknot.tasks import tracing
 
 SILENT = 'silent'
 
@@ -43,6 +44,7 @@
         alerts: Alerts of the node.
         watch: Looks for conditions that raise alerts.
         recorder: Takes each decision.
+        tracing: Spans of recorded calls.
     """
 
     def __init__(
@@ -92,6 +94,9 @@
             table=table,
             settings=settings.alerts,
         )
+        self.tracing = tracing.build_tracing(
+            settings.tracing, identity, rng.random
+        )
         self.recorder = decision_recorder.DecisionRecorder(
             count=self.account.count,
             metrics=self.metrics,
@@ -99,6 +104,7 @@
                 per_second=settings.log.refusals_per_s
             ),
             refused=self.watch.note_refusal,
+            tracing=self.tracing,
         )
 
     def start(self) -> list[asyncio.Task]:
@@ -146,5 +152,7 @@
         """Write what is held and stop; called after the last request."""
         self.watch.check()
         self.watch.tell(model.EventKind.NODE_STOPPED, self.identity.instance)
-        await asyncio.gather(self.account.close(), self.alerts.close())
+        await asyncio.gather(
+            self.account.close(), self.alerts.close(), self.tracing.close()
+        )
         self.metrics.close()
--- a/oleanderknot/tasks/decision_recorder.py
+++ b/oleanderknot/tasks/decision_recorder.py
@@ -9,6 +9,7 @@
 from oleanderknot import model
 from oleanderknot.tasks import json_formatter
 from oleanderknot.tasks import metrics
+from oleanderknot.tasks import tracing
 
 
 class DecisionRecorder:
@@ -19,6 +20,7 @@
         metrics: Counters of the node.
         sampler: Limits the log lines about refusals.
         refused: Told each request of a caller that was refused.
+        tracing: Spans of recorded calls.
     """
 
     def __init__(
@@ -28,11 +30,13 @@
         metrics: metrics.Metrics,
         sampler: decisions.LogSampler,
         refused: collections.abc.Callable[[model.Call], None],
+        tracing: tracing.Tracing,
     ) -> None:
         self.count = count
         self.metrics = metrics
         self.sampler = sampler
         self.refused = refused
+        self.tracing = tracing
 
     def record(
         self,
@@ -60,6 +64,8 @@
                 root=root,
             )
         )
+        if call.sampled:
+            self.tracing.note(call, rule, verdict)
         name = call.request_class.name.lower()
         if rule is model.Rule.RETRIED:
             self.metrics.count('retried')
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -35,6 +35,7 @@
         runner: Runs calls at the own upstream.
         pool: Connections to other nodes.
         record: Counts and logs a decision.
+        begin: Told each call that enters the system here.
         loads: Load by instance.
         budget: Retries of this node as a share of its successes.
         rng: Source of randomness.
@@ -50,6 +51,7 @@
         runner: runner.Runner,
         pool: peer_pool.PeerPool,
         record: RecordFunction,
+        begin: collections.abc.Callable[[model.Call], None],
         rng: random.Random | None = None,
     ) -> None:
         self.identity = identity
@@ -58,6 +60,7 @@
         self.runner = runner
         self.pool = pool
         self.record = record
+        self.begin = begin
         self.loads: dict[str, decisions.InstanceLoad] = {}
         self.budget = decisions.RetryBudget()
         self.rng = rng or random.Random()
--- a/oleanderknot/tasks/ingress.py
+++ b/oleanderknot/tasks/ingress.py
@@ -137,6 +137,7 @@
     Returns:
         The response.
     """
+    calls.begin(call)
     try:
         content, body = await http_exchange.read_body(request)
     except model.BodyCut as error:
--- /dev/null
+++ b/oleanderknot/tasks/tracing.py
@@ -0,0 +1,150 @@
+"""Records a span for each hop of a sampled call."""
+
+import asyncio
+import collections.abc
+import typing
+
+from expression import Result
+
+from oleanderknot import border
+from oleanderknot import model
+from oleanderknot.tasks import peer_handlers
+
+if typing.TYPE_CHECKING:
+    from oleanderknot.tasks import span_export
+
+NO_SPAN = '0' * 16
+FIRST_HOP = 'request'
+INNER_HOP = 'call'
+UPSTREAM_HOP = 'run'
+
+
+class Tracing:
+    """Owns the spans that have not ended.
+
+    Attributes:
+        export: Sends spans; None records none.
+        ratio: Share of the requests without a ``traceparent`` that are
+            recorded.
+        draw: Returns a random number from 0 to 1.
+        spans: Span by span id.
+    """
+
+    def __init__(
+        self,
+        *,
+        export: 'span_export.SpanExport | None',
+        ratio: float,
+        draw: collections.abc.Callable[[], float],
+    ) -> None:
+        self.export = export
+        self.ratio = ratio
+        self.draw = draw
+        self.spans: dict[str, typing.Any] = {}
+
+    def begin(self, call: model.Call) -> None:
+        """Start the span of a call that enters the system here.
+
+        The caller's decision to record is kept; only a request without one
+        is drawn.
+
+        Args:
+            call: The call; when it is recorded it gets the span's ids.
+        """
+        if self.export is None:
+            return
+        if call.span_id == NO_SPAN and not call.depth:
+            call.sampled = self.draw() < self.ratio
+        if call.sampled:
+            hop = INNER_HOP if call.depth else FIRST_HOP
+            span = self.export.start(call, hop)
+            self.spans[call.span_id] = span
+
+    def note(
+        self, call: model.Call, rule: model.Rule, verdict: model.Verdict
+    ) -> None:
+        """Take a decision about a recorded call; the last one ends its span.
+
+        Args:
+            call: The call.
+            rule: The rule that decided.
+            verdict: Outcome of the call.
+        """
+        span = self.spans.get(call.span_id)
+        if span is None:
+            return
+        if rule is model.Rule.RETRIED:
+            span.add_event('retried')
+            return
+        del self.spans[call.span_id]
+        finish(span, rule, verdict)
+
+    def wrap(
+        self, run: peer_handlers.RunFunction
+    ) -> peer_handlers.RunFunction:
+        """Return a function that runs calls of other nodes in spans."""
+        if self.export is None:
+            return run
+
+        async def run_traced(
+            call: model.Call, content: bytes, body: model.Body | None
+        ) -> Result[model.Answer, model.Refusal]:
+            if not call.sampled:
+                return await run(call, content, body)
+            span = self.export.start(call, UPSTREAM_HOP)
+            rule = model.Rule.INTERNAL_ERROR
+            verdict = model.Verdict.MAY_HAVE_RUN
+            try:
+                result = await run(call, content, body)
+                if result.is_ok():
+                    rule = model.Rule.ADMITTED
+                    verdict = model.Verdict.ANSWERED
+                else:
+                    rule, verdict = result.error.rule, result.error.verdict
+                return result
+            except asyncio.CancelledError:
+                rule = model.Rule.CALLER_LEFT
+                raise
+            finally:
+                finish(span, rule, verdict)
+
+        return run_traced
+
+    async def close(self) -> None:
+        """Send what is left, without blocking the event loop."""
+        if self.export is not None:
+            loop = asyncio.get_running_loop()
+            await loop.run_in_executor(None, self.export.close)
+
+
+def finish(span: typing.Any, rule: model.Rule, verdict: model.Verdict) -> None:
+    """End a span with its verdict."""
+    span.set_attribute('oleanderknot.rule', rule.value)
+    span.set_attribute('oleanderknot.verdict', verdict.value)
+    span.end()
+
+
+def build_tracing(
+    settings: border.TracingSettings,
+    identity: model.NodeIdentity,
+    draw: collections.abc.Callable[[], float],
+) -> Tracing:
+    """Build what records spans; it records none without an endpoint.
+
+    Args:
+        settings: Endpoint and ratio.
+        identity: Identity of this node.
+        draw: Returns a random number from 0 to 1.
+
+    Returns:
+        The tracing of the node.
+    """
+    export = None
+    if settings.endpoint:
+        # Takes half a second and 20 MB, which a node without traces saves.
+        from oleanderknot.tasks import span_export
+
+        export = span_export.SpanExport(
+            endpoint=settings.endpoint, identity=identity
+        )
+    return Tracing(export=export, ratio=settings.ratio, draw=draw)
--- a/oleanderknot/tasks/upstream_client.py
+++ b/oleanderknot/tasks/upstream_client.py
@@ -129,14 +129,16 @@
 def build_headers(call: model.Call, now: float) -> list[tuple[str, str]]:
     """Build the request headers for the upstream.
 
-    The span id is new, so that the upstream's outgoing calls and its own
-    spans stand below this hop.
+    The span id is that of this hop when it is recorded, else the caller's;
+    a request without one gets a new one, since zeros are not valid.
     """
     headers = [
         (name.decode('latin-1'), value.decode('latin-1'))
         for name, value in call.headers
     ]
-    span_id = '%016x' % random.getrandbits(64)
+    span_id = call.span_id
+    if not span_id.strip('0'):
+        span_id = '%016x' % random.getrandbits(64)
     headers.append(
         (
             border.headers.TRACEPARENT,
