Let nodes and operators prove who they are, and show a node's status

Any process that reached a peer port could join the system, and any that reached the operators' port could read it.

With the tls settings both sides of a connection between nodes show a certificate of the authority (TLS 1.3); a file that cannot be used ends the start with status 2. With operator_token the operators' port answers 401 to others. Certificates that cannot be verified are counted and logged.

--- a/oleanderknot/cli/main.py
+++ b/oleanderknot/cli/main.py
@@ -8,6 +8,7 @@
 from oleanderknot.cli import command_line
 from oleanderknot.cli import explain
 from oleanderknot.cli import node
+from oleanderknot.cli import status
 from oleanderknot.cli import ticket_file
 from oleanderknot.cli import ticket_list
 from oleanderknot.cli import ticket_show
@@ -31,6 +32,7 @@
     app.add(ticket_show.TicketShowCommand())
     app.add(ticket_status.TicketStatusCommand())
     app.add(explain.ExplainCommand())
+    app.add(status.StatusCommand())
     app.add(alert_list.AlertListCommand())
     app.add(alert_ack.AlertAckCommand())
     return app.execute()
--- a/oleanderknot/cli/node.py
+++ b/oleanderknot/cli/node.py
@@ -8,6 +8,7 @@
 
 from oleanderknot import border
 from oleanderknot.node import serve
+from oleanderknot.tasks import peer_tls
 
 
 class NodeCommand(command.Command):
@@ -26,5 +27,9 @@
         except border.MistakesError as error:
             print(error, file=sys.stderr)
             return 2
-        serve.serve(settings)
+        try:
+            serve.serve(settings)
+        except peer_tls.TlsError as error:
+            print(error, file=sys.stderr)
+            return 2
         return 0
--- a/oleanderknot/cli/node_query.py
+++ b/oleanderknot/cli/node_query.py
@@ -10,6 +10,7 @@
 
 from oleanderknot import border
 from oleanderknot import model
+from oleanderknot.cli import operator_access
 
 ASK_TIMEOUT_S = 3.0
 ASK_AT_ONCE = 100
@@ -76,6 +77,7 @@
         timeout=aiohttp.ClientTimeout(
             sock_connect=ASK_TIMEOUT_S, sock_read=ASK_TIMEOUT_S
         ),
+        headers=operator_access.build_headers(),
     ) as session:
         first = await ask(session, address)
         if first.is_error():
--- /dev/null
+++ b/oleanderknot/cli/status.py
@@ -0,0 +1,89 @@
+"""The command that shows the status of a node."""
+
+import asyncio
+import json
+import typing
+
+import aiohttp
+from cleo.helpers import option
+
+from oleanderknot.cli import operator_access
+from oleanderknot.cli import status_text
+from oleanderknot.cli import ticket_command
+from oleanderknot.cli import ticket_options
+
+TIMEOUT_S = 5.0
+
+
+class StatusCommand(ticket_command.TicketCommand):
+    """Shows what a node knows and does."""
+
+    name = 'status'
+    description = 'Show the status of a node'
+    options = [
+        option('node', description='Operator address of a node', flag=False),
+        ticket_options.OUTPUT,
+    ]
+    help = """Shows one node: its members, its policy, its counters, the \
+reports that it holds and the alerts on their way.
+A node with a token for operators takes it from the variable \
+OLEANDERKNOT_OPERATOR_TOKEN.
+
+Example:
+
+    oleanderknot status --node 10.0.1.4:7003"""
+
+    def carry_out(self) -> int:
+        """See the base class."""
+        as_json = ticket_options.check_output(self)
+        address = ticket_options.check_address(self.option('node'))
+        status = asyncio.run(read_status(address))
+        if as_json:
+            print(json.dumps(status))
+        else:
+            print(status_text.format_status(status))
+        return 0
+
+
+async def read_status(address: str) -> dict[str, typing.Any]:
+    """Ask a node for its status.
+
+    Args:
+        address: ``host:port`` of its operator port.
+
+    Returns:
+        The status.
+
+    Raises:
+        FailedError: The node does not answer, or refuses.
+    """
+    try:
+        async with (
+            aiohttp.ClientSession(
+                timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
+                headers=operator_access.build_headers(),
+            ) as session,
+            session.get('http://%s/status' % address) as answer,
+        ):
+            content = await answer.read()
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        raise ticket_options.FailedError(
+            'Cannot ask the node at %s: %s'
+            % (address, str(error) or repr(error))
+        ) from error
+    if answer.status == 401:
+        raise ticket_options.FailedError(
+            'The node at %s wants the token of the operators: set %s'
+            % (address, operator_access.TOKEN_VARIABLE)
+        )
+    try:
+        if answer.status != 200:
+            raise ValueError('status %d' % answer.status)
+        status = json.loads(content)
+        if not isinstance(status, dict):
+            raise ValueError('no JSON object')
+    except ValueError as error:
+        raise ticket_options.FailedError(
+            'The node at %s gave no status: %s' % (address, error)
+        ) from error
+    return status
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -25,6 +25,7 @@
 from oleanderknot.tasks import peer_handlers
 from oleanderknot.tasks import peer_listener
 from oleanderknot.tasks import peer_pool
+from oleanderknot.tasks import peer_tls
 from oleanderknot.tasks import runner
 from oleanderknot.tasks import ticket_loader
 from oleanderknot.tasks import ticket_poll
@@ -69,6 +70,7 @@
             incarnation=build_incarnation(),
             data_centre=settings.data_centre,
         )
+        self.tls = peer_tls.build_peer_tls(settings.tls)
         self.members = decisions.MemberTable()
         self.policy = decisions.PolicyTable()
         self.chains = decisions.ChainTable()
@@ -173,6 +175,7 @@
             identity=self.identity,
             handlers=handlers,
             local_host=None if host.is_unspecified else str(host),
+            tls=self.tls.outgoing,
         )
         self.tickets = ticket_sync.TicketSync(
             identity=self.identity,
@@ -186,7 +189,9 @@
             self.policy, self.identity.instance
         )
         self.peer_listener = peer_listener.PeerListener(
-            identity=self.identity, handlers=handlers
+            identity=self.identity,
+            handlers=handlers,
+            tls=self.tls.incoming,
         )
         self.dispatcher = dispatcher.Dispatcher(
             identity=self.identity,
@@ -216,7 +221,11 @@
             )
         )
         self.operators = http_listener.HttpListener(
-            handle=operator_listener.build_handler(self.describe)
+            handle=operator_listener.build_handler(
+                self.describe,
+                token=self.settings.operator_token,
+                count=self.operations.metrics.count,
+            )
         )
 
     def build_table_client(self) -> platform.TableClient | None:
--- a/oleanderknot/tasks/metric_list.py
+++ b/oleanderknot/tasks/metric_list.py
@@ -29,6 +29,11 @@
         'lines',
         'Log lines about refusals that were left out by sampling.',
     ),
+    (
+        'operators.refused',
+        'requests',
+        'Requests to the operators\' port without the right token.',
+    ),
     (
         'orders.inquiry',
         'questions',
@@ -49,6 +54,11 @@
         'connections',
         'Connections to nodes replaced because they had gone silent.',
     ),
+    (
+        'peer.tls_failed',
+        'connections',
+        'Connections to nodes whose certificate could not be verified.',
+    ),
     (
         'peer.unknown_answer',
         'messages',
--- a/oleanderknot/tasks/operator_listener.py
+++ b/oleanderknot/tasks/operator_listener.py
@@ -1,6 +1,7 @@
 """Answers operators over HTTP."""
 
 import collections.abc
+import hmac
 import json
 
 from aiohttp import web
@@ -8,21 +9,50 @@
 from oleanderknot.tasks import http_listener
 
 STATUS_PATH = '/status'
+SCHEME = 'Bearer '
+
+
+def has_token(request: web.BaseRequest, token: str) -> bool:
+    """Return whether a request carries the operators' token.
+
+    Args:
+        request: The request.
+        token: The token of the settings; empty lets everyone in.
+    """
+    if not token:
+        return True
+    found = request.headers.get('Authorization', '')
+    # Takes the same time wherever the first difference is.
+    return hmac.compare_digest(
+        found.encode('utf-8', 'replace'), (SCHEME + token).encode()
+    )
 
 
 def build_handler(
     describe: collections.abc.Callable[[], dict[str, object]],
+    *,
+    token: str,
+    count: collections.abc.Callable[[str], None],
 ) -> http_listener.HandleFunction:
     """Build the function that answers operators.
 
     Args:
         describe: Returns the state of the node as JSON values.
+        token: Token that operators must send; empty for none.
+        count: Counts an event by name.
 
     Returns:
         The function.
     """
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        if not has_token(request, token):
+            count('operators.refused')
+            return web.Response(
+                status=401,
+                headers={'WWW-Authenticate': 'Bearer'},
+                text='the token of the operators is missing or wrong\n',
+            )
         if request.path == STATUS_PATH and request.method == 'GET':
             return web.Response(
                 text=json.dumps(describe()), content_type='application/json'
--- a/oleanderknot/tasks/peer_pool.py
+++ b/oleanderknot/tasks/peer_pool.py
@@ -3,6 +3,8 @@
 import asyncio
 import ssl
 
+from absl import logging
+
 from oleanderknot import model
 from oleanderknot.tasks import peer_connection
 from oleanderknot.tasks import peer_handlers
@@ -11,6 +13,9 @@
 # after one second, so a longer wait would only hide a dead path.
 CONNECT_TIMEOUT_S = 1.0
 
+# A wrong certificate fails at each attempt, several times a second.
+TLS_LOG_PERIOD_S = 30
+
 
 class PeerPool:
     """Keeps one connection to each node that this node talks to.
@@ -118,6 +123,16 @@
         except (OSError, TimeoutError) as error:
             if connection is not None:
                 connection.close('handshake failed')
+            if isinstance(error, ssl.SSLError):
+                self.handlers.count('peer.tls_failed')
+                logging.log_every_n_seconds(
+                    logging.WARNING,
+                    'TLS with the node at %s:%d failed: %s',
+                    TLS_LOG_PERIOD_S,
+                    host,
+                    port,
+                    error,
+                )
             raise ConnectionError(
                 'cannot reach %s at %s:%d: %s'
                 % (target[0] or 'a node', host, port, error or 'timeout')
