--- a/features/steps/security_steps.py
+++ b/features/steps/security_steps.py
@@ -116,8 +116,7 @@
 
 
 @then(
-    'the status of node "{name}" with header "{header}" has status'
-    ' {status:d}'
+    'the status of node "{name}" with header "{header}" has status {status:d}'
 )
 def check_token(context, name, header, status):
     """Ask with a header."""
