--- a/features/security.feature
+++ b/features/security.feature
@@ -30,10 +30,10 @@
 
   Scenario: Operators need the token
     Given a node "front" with the operators' token "a-long-secret-token"
-    Then the status of node "front" with header "none" has status 401
-    And the status of node "front" with header "Bearer wrong" has status 401
-    And the status of node "front" with header "a-long-secret-token" has status 401
-    And the status of node "front" with header "Bearer a-long-secret-token" has status 200
+    Then the status of "front" with header "none" has status 401
+    And the status of "front" with header "Bearer wrong" has status 401
+    And the status of "front" with header "a-long-secret-token" has status 401
+    And the status of "front" with header "Bearer a-long-secret-token" has status 200
     And the command status without the token ends with 1 and names the variable
     And the command status with the token shows node "front" as table and as JSON
 
--- a/features/steps/security_steps.py
+++ b/features/steps/security_steps.py
@@ -115,9 +115,7 @@
     return lambda url: json.loads(http.request('GET', url, headers=headers)[2])
 
 
-@then(
-    'the status of node "{name}" with header "{header}" has status {status:d}'
-)
+@then('the status of "{name}" with header "{header}" has status {status:d}')
 def check_token(context, name, header, status):
     """Ask with a header."""
     headers = {} if header == 'none' else {'Authorization': header}
