Write the operators' page

Set-up, the daily commands, what the morning report's figures mean, and each alert with what to do; the list of alerts is generated from the code that raises them, and lint checks that it is current.

--- a/docs/pages.py
+++ b/docs/pages.py
@@ -10,10 +10,13 @@
 import pydantic
 
 from oleanderknot import border
+from oleanderknot import decisions
 from oleanderknot.tasks import metric_list
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 SOURCE = FOLDER.parent / 'oleanderknot'
+ALERTS_START = '<!-- alerts:'
+ALERTS_END = '<!-- end of alerts -->'
 COUNT_CALL = re.compile(r"count\(\s*'([a-z_]+\.[a-z_.]+)'")
 
 
@@ -95,7 +98,24 @@
     return '\n'.join(lines) + '\n'
 
 
+def build_operators_page() -> str:
+    """Fill the list of alerts into the hand-written page."""
+    text = (FOLDER / 'operators.md').read_text(encoding='utf-8')
+    head, mark, rest = text.partition(ALERTS_START)
+    first, newline, rest = rest.partition('\n')
+    _, end, tail = rest.partition(ALERTS_END)
+    lines = ['', '| Kind | What it says | What to do |', '|---|---|---|']
+    for kind, words in decisions.ALERT_TEXTS.items():
+        lines.append(
+            '| `%s` | %s | %s |'
+            % (kind.value, words.summary.replace('%s', '...'), words.action)
+        )
+    table = '\n'.join(lines) + '\n\n'
+    return head + mark + first + newline + table + end + tail
+
+
 PAGES = {
+    'operators.md': build_operators_page,
     'metrics.md': build_metrics_page,
     'settings.md': build_settings_page,
 }
--- a/features/security.feature
+++ b/features/security.feature
@@ -35,7 +35,7 @@
     And the status of "front" with header "a-long-secret-token" has status 401
     And the status of "front" with header "Bearer a-long-secret-token" has status 200
     And the command status without the token ends with 1 and names the variable
-    And the command status with the token shows node "front" as table and as JSON
+    And the command status with the token shows node "front" as table and JSON
 
   Scenario: A certificate that cannot be read is a settings error
     Given a settings file
--- a/features/steps/security_steps.py
+++ b/features/steps/security_steps.py
@@ -154,7 +154,7 @@
 
 
 @then(
-    'the command status with the token shows node "{name}" as table and as JSON'
+    'the command status with the token shows node "{name}" as table and JSON'
 )
 def check_status(context, name):
     """Check both forms of the output."""
