--- /dev/null
+++ b/features/steps/membership_decision_steps.py
@@ -0,0 +1,461 @@
+"""Steps about decisions on members."""
+
+import dataclasses
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from oleanderknot import decisions
+from oleanderknot import model
+
+STATES = {state.name.lower(): state for state in model.MemberState}
+
+
+def build(name, data_centre='dc1', state=model.MemberState.TAKING, **fields):
+    """Build a record."""
+    return model.Member(
+        **{
+            'instance': name,
+            'incarnation': 1,
+            'version': 1,
+            'state': state,
+            'data_centre': data_centre,
+            'host': '10.0.0.1',
+            'peer_port': 1000 + sum(name.encode()),
+            **fields,
+        }
+    )
+
+
+def split_names(text):
+    """Split a list of quoted names."""
+    return [name.strip(' "') for name in text.split(',') if name.strip(' "')]
+
+
+@given('a probe schedule of "{own}" that knows {names}')
+def build_schedule(context, own, names):
+    """Build a schedule and the table that it works on."""
+    context.now = 100.0
+    context.rng = random.Random(11)
+    context.member_table = decisions.MemberTable()
+    context.member_table.merge([build(own), *map(build, split_names(names))])
+    context.schedule = decisions.ProbeSchedule(
+        own=own, data_centre='dc1', draw=context.rng.randrange
+    )
+    context.steps = []
+
+
+@given('the schedule knows "{name}" of data centre "{data_centre}"')
+def add_far(context, name, data_centre):
+    """Add a member of another data centre."""
+    context.member_table.merge([build(name, data_centre)])
+
+
+@given('the schedule knows the dead "{name}" of data centre "{data_centre}"')
+def add_dead(context, name, data_centre):
+    """Add a dead member of another data centre."""
+    dead = build(name, data_centre, model.MemberState.DEAD)
+    context.member_table.merge([dead])
+
+
+def run_schedule(context, seconds, answer):
+    """Run a schedule on a clock that jumps to each due time."""
+    end = context.now + seconds
+    while context.now < end:
+        for step in context.schedule.advance(
+            context.member_table, context.now
+        ):
+            context.steps.append((context.now, step.action, step.instance))
+            if answer and step.action is decisions.ProbeAction.PROBE:
+                context.schedule.note_answer(step.instance)
+        context.now = context.schedule.due
+
+
+def list_times(context, action, instance):
+    """Return the times of steps about a member."""
+    return [
+        time
+        for time, done, name in context.steps
+        if done is action and name == instance
+    ]
+
+
+@when('no probe is answered for {seconds:g} s')
+def run_unanswered(context, seconds):
+    """Run the schedule while all members are silent."""
+    run_schedule(context, seconds, False)
+    context.first = context.steps[0][2]
+
+
+@when('each probe is answered for {seconds:g} s')
+def run_answered(context, seconds):
+    """Run the schedule while all members answer."""
+    run_schedule(context, seconds, True)
+
+
+@when('a probe starts and the node is stopped for {seconds:g} s')
+def stop_node(context, seconds):
+    """Let the clock jump while a probe is out."""
+    run_schedule(context, 0.2, False)
+    context.now += seconds
+    run_schedule(context, 0.4, False)
+
+
+@then('the first probed member is asked for by {count:d} others {s:g} s later')
+def check_asked(context, count, s):
+    """Check the indirect probes."""
+    action = decisions.ProbeAction.ASK_OTHERS
+    times = list_times(context, action, context.first)
+    assert times[0] == 100.0 + s, times
+    helpers = context.schedule.choose_helpers(
+        context.member_table, context.first
+    )
+    assert len(set(helpers) - {context.first, 'a'}) == count, helpers
+
+
+@then('it is suspected {seconds:g} s after its probe')
+def check_suspected(context, seconds):
+    """Check the time of the suspicion."""
+    times = list_times(context, decisions.ProbeAction.SUSPECT, context.first)
+    assert times[0] == 100.0 + seconds, times
+
+
+@then('it is declared dead {seconds:g} s after its probe')
+def check_declared(context, seconds):
+    """Check the time of the death."""
+    action = decisions.ProbeAction.DECLARE_DEAD
+    times = list_times(context, action, context.first)
+    assert times == [100.0 + seconds], times
+
+
+@then('each of the {count:d} members was probed {times:d} times')
+def check_probes(context, count, times):
+    """Check that probes go round."""
+    probed = [
+        name
+        for _, action, name in context.steps
+        if action is decisions.ProbeAction.PROBE
+    ]
+    assert len(set(probed)) == count, probed
+    for name in set(probed):
+        assert probed.count(name) == times, probed
+
+
+@then('no member was suspected')
+def check_no_suspect(context):
+    """Check that nobody was judged."""
+    for _, action, name in context.steps:
+        assert action is not decisions.ProbeAction.SUSPECT, name
+
+
+@then('"{helper}" is always among the helpers for "{target}"')
+def check_helper(context, helper, target):
+    """Check the choice of helpers."""
+    for _ in range(20):
+        chosen = context.schedule.choose_helpers(context.member_table, target)
+        assert helper in chosen and target not in chosen, chosen
+        assert len(chosen) == 3, chosen
+
+
+@then('"{name}" was contacted at least {count:d} times')
+def check_contacted(context, name, count):
+    """Check that a dead member is tried again."""
+    times = list_times(context, decisions.ProbeAction.CONTACT, name)
+    assert len(times) >= count, len(times)
+
+
+@given('the own record with incarnation {incarnation:d} and version {own:d}')
+def build_own(context, incarnation, own):
+    """Build the own record."""
+    context.own = build('a', incarnation=incarnation, version=own)
+
+
+@when(
+    'a claim "{state}" with incarnation {incarnation:d}'
+    ' and version {version:d} arrives'
+)
+def claim(context, state, incarnation, version):
+    """Answer a record of the own instance."""
+    context.answer = decisions.refute(
+        context.own,
+        build(
+            'a',
+            state=STATES[state],
+            incarnation=incarnation,
+            version=version,
+        ),
+    )
+
+
+@then('the refutation has version {version:d}')
+def check_refutation(context, version):
+    """Check the answer; version 0 stands for none."""
+    found = context.answer.version if context.answer else 0
+    assert found == version, context.answer
+
+
+@given(
+    'a table with live members "{one}", "{two}" of "dc1" and "{far}" of "dc2"'
+)
+def build_table(context, one, two, far):
+    """Build a table."""
+    context.now = 0.0
+    context.member_table = decisions.MemberTable()
+    context.member_table.merge([build(one), build(two), build(far, 'dc2')])
+
+
+@when('a node of "{sender}" says that {names} are dead')
+def say_dead(context, sender, names):
+    """Take claims that another node makes."""
+    claims = [
+        dataclasses.replace(
+            context.member_table.members[name], state=model.MemberState.DEAD
+        )
+        for name in split_names(names)
+    ]
+    context.split = decisions.split_claims(
+        claims, data_centre='dc1', sender=sender, table=context.member_table
+    )
+
+
+@then('"{merged}" is merged and "{told}" is told')
+def check_split(context, merged, told):
+    """Check which claims are believed."""
+    found = [[item.instance for item in part] for part in context.split]
+    assert found == [split_names(merged), split_names(told)], found
+
+
+@then('"{merged}" is merged and "" is told')
+def check_split_all(context, merged):
+    """Check that all claims are believed."""
+    check_split(context, merged, '')
+
+
+@given('{count:d} changes among {nodes:d} nodes')
+def build_changes(context, count, nodes):
+    """Note changes to spread."""
+    context.spread = decisions.ChangeSpread()
+    context.nodes = nodes
+    for number in range(count):
+        context.spread.add('node-%d' % number)
+
+
+@when('pings are sent until nothing is left to spread')
+def send_pings(context):
+    """Take the changes of pings."""
+    context.pings = []
+    while chosen := context.spread.take(context.nodes):
+        context.pings.append(chosen)
+
+
+@then('no ping carried more than {limit:d} changes')
+def check_pings(context, limit):
+    """Check the size of pings."""
+    assert max(map(len, context.pings)) == limit
+
+
+@then('each change was carried {times:d} times')
+def check_rides(context, times):
+    """Check how often changes are sent."""
+    names = [name for ping in context.pings for name in ping]
+    assert {names.count(name) for name in set(names)} == {times}
+
+
+@given('two tables of {count:d} members with {differ:d} differences each way')
+def build_tables(context, count, differ):
+    """Build tables that miss records or hold older ones."""
+    records = [build('node-%d' % number) for number in range(count)]
+    newer = [dataclasses.replace(item, version=2) for item in records]
+    context.tables = [decisions.MemberTable(), decisions.MemberTable()]
+    first, second = context.tables
+    first.merge(records[: count - 3])
+    second.merge(records[3:])
+    first.merge(newer[10 : 10 + differ - 3])
+    second.merge(newer[30 : 30 + differ - 3])
+
+
+@when('they exchange versions both ways')
+def exchange(context):
+    """Exchange versions as two nodes do."""
+    first, second = context.tables
+    versions = [
+        decisions.describe(item) for item in first.list_data_centre('dc1')
+    ]
+    send, want = decisions.compare(second, 'dc1', versions, whole=True)
+    back, rest = decisions.compare(first, 'dc1', want, whole=False)
+    assert not rest, rest
+    first.merge(send)
+    second.merge(back)
+    context.sent = len(send) + len(back)
+
+
+@then('both tables hold the same newest records')
+def check_same(context):
+    """Check that the tables agree."""
+    first, second = context.tables
+    assert first.members == second.members
+    assert first.hashes == second.hashes and len(first.members) == 100
+    assert sum(item.version == 2 for item in first.members.values()) == 8
+
+
+@then('only the {count:d} records that differed were sent')
+def check_sent(context, count):
+    """Check the cost of the exchange."""
+    assert context.sent == count, context.sent
+
+
+@then(
+    'a data centre of {members:d} members exchanges versions'
+    ' every {seconds:g} s'
+)
+def check_pace(context, members, seconds):
+    """Check the pause between exchanges."""
+    pace = decisions.ExchangePace()
+    assert pace.take('dc1', members, 10.0)
+    assert not pace.take('dc1', members, 10.0 + seconds - 0.1)
+    assert pace.take('dc2', members, 10.1)
+    assert pace.take('dc1', members, 10.0 + seconds + 0.1)
+
+
+@when('the record of "{name}" is marked dead')
+def declare_dead(context, name):
+    """Mark a member as dead."""
+    record = context.member_table.members[name]
+    context.old = record
+    context.member_table.merge(
+        [dataclasses.replace(record, state=model.MemberState.DEAD)]
+    )
+    context.member_table.forget(context.now)
+
+
+@when('the records get {days:d} days older')
+def pass_days(context, days):
+    """Let time pass."""
+    context.now += days * 86400
+    context.member_table.forget(context.now)
+
+
+@when('an old copy of "{name}" arrives')
+def merge_old(context, name):
+    """Merge a record from before the death."""
+    assert context.old.instance == name
+    context.member_table.merge([context.old])
+
+
+@when('"{name}" starts again with a new incarnation')
+def restart(context, name):
+    """Merge the record of a new life."""
+    context.member_table.merge(
+        [dataclasses.replace(context.old, incarnation=2)]
+    )
+
+
+@then('the record of "{name}" is "{state}"')
+def check_state(context, name, state):
+    """Check the state of a member."""
+    assert context.member_table.members[name].state is STATES[state]
+
+
+@then('the record of "{name}" is forgotten')
+def check_forgotten(context, name):
+    """Check that a record is gone."""
+    assert name not in context.member_table.members
+    assert not context.member_table.ended
+
+
+@given('two tables that took the same records in another order')
+def build_orders(context):
+    """Build equal tables."""
+    records = [build('node-%d' % number, slots=number) for number in range(50)]
+    records += [dataclasses.replace(item, version=2) for item in records[:9]]
+    records.append(
+        dataclasses.replace(
+            records[20], version=3, state=model.MemberState.DEAD
+        )
+    )
+    context.tables = [decisions.MemberTable(), decisions.MemberTable()]
+    context.tables[0].merge(records)
+    random.Random(3).shuffle(records)
+    context.tables[1].merge(records)
+
+
+@when('one of them forgets its dead records')
+def forget_dead(context):
+    """Let one table forget."""
+    context.tables[0].forget(0.0)
+    context.tables[0].forget(decisions.FORGET_S)
+    assert len(context.tables[0].members) == 49
+
+
+@then('their hashes are equal')
+def check_hashes(context):
+    """Check the hashes."""
+    assert context.tables[0].hashes == context.tables[1].hashes
+    assert context.tables[0].hashes
+
+
+@given('a data centre with {live:d} live members')
+def build_data_centre(context, live):
+    """Build a table of live members."""
+    context.member_table = decisions.MemberTable()
+    context.member_table.merge(
+        build('node-%d' % number, peer_port=2000 + number)
+        for number in range(live)
+    )
+
+
+@given('a row with {kept:d} of them and {gone:d} others')
+def build_row(context, kept, gone):
+    """Build the addresses of a row."""
+    context.row = ['10.0.0.1:%d' % (2000 + number) for number in range(kept)]
+    context.row += ['10.0.0.1:%d' % (1 + number) for number in range(gone)]
+
+
+@then('the row planned has {count:d} addresses')
+def check_row(context, count):
+    """Check the plan; 0 stands for a row that may stay."""
+    planned = decisions.plan_row(
+        context.row,
+        table=context.member_table,
+        data_centre='dc1',
+        draw=random.Random(5).randrange,
+    )
+    assert len(planned or ()) == count, planned
+
+
+@given(
+    'a node that saw "{one}" fail by "{rule}" and "{other}" by "{other_rule}"'
+)
+def note_failures(context, one, rule, other, other_rule):
+    """Note failures of calls."""
+    context.suspicions = decisions.LocalSuspicion()
+    for name, text in ((one, rule), (other, other_rule)):
+        refusal = model.Refusal(
+            verdict=model.Verdict.NOT_RUN,
+            rule=model.Rule(text),
+            service='orders',
+            detail='',
+        )
+        context.suspicions.note_failure(name, refusal, 50.0)
+
+
+@then('"{name}" is avoided after {early:g} s and not after {late:g} s')
+def check_avoided(context, name, early, late):
+    """Check how long an instance is avoided."""
+    assert context.suspicions.holds(name, 50.0 + early)
+    assert not context.suspicions.holds(name, 50.0 + late)
+
+
+@then('"{name}" is not avoided')
+def check_not_avoided(context, name):
+    """Check that a decision of a node is no evidence."""
+    assert not context.suspicions.holds(name, 50.0)
+
+
+@then('"{name}" is not avoided after an answer')
+def check_answered(context, name):
+    """Check that an answer ends the suspicion."""
+    context.suspicions.note_answer(name)
+    assert not context.suspicions.holds(name, 50.0)
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -13,16 +13,22 @@
 from oleanderknot import border
 from oleanderknot import decisions
 from oleanderknot import model
+from oleanderknot import platform
+from oleanderknot.tasks import control_traffic
 from oleanderknot.tasks import dispatcher
+from oleanderknot.tasks import drain
 from oleanderknot.tasks import egress
+from oleanderknot.tasks import first_peers
 from oleanderknot.tasks import http_listener
 from oleanderknot.tasks import ingress
+from oleanderknot.tasks import leaving
 from oleanderknot.tasks import membership
 from oleanderknot.tasks import operator_listener
 from oleanderknot.tasks import peer_connection
 from oleanderknot.tasks import peer_handlers
 from oleanderknot.tasks import peer_listener
 from oleanderknot.tasks import peer_pool
+from oleanderknot.tasks import prober
 from oleanderknot.tasks import runner
 
 
@@ -34,14 +40,8 @@
     return int(time.time() * 1000) << 20 | secrets.randbits(20)
 
 
-def parse_address(text: str) -> tuple[str, int]:
-    """Parse ``ip:port``.
-
-    Raises:
-        ValueError: The text has no port.
-    """
-    host, _, port = text.rpartition(':')
-    return host, int(port)
+# Other nodes answer a goodbye at once; a silent one must not hold the stop.
+GOODBYE_S = 2.0
 
 
 class NodeApplication(aiomisc.Service):
@@ -71,6 +71,8 @@
         self.members = decisions.MemberTable()
         self.policy = decisions.PolicyTable()
         self.chains = decisions.ChainTable()
+        self.traffic = control_traffic.ControlTraffic()
+        self.table: platform.TableClient | None = None
         self.background: list[asyncio.Task] = []
         self.stopped = asyncio.Event()
 
@@ -110,10 +112,9 @@
             table=self.members,
             own=own,
             pool=self.pool,
-            seeds=[parse_address(seed) for seed in self.settings.seeds],
-            rng=random.Random(),
+            count=self.count,
         )
-        self.background.append(asyncio.create_task(self.membership.run()))
+        self.start_membership()
         if self.settings.upstream is not None:
             await self.announce(self.settings.upstream)
         logging.info('node %s started: %s', self.identity.instance, ports)
@@ -121,19 +122,27 @@
     async def stop(self, error: Exception | None = None) -> None:
         """Drain and stop all tasks; called by aiomisc."""
         await self.drain()
+        self.membership.change_own(state=model.MemberState.LEFT)
+        self.peer_listener.close()
+        await self.pool.say_goodbye(GOODBYE_S)
         for task in self.background:
             task.cancel()
         await asyncio.gather(*self.background, return_exceptions=True)
         for listener in (self.callers, self.egress, self.operators):
             await listener.close()
-        self.peer_listener.close()
         self.pool.close()
+        if self.table is not None:
+            await self.table.close()
         await self.runner.close()
         logging.info('node %s stopped', self.identity.instance)
 
     def build_tasks(self) -> None:
         """Build the tasks and connect them by their message functions."""
         self.runner = runner.Runner(chains=self.chains)
+        self.leaving = leaving.Leaving(
+            takes_work=lambda: self.policy.takes_work(self.identity.instance),
+            on_change=self.change_leaving,
+        )
         handlers = peer_handlers.PeerHandlers(
             run=self.runner.run,
             query=self.runner.describe_key,
@@ -142,6 +151,8 @@
             opened=self.greet,
             closed=lambda peer: self.pool.remove(peer),
             count=self.count,
+            parting=lambda peer: self.pool.part(peer),
+            traffic=self.traffic,
         )
         host = self.settings.listen.host
         self.pool = peer_pool.PeerPool(
@@ -176,6 +187,29 @@
             handle=operator_listener.build_handler(self.describe)
         )
 
+    def start_membership(self) -> None:
+        """Start to look for other nodes and to watch them."""
+        rng = random.Random()
+        self.prober = prober.Prober(
+            members=self.membership, pool=self.pool, rng=rng
+        )
+        host = self.settings.listen.host
+        if self.settings.platform.table_url:
+            self.table = platform.TableClient(
+                url=self.settings.platform.table_url,
+                timeout_s=self.settings.platform.timeout_ms / 1000,
+                local_host=None if host.is_unspecified else str(host),
+            )
+        finder = first_peers.FirstPeers(
+            members=self.membership,
+            pool=self.pool,
+            table=self.table,
+            seeds=self.settings.seeds,
+            rng=rng,
+        )
+        for task in (self.prober, finder, self.pool, self.leaving):
+            self.background.append(asyncio.create_task(task.run()))
+
     async def announce(self, upstream: border.UpstreamSettings) -> None:
         """Take the upstream's announcement and tell the other nodes."""
         await self.runner.attach(
@@ -187,26 +221,37 @@
         self.membership.change_own(
             service=upstream.service,
             slots=upstream.slots,
-            state=model.MemberState.TAKING,
+            state=model.MemberState.LEAVING
+            if self.runner.leaving
+            else model.MemberState.TAKING,
         )
+        self.leaving.set(leaving.LeavingReason.UPSTREAM, False)
         logging.info('upstream of %s announced', upstream.service)
 
     def leave(self) -> None:
-        """Take no new work from now on and tell the other nodes."""
-        if not self.runner.leaving:
-            self.runner.leaving = True
-            self.membership.change_own(state=model.MemberState.LEAVING)
+        """Take no new work until the upstream announces itself again."""
+        self.leaving.set(leaving.LeavingReason.UPSTREAM, True)
+
+    def change_leaving(self, leaves: bool) -> None:
+        """Take new work or none, and tell the other nodes at once."""
+        self.runner.leaving = leaves
+        if leaves:
+            state = model.MemberState.LEAVING
+        elif self.runner.service:
+            state = model.MemberState.TAKING
+        else:
+            state = model.MemberState.JOINING
+        self.membership.change_own(state=state)
 
     async def drain(self) -> None:
         """Leave and wait until no request is in flight."""
-        self.leave()
-        self.callers.stop_accepting()
-        try:
-            async with asyncio.timeout(self.settings.drain_timeout_s):
-                while self.callers.active or self.runner.running:
-                    await asyncio.sleep(0.02)
-        except TimeoutError:
-            logging.error('requests still in flight when the drain ended')
+        self.leaving.set(leaving.LeavingReason.STOP, True)
+        await drain.drain(
+            callers=self.callers,
+            egress=self.egress,
+            runs=self.runner,
+            timeout_s=self.settings.drain_timeout_s,
+        )
 
     def greet(self, connection: peer_connection.PeerConnection) -> None:
         """Take a connection whose handshake is done."""
@@ -245,5 +290,9 @@
                 for member in self.members.members.values()
             ],
             'connections': sorted(self.pool.connections),
+            'control': {
+                'sent_bytes': self.traffic.sent,
+                'received_bytes': self.traffic.received,
+            },
             'counters': dict(self.counters),
         }
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -32,6 +32,7 @@
         pool: Connections to other nodes.
         count: Counts a decision.
         loads: Load by instance.
+        suspicions: Instances that have just failed a call.
         budget: Retries of this node as a share of its successes.
         rng: Source of randomness.
     """
@@ -54,6 +55,7 @@
         self.pool = pool
         self.count = count
         self.loads: dict[str, decisions.InstanceLoad] = {}
+        self.suspicions = decisions.LocalSuspicion()
         self.budget = decisions.RetryBudget()
         self.rng = rng or random.Random()
 
@@ -88,11 +90,15 @@
             self.take_reports(member.instance, result, now)
             if result.is_ok():
                 account.refund(result.ok.unspent, granted)
+                self.suspicions.note_answer(member.instance)
                 if not self.is_shed(result.ok, call, body):
                     self.budget.count_success(now)
                     return result
             else:
                 account.refund(result.error.unspent, granted)
+                self.suspicions.note_failure(
+                    member.instance, result.error, now
+                )
             if not self.may_retry(call, account, result, body, now):
                 return result
             self.count_decision(
@@ -139,7 +145,8 @@
         return decisions.Candidate(
             instance=member.instance,
             local=member.data_centre == self.identity.data_centre,
-            suspect=member.state is model.MemberState.SUSPECT,
+            suspect=member.state is model.MemberState.SUSPECT
+            or self.suspicions.holds(member.instance, now),
             outstanding=load.outstanding,
             in_flight=load.in_flight,
             limit=load.limit,
--- a/oleanderknot/tasks/http_listener.py
+++ b/oleanderknot/tasks/http_listener.py
@@ -62,14 +62,27 @@
         self.idle.clear()
         try:
             response = await self.handle(request)
-            if self.closing and not response.prepared:
-                response.force_close()
+            if self.closing:
+                self.end_connection(request, response)
             return response
         finally:
             self.active -= 1
             if self.active == 0:
                 self.idle.set()
 
+    def end_connection(
+        self, request: web.BaseRequest, response: web.StreamResponse
+    ) -> None:
+        """End a connection after the response to its current request.
+
+        An idle connection stays open until the listener closes: its caller
+        may be sending a request at this moment, which is still answered.
+        """
+        if not response.prepared:
+            response.force_close()
+        elif request.protocol is not None:
+            request.protocol.close()
+
     def stop_accepting(self) -> None:
         """Close the listening socket; open connections go on."""
         self.closing = True
--- a/oleanderknot/tasks/incoming_calls.py
+++ b/oleanderknot/tasks/incoming_calls.py
@@ -1,6 +1,7 @@
 """Calls that the other node has opened on one connection."""
 
 import asyncio
+import collections.abc
 import time
 
 from absl import logging
@@ -25,6 +26,7 @@
         outlet: Way to the other node.
         handlers: What the node does with calls and questions.
         entries: Calls whose answer is not sent, by number.
+        on_done: Called when a call has ended.
     """
 
     def __init__(
@@ -36,6 +38,7 @@
         self.outlet = outlet
         self.handlers = handlers
         self.entries: dict[int, incoming_call.IncomingCall] = {}
+        self.on_done: collections.abc.Callable[[], None] = lambda: None
         self.loop = asyncio.get_running_loop()
 
     def handle_open(self, number: int, message: wire.Open) -> None:
@@ -107,6 +110,7 @@
             )
         finally:
             self.entries.pop(number, None)
+            self.on_done()
 
     async def answer_query(self, number: int, query: wire.KeyQuery) -> None:
         """Answer a question about a key."""
--- a/oleanderknot/tasks/membership.py
+++ b/oleanderknot/tasks/membership.py
@@ -1,19 +1,22 @@
 """Spreads the records of nodes and upstreams."""
 
-import asyncio
 import collections.abc
 import dataclasses
-import random
+import time
+
+from absl import logging
 
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot import wire
+from oleanderknot.tasks import gossip_kind
 from oleanderknot.tasks import peer_connection
 from oleanderknot.tasks import peer_pool
 
-PERIOD_S = 0.2
+# Records in one frame; far below the largest frame at 100 bytes a record.
+RECORDS_PER_FRAME = 500
 
-PUSH = 3
+ChangeHook = collections.abc.Callable[[model.Member], None]
 
 
 class Membership:
@@ -23,7 +26,11 @@
         table: Records by instance.
         own: Record of this node.
         pool: Connections to other nodes.
-        seeds: Addresses that are tried while no other node is known.
+        spread: Recent changes that ride on probes.
+        pace: Spaces the exchanges of whole data centres.
+        on_change: Called with each changed record of another node.
+        on_probe: Called with messages of the failure detector.
+        count: Counts an event by name.
     """
 
     def __init__(
@@ -32,39 +39,63 @@
         table: decisions.MemberTable,
         own: model.Member,
         pool: peer_pool.PeerPool,
-        seeds: collections.abc.Sequence[tuple[str, int]],
-        rng: random.Random,
+        count: collections.abc.Callable[[str], None],
     ) -> None:
         self.table = table
         self.own = own
         self.pool = pool
-        self.seeds = seeds
-        self.rng = rng
-        table.merge([own])
+        self.count = count
+        self.spread = decisions.ChangeSpread()
+        self.pace = decisions.ExchangePace()
+        self.on_change: ChangeHook = lambda record: None
+        self.on_probe: collections.abc.Callable[
+            [peer_connection.PeerConnection, wire.Gossip], None
+        ] = lambda connection, message: None
+        self.set_own(own)
+
+    def set_own(self, own: model.Member) -> None:
+        """Replace the own record and tell all connected nodes at once."""
+        self.own = own
+        self.table.merge([own])
+        self.spread.add(own.instance)
+        for connection in list(self.pool.open):
+            self.push(connection, [own])
 
     def change_own(self, **changes: object) -> None:
-        """Change the own record and push it to all connected nodes."""
-        self.own = dataclasses.replace(
-            self.own, version=self.own.version + 1, **changes
+        """Change the own record and tell all connected nodes at once."""
+        self.set_own(
+            dataclasses.replace(
+                self.own, version=self.own.version + 1, **changes
+            )
         )
-        self.table.merge([self.own])
-        for connection in list(self.pool.connections.values()):
-            self.push(connection, [self.own])
 
-    def push(
-        self,
-        connection: peer_connection.PeerConnection,
-        members: collections.abc.Iterable[model.Member],
-    ) -> None:
-        """Send records to another node."""
-        connection.send(
-            0,
-            gossip=wire.Gossip(
-                kind=PUSH,
-                number=0,
-                changes=[wire.wire_member(member) for member in members],
-            ),
-        )
+    def judge(self, instance: str, state: model.MemberState) -> None:
+        """Record what the failure detector has found about another node."""
+        record = self.table.members.get(instance)
+        if record is None or record.state >= state:
+            return
+        judged = dataclasses.replace(record, state=state)
+        self.count('member.' + state.name.lower())
+        logging.info('%s is %s', instance, state.name.lower())
+        self.take([judged])
+        # The member itself must hear of it to be able to refute.
+        connection = self.pool.find(instance)
+        if connection is not None:
+            self.push(connection, [judged])
+
+    def take(
+        self, records: collections.abc.Iterable[model.Member]
+    ) -> list[model.Member]:
+        """Merge records and spread those that are new.
+
+        Returns:
+            The records that were new.
+        """
+        changed = self.table.merge(records)
+        for record in changed:
+            self.spread.add(record.instance)
+            self.on_change(record)
+        return changed
 
     def handle(
         self,
@@ -76,35 +107,150 @@
         Raises:
             BadFrame: The message is malformed.
         """
-        self.table.merge(
-            [wire.model_member(item) for item in message.changes or ()]
+        kind = message.kind
+        if kind not in tuple(gossip_kind.GossipKind):
+            raise wire.BadFrame('gossip of unknown kind %r' % kind)
+        self.handle_changes(
+            connection,
+            [wire.model_member(item) for item in message.changes or ()],
         )
+        if message.hashes is not None:
+            self.compare_hashes(connection, wire.model_hashes(message.hashes))
+        if kind == gossip_kind.GossipKind.VERSIONS:
+            self.handle_versions(connection, message)
+        elif kind <= gossip_kind.GossipKind.INDIRECT:
+            self.on_probe(connection, message)
 
-    def greet(self, connection: peer_connection.PeerConnection) -> None:
-        """Send all records to a node that has just connected."""
-        self.push(connection, self.table.members.values())
-
-    async def run(self) -> None:
-        """Exchange records with random nodes until cancelled."""
-        while True:
-            await asyncio.sleep(PERIOD_S * (0.5 + self.rng.random()))
-            try:
-                connection = await self.find_partner()
-            except ConnectionError:
+    def handle_changes(
+        self,
+        connection: peer_connection.PeerConnection,
+        records: list[model.Member],
+    ) -> None:
+        """Take records that another node has sent."""
+        others = []
+        for record in records:
+            if record.instance != self.own.instance:
+                others.append(record)
                 continue
-            if connection is not None:
-                self.greet(connection)
-
-    async def find_partner(self) -> peer_connection.PeerConnection | None:
-        """Connect to a random member, or to a seed while none is known."""
-        others = [
-            member
-            for member in self.table.members.values()
-            if member.instance != self.own.instance
+            answer = decisions.refute(self.own, record)
+            if answer is not None:
+                self.count('member.refuted')
+                self.set_own(answer)
+            elif record.incarnation > self.own.incarnation:
+                self.count('member.replaced')
+                logging.error('another node runs under the own name')
+        merge, claims = decisions.split_claims(
+            others,
+            data_centre=self.own.data_centre,
+            sender=connection.peer.data_centre,
+            table=self.table,
+        )
+        self.take(merge)
+        for claim in claims:
+            neighbour = self.pool.find(claim.instance)
+            if neighbour is not None:
+                self.push(neighbour, [claim])
+
+    def compare_hashes(
+        self,
+        connection: peer_connection.PeerConnection,
+        hashes: dict[str, int],
+    ) -> None:
+        """Start an exchange for a data centre whose records differ."""
+        own = self.table.hashes
+        for name in own.keys() | hashes.keys():
+            if own.get(name) == hashes.get(name):
+                continue
+            records = self.table.list_data_centre(name)
+            if self.pace.take(name, len(records), time.monotonic()):
+                versions = [decisions.describe(item) for item in records]
+                self.send_versions(connection, name, versions, whole=True)
+                # One at a time; the next probes take the others.
+                return
+
+    def send_versions(
+        self,
+        connection: peer_connection.PeerConnection,
+        data_centre: str,
+        versions: collections.abc.Iterable[decisions.RecordVersion],
+        *,
+        whole: bool,
+    ) -> None:
+        """Tell another node which records this one holds."""
+        self.send(
+            connection,
+            gossip_kind.GossipKind.VERSIONS,
+            number=int(whole),
+            data_centre=data_centre,
+            versions=[wire.wire_version(item) for item in versions],
+        )
+
+    def handle_versions(
+        self,
+        connection: peer_connection.PeerConnection,
+        message: wire.Gossip,
+    ) -> None:
+        """Send what the other node lacks, and ask for what this one lacks."""
+        name = message.data_centre or ''
+        send, want = decisions.compare(
+            self.table,
+            name,
+            [wire.model_version(item) for item in message.versions or ()],
+            whole=message.number == 1,
+        )
+        for start in range(0, len(send), RECORDS_PER_FRAME):
+            self.push(
+                connection,
+                send[start : start + RECORDS_PER_FRAME],
+                gossip_kind.GossipKind.RECORDS,
+            )
+        if want and message.number == 1:
+            self.send_versions(connection, name, want, whole=False)
+
+    def push(
+        self,
+        connection: peer_connection.PeerConnection,
+        records: collections.abc.Iterable[model.Member],
+        kind: gossip_kind.GossipKind = gossip_kind.GossipKind.PUSH,
+    ) -> None:
+        """Send records to another node."""
+        changes = [wire.wire_member(record) for record in records]
+        self.send(connection, kind, changes=changes)
+
+    def send(
+        self,
+        connection: peer_connection.PeerConnection,
+        kind: gossip_kind.GossipKind,
+        *,
+        number: int = 0,
+        **fields: object,
+    ) -> None:
+        """Send a membership message."""
+        connection.send(
+            0, gossip=wire.Gossip(kind=kind, number=number, **fields)
+        )
+
+    def greet(self, connection: peer_connection.PeerConnection) -> None:
+        """Introduce this node to one that has just connected.
+
+        A node that this one takes for dead is told so, and refutes.
+        """
+        records = [self.own]
+        record = self.table.members.get(connection.peer.instance)
+        if record is not None and record.state >= model.MemberState.SUSPECT:
+            records.append(record)
+        self.send(
+            connection,
+            gossip_kind.GossipKind.PUSH,
+            changes=[wire.wire_member(item) for item in records],
+            hashes=wire.wire_hashes(self.table.hashes),
+        )
+
+    def list_changes(self) -> list[wire.Member]:
+        """Choose the changes that ride on one probe."""
+        names = self.spread.take(len(self.table.members))
+        return [
+            wire.wire_member(self.table.members[name])
+            for name in names
+            if name in self.table.members
         ]
-        if others:
-            return await self.pool.connect(self.rng.choice(others))
-        if self.seeds:
-            host, port = self.rng.choice(self.seeds)
-            return await self.pool.dial(host, port, ('', 0))
-        return None
--- a/oleanderknot/tasks/outgoing_calls.py
+++ b/oleanderknot/tasks/outgoing_calls.py
@@ -30,6 +30,7 @@
         last_number: Call number used last.
         entries: Calls whose answer is not whole, by number.
         queries: Questions about keys without an answer, by number.
+        on_done: Called when a call or question has ended.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         self.last_number = first_number - 2
         self.entries: dict[int, outgoing_call.OutgoingCall] = {}
         self.queries: dict[int, asyncio.Future[wire.KeyState]] = {}
+        self.on_done: collections.abc.Callable[[], None] = lambda: None
         self.loop = asyncio.get_running_loop()
 
     async def open(
@@ -129,6 +131,7 @@
                 return await future
         finally:
             self.queries.pop(number, None)
+            self.on_done()
 
     def finish(self, number: int) -> outgoing_call.OutgoingCall | None:
         """Remove a call and stop what belongs to it."""
@@ -139,6 +142,7 @@
             entry.timer.cancel()
         if entry.sender is not None:
             entry.sender.cancel()
+        self.on_done()
         return entry
 
     def abandon(self, number: int) -> None:
--- a/oleanderknot/tasks/peer_connection.py
+++ b/oleanderknot/tasks/peer_connection.py
@@ -11,13 +11,13 @@
 from oleanderknot import model
 from oleanderknot import wire
 from oleanderknot.tasks import body_sender
+from oleanderknot.tasks import handshake
 from oleanderknot.tasks import incoming_calls
 from oleanderknot.tasks import outgoing_calls
+from oleanderknot.tasks import parting
 from oleanderknot.tasks import peer_handlers
 from oleanderknot.tasks import silence_watch
 
-PROTOCOL_NUMBER = 1
-
 
 class PeerConnection(asyncio.Protocol):
     """Owns one socket; both sides may open calls on it.
@@ -30,6 +30,8 @@
         peer: Identity of the other node after the handshake.
         ready: Done after the handshake; holds the error if it failed.
         session: Number of the connection, in every frame.
+        parting: Ends the connection when both sides have finished.
+        used_at: Loop time in seconds of the last frame received.
         closed: Whether the connection has ended.
     """
 
@@ -50,6 +52,7 @@
         self.reader = wire.FrameReader()
         self.session = secrets.randbits(63) if target is not None else 0
         self.writable: asyncio.Future[None] | None = None
+        self.used_at = self.loop.time()
         self.closed = False
         outlet = body_sender.Outlet(
             send=self.send, wait_writable=self.wait_writable
@@ -69,6 +72,13 @@
             probe=lambda: self.send(0, ping=wire.Ping(number=0)),
             on_silent=self.close_silent,
         )
+        self.parting = parting.Parting(
+            is_idle=self.is_idle,
+            announce=self.announce_parting,
+            finish=self.finish,
+            give_up=lambda: self.close('no answer to the goodbye'),
+        )
+        self.outgoing.on_done = self.incoming.on_done = self.parting.check
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the handshake; called by the event loop."""
@@ -78,9 +88,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Handle received bytes; called by the event loop."""
-        self.watch.note_heard()
+        self.used_at = self.loop.time()
         try:
             for frame in self.reader.feed(data):
+                if frame.call == 0:
+                    self.handlers.traffic.received += self.reader.frame_bytes
                 self.handle(frame)
                 if self.closed:
                     return
@@ -122,47 +134,20 @@
         """Send the handshake message to a node."""
         self.send(
             0,
-            hello=wire.Hello(
-                protocol=PROTOCOL_NUMBER,
-                session=self.session,
-                instance=self.identity.instance,
-                incarnation=self.identity.incarnation,
-                data_centre=self.identity.data_centre,
-                target_instance=instance,
-                target_incarnation=incarnation,
+            hello=handshake.build_hello(
+                self.identity, self.session, instance, incarnation
             ),
         )
 
     def handle_hello(self, hello: wire.Hello) -> None:
-        """Check the handshake message of the other node.
-
-        A wrong receiver is refused, so that an address that a new instance
-        has taken over gets no calls that were meant for the old one.
+        """Take the handshake message of the other node.
 
         Raises:
-            BadFrame: The message is incomplete, of another protocol, or
-                meant for another node.
+            BadFrame: The message is malformed or meant for another node.
         """
-        if self.peer is not None or None in (
-            hello.session,
-            hello.instance,
-            hello.incarnation,
-            hello.data_centre,
-        ):
-            raise wire.BadFrame('unexpected or incomplete hello')
-        if hello.protocol != PROTOCOL_NUMBER:
-            raise wire.BadFrame('protocol %s is unknown' % hello.protocol)
-        identity = self.identity
-        if hello.target_instance not in (
-            '',
-            identity.instance,
-        ) or hello.target_incarnation not in (0, identity.incarnation):
-            raise wire.BadFrame('hello for %s' % hello.target_instance)
-        self.peer = model.NodeIdentity(
-            instance=hello.instance,
-            incarnation=hello.incarnation,
-            data_centre=hello.data_centre,
-        )
+        if self.peer is not None:
+            raise wire.BadFrame('unexpected hello')
+        self.peer = handshake.check_hello(self.identity, hello)
         if self.target is None:
             self.session = hello.session
             self.send_hello(hello.instance, hello.incarnation)
@@ -174,9 +159,12 @@
         """Send one frame; the named argument is its message."""
         if self.closed or self.transport is None:
             return
-        self.transport.write(
-            wire.encode(wire.Frame(session=self.session, call=call, **message))
+        data = wire.encode(
+            wire.Frame(session=self.session, call=call, **message)
         )
+        if call == 0:
+            self.handlers.traffic.sent += len(data)
+        self.transport.write(data)
 
     def handle(self, frame: wire.Frame) -> None:
         """Hand a frame to the part that it belongs to.
@@ -192,6 +180,8 @@
         number = frame.call
         own = number % 2 == self.outgoing.last_number % 2
         side = self.outgoing if own else self.incoming
+        if own and number or frame.pong is not None:
+            self.watch.note_heard()
         if frame.head is not None and own:
             self.outgoing.handle_head(number, frame.head)
         elif frame.open is not None and not own:
@@ -214,6 +204,8 @@
             self.incoming.handle_key_query(number, frame.key_query)
         elif frame.key_state is not None and own:
             self.outgoing.handle_key_state(number, frame.key_state)
+        elif frame.goodbye is not None:
+            self.parting.handle()
         elif frame.pong is None:
             raise wire.BadFrame('frame without a message for this side')
 
@@ -230,20 +222,34 @@
                     'the connection closed before the call was sent',
                 )
             )
-        self.watch.start()
+        self.watch.expect()
         return await self.outgoing.open(call, content, body)
 
     async def query(self, key: str, wait_s: float) -> wire.KeyState:
         """Ask what became of a key; see ``OutgoingCalls.query``."""
         if self.closed:
             raise ConnectionError('the connection is closed')
-        self.watch.start()
+        self.watch.expect()
         return await self.outgoing.query(key, wait_s)
 
     def has_work(self) -> bool:
         """Return whether this node waits for the other one."""
         return bool(self.outgoing.entries or self.outgoing.queries)
 
+    def is_idle(self) -> bool:
+        """Return whether neither side waits for the other one."""
+        return not self.has_work() and not self.incoming.entries
+
+    def announce_parting(self) -> None:
+        """Tell both nodes that this one opens no more calls here."""
+        self.handlers.parting(self)
+        self.send(0, goodbye=wire.Goodbye())
+
+    def finish(self) -> None:
+        """End the own direction; the other node then ends its own."""
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+
     def close_silent(self) -> None:
         """End a connection that has gone silent."""
         self.handlers.count('peer.silent')
@@ -266,6 +272,7 @@
             return
         self.closed = True
         self.watch.stop()
+        self.parting.stop()
         self.resume_writing()
         error = ConnectionError('%s: %s' % (self.describe(), why))
         if not self.ready.done():
--- a/oleanderknot/tasks/peer_handlers.py
+++ b/oleanderknot/tasks/peer_handlers.py
@@ -8,6 +8,7 @@
 
 from oleanderknot import model
 from oleanderknot import wire
+from oleanderknot.tasks import control_traffic
 
 if typing.TYPE_CHECKING:
     from oleanderknot.tasks import peer_connection
@@ -30,6 +31,8 @@
         opened: Called when the handshake is done.
         closed: Called when the connection has ended.
         count: Counts an event by name, for metrics.
+        parting: Called when a connection takes no more calls.
+        traffic: Counts the bytes of control.
     """
 
     run: RunFunction
@@ -45,3 +48,5 @@
     opened: collections.abc.Callable[['peer_connection.PeerConnection'], None]
     closed: collections.abc.Callable[['peer_connection.PeerConnection'], None]
     count: collections.abc.Callable[[str], None]
+    parting: collections.abc.Callable[['peer_connection.PeerConnection'], None]
+    traffic: control_traffic.ControlTraffic
--- a/oleanderknot/tasks/peer_pool.py
+++ b/oleanderknot/tasks/peer_pool.py
@@ -1,19 +1,25 @@
 """Connections to other nodes."""
 
 import asyncio
+import contextlib
 import ssl
 
 from oleanderknot import model
 from oleanderknot.tasks import peer_connection
 from oleanderknot.tasks import peer_handlers
 
+# A connection that has carried nothing for this long is closed: with 1,200
+# nodes each would otherwise end with a connection to every other one.
+IDLE_S = 60.0
+IDLE_CHECK_S = 5.0
+
 # The brief's sizes give 1 ms for a connection; a lost SYN is sent again
 # after one second, so a longer wait would only hide a dead path.
 CONNECT_TIMEOUT_S = 1.0
 
 
 class PeerPool:
-    """Keeps one connection to each node that this node talks to.
+    """Keeps connections to the nodes that this node talks to.
 
     Attributes:
         identity: Identity of this node.
@@ -21,7 +27,9 @@
         local_host: IP address that outgoing connections come from; None
             lets the system choose.
         tls: TLS for outgoing connections; None for plain TCP.
-        connections: Open connection by instance.
+        connections: Connection for new calls, by instance.
+        open: All connections with a finished handshake. Two nodes that dial
+            each other at once have two; the older one ends when idle.
         dialling: Running attempts to connect, by instance.
     """
 
@@ -38,7 +46,9 @@
         self.local_host = local_host
         self.tls = tls
         self.connections: dict[str, peer_connection.PeerConnection] = {}
+        self.open: set[peer_connection.PeerConnection] = set()
         self.dialling: dict[str, asyncio.Task] = {}
+        self.emptied = asyncio.Event()
 
     def find(self, instance: str) -> peer_connection.PeerConnection | None:
         """Return the open connection to an instance, if there is one."""
@@ -126,17 +136,47 @@
 
     def add(self, connection: peer_connection.PeerConnection) -> None:
         """Take a connection whose handshake is done, whoever dialled it."""
+        self.open.add(connection)
         self.connections[connection.peer.instance] = connection
 
-    def remove(self, connection: peer_connection.PeerConnection) -> None:
-        """Forget a connection that has ended."""
+    def part(self, connection: peer_connection.PeerConnection) -> None:
+        """Give a connection no more calls."""
         peer = connection.peer
         if peer and self.connections.get(peer.instance) is connection:
             del self.connections[peer.instance]
 
+    def remove(self, connection: peer_connection.PeerConnection) -> None:
+        """Forget a connection that has ended."""
+        self.part(connection)
+        self.open.discard(connection)
+        if not self.open:
+            self.emptied.set()
+
+    async def run(self) -> None:
+        """Close connections that nobody needs, until cancelled."""
+        while True:
+            await asyncio.sleep(IDLE_CHECK_S)
+            oldest = asyncio.get_running_loop().time() - IDLE_S
+            for connection in list(self.open):
+                if connection.used_at < oldest and connection.is_idle():
+                    connection.parting.start()
+
+    async def say_goodbye(self, timeout_s: float) -> None:
+        """End all connections once their calls are done.
+
+        Args:
+            timeout_s: Seconds to wait for the other nodes.
+        """
+        self.emptied.clear()
+        for connection in list(self.open):
+            connection.parting.start()
+        if self.open:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.emptied.wait(), timeout_s)
+
     def close(self) -> None:
         """End all connections."""
         for task in list(self.dialling.values()):
             task.cancel()
-        for connection in list(self.connections.values()):
+        for connection in list(self.open):
             connection.close('the node stops')
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -28,6 +28,7 @@
         chains: Accounts of the chains that the upstream runs.
         leaving: Whether the upstream takes no new work.
         running: Calls that this task works on, until their answer is whole.
+        idle: Set while ``running`` is 0.
     """
 
     def __init__(self, *, chains: decisions.ChainTable) -> None:
@@ -37,6 +38,8 @@
         self.admission = admission.Admission(slots=1)
         self.leaving = False
         self.running = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
 
     async def attach(
         self, *, service: str, host: str, port: int, slots: int
@@ -108,6 +111,7 @@
         started = time.monotonic()
         waited = account.waited
         self.running += 1
+        self.idle.clear()
         unspent = 0
 
         def finish(failed: bool) -> int:
@@ -116,6 +120,8 @@
             slots.leave(call, own_time_s=max(0.0, own_time), failed=failed)
             unspent = self.chains.leave(call)
             self.running -= 1
+            if self.running == 0:
+                self.idle.set()
             return unspent
 
         try:
--- a/oleanderknot/wire/__init__.py
+++ b/oleanderknot/wire/__init__.py
@@ -10,6 +10,7 @@
 from oleanderknot.wire.gen.peer.ttypes import Credit
 from oleanderknot.wire.gen.peer.ttypes import Failure
 from oleanderknot.wire.gen.peer.ttypes import Frame
+from oleanderknot.wire.gen.peer.ttypes import Goodbye
 from oleanderknot.wire.gen.peer.ttypes import Gossip
 from oleanderknot.wire.gen.peer.ttypes import Head
 from oleanderknot.wire.gen.peer.ttypes import Hello
@@ -23,6 +24,10 @@
 from oleanderknot.wire.gen.peer.ttypes import PolicySync
 from oleanderknot.wire.gen.peer.ttypes import Pong
 from oleanderknot.wire.gen.peer.ttypes import ScopeState
+from oleanderknot.wire.gossip import model_hashes
+from oleanderknot.wire.gossip import model_version
+from oleanderknot.wire.gossip import wire_hashes
+from oleanderknot.wire.gossip import wire_version
 from oleanderknot.wire.translate import answer_from_head
 from oleanderknot.wire.translate import call_from_open
 from oleanderknot.wire.translate import failure_from_refusal
@@ -42,6 +47,7 @@
     'Failure',
     'Frame',
     'FrameReader',
+    'Goodbye',
     'Gossip',
     'Head',
     'Hello',
@@ -50,6 +56,7 @@
     'MAX_FRAME_BYTES',
     'Member',
     'MemberVersion',
+    'MemberVersion',
     'Open',
     'Ping',
     'PolicyDigest',
@@ -63,9 +70,13 @@
     'failure_from_refusal',
     'flatten',
     'head_from_answer',
+    'model_hashes',
     'model_member',
+    'model_version',
     'open_from_call',
     'pair',
     'refusal_from_failure',
+    'wire_hashes',
     'wire_member',
+    'wire_version',
 ]
--- a/oleanderknot/wire/frame_reader.py
+++ b/oleanderknot/wire/frame_reader.py
@@ -12,10 +12,12 @@
 
     Attributes:
         pending: Bytes received that make up no whole frame yet.
+        frame_bytes: Size of the last frame with its length prefix.
     """
 
     def __init__(self) -> None:
         self.pending = bytearray()
+        self.frame_bytes = 0
 
     def feed(self, data: bytes) -> collections.abc.Iterator[ttypes.Frame]:
         """Take bytes and give the frames that they complete.
@@ -44,6 +46,7 @@
             if end > size:
                 break
             content = bytes(pending[start + codec.LENGTH.size : end])
+            self.frame_bytes = end - start
             start = end
             yield codec.decode(content)
         del pending[:start]
--- a/oleanderknot/wire/gen/peer/ttypes.py
+++ b/oleanderknot/wire/gen/peer/ttypes.py
@@ -2155,6 +2155,56 @@
         return not (self == other)
 
 
+class Goodbye(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Goodbye')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -2173,6 +2223,7 @@
      - pong
      - gossip
      - policy_sync
+     - goodbye
 
     """
 
@@ -2192,10 +2243,11 @@
         'pong',
         'gossip',
         'policy_sync',
+        'goodbye',
     )
 
 
-    def __init__(self, session=None, call=None, hello=None, open=None, head=None, chunk=None, credit=None, cancel=None, failure=None, key_query=None, key_state=None, ping=None, pong=None, gossip=None, policy_sync=None,):
+    def __init__(self, session=None, call=None, hello=None, open=None, head=None, chunk=None, credit=None, cancel=None, failure=None, key_query=None, key_state=None, ping=None, pong=None, gossip=None, policy_sync=None, goodbye=None,):
         self.session = session
         self.call = call
         self.hello = hello
@@ -2211,6 +2263,7 @@
         self.pong = pong
         self.gossip = gossip
         self.policy_sync = policy_sync
+        self.goodbye = goodbye
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2309,6 +2362,12 @@
                     self.policy_sync.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.goodbye = Goodbye()
+                    self.goodbye.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2379,6 +2438,10 @@
             oprot.writeFieldBegin('policy_sync', TType.STRUCT, 15)
             self.policy_sync.write(oprot)
             oprot.writeFieldEnd()
+        if self.goodbye is not None:
+            oprot.writeFieldBegin('goodbye', TType.STRUCT, 16)
+            self.goodbye.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2561,6 +2624,9 @@
     (1, TType.I32, 'kind', None, None, ),  # 1
     (2, TType.LIST, 'scopes', (TType.STRUCT, [ScopeState, None], False), None, ),  # 2
 )
+all_structs.append(Goodbye)
+Goodbye.thrift_spec = (
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -2579,6 +2645,7 @@
     (13, TType.STRUCT, 'pong', [Pong, None], None, ),  # 13
     (14, TType.STRUCT, 'gossip', [Gossip, None], None, ),  # 14
     (15, TType.STRUCT, 'policy_sync', [PolicySync, None], None, ),  # 15
+    (16, TType.STRUCT, 'goodbye', [Goodbye, None], None, ),  # 16
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/oleanderknot/wire/gossip.py
@@ -0,0 +1,57 @@
+"""Translates and validates what membership messages carry."""
+
+import collections.abc
+
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.wire import bad_frame
+from oleanderknot.wire import translate
+from oleanderknot.wire.gen.peer import ttypes
+
+SIGN = 1 << 63
+SPAN = 1 << 64
+
+
+def wire_hashes(hashes: collections.abc.Mapping[str, int]) -> dict[str, int]:
+    """Turn unsigned hashes into the signed numbers of thrift."""
+    return {
+        name: value - SPAN if value >= SIGN else value
+        for name, value in hashes.items()
+    }
+
+
+def model_hashes(
+    hashes: collections.abc.Mapping[str, int] | None,
+) -> dict[str, int]:
+    """Undo ``wire_hashes``."""
+    return {name: value % SPAN for name, value in (hashes or {}).items()}
+
+
+def wire_version(version: decisions.RecordVersion) -> ttypes.MemberVersion:
+    """Make the wire struct of a record's version."""
+    return ttypes.MemberVersion(
+        instance=version.instance,
+        incarnation=version.incarnation,
+        version=version.version,
+        state=version.state,
+    )
+
+
+def model_version(message: ttypes.MemberVersion) -> decisions.RecordVersion:
+    """Make a record's version of its wire struct.
+
+    Raises:
+        BadFrame: A field is missing or out of range.
+    """
+    for name in message.__slots__:
+        translate.check(
+            getattr(message, name) is not None, 'version without ' + name
+        )
+    if message.state not in range(len(translate.MEMBER_STATES)):
+        raise bad_frame.BadFrame('version with a wrong member state')
+    return decisions.RecordVersion(
+        instance=message.instance,
+        incarnation=message.incarnation,
+        version=message.version,
+        state=model.MemberState(message.state),
+    )
--- a/oleanderknot/wire/peer.thrift
+++ b/oleanderknot/wire/peer.thrift
@@ -123,6 +123,8 @@
 
 // kind: 0 probe, 1 probe answer, 2 indirect probe, 3 push, 4 versions of a
 // data centre, 5 the records that the other side lacks.
+// number: of the probe in kinds 0 to 2; in kind 4 it is 1 when the versions
+// are all that the sender holds of the data centre, else 0.
 struct Gossip {
   1: i32 kind
   2: i64 number
@@ -146,6 +148,11 @@
   2: list<ScopeState> scopes
 }
 
+// The sender opens no more calls on this connection. When both sides have
+// said so and no call is left, the connection ends.
+struct Goodbye {
+}
+
 struct Frame {
   1: i64 session
   2: i64 call
@@ -162,4 +169,5 @@
   13: optional Pong pong
   14: optional Gossip gossip
   15: optional PolicySync policy_sync
+  16: optional Goodbye goodbye
 }
