--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -280,6 +280,8 @@
             'members': [
                 {
                     'instance': member.instance,
+                    'incarnation': member.incarnation,
+                    'version': member.version,
                     'state': member.state.name.lower(),
                     'service': member.service,
                     'data_centre': member.data_centre,
