--- /dev/null
+++ b/features/support/load.py
@@ -0,0 +1,53 @@
+"""Calls that go on while a test changes something."""
+
+import http.client
+import itertools
+import threading
+
+from features.support import http as http_support
+
+
+class Load:
+    """Sends calls from several threads until it is stopped.
+
+    Every second call of a thread is a POST; each call has a path of its own,
+    so that runs at upstreams can be matched to calls.
+
+    Attributes:
+        answers: Status, rule and path of each call that has ended.
+        errors: Errors of calls that got no answer.
+    """
+
+    def __init__(self, urls: list[str], *, threads: int = 4) -> None:
+        self.urls = urls
+        self.answers: list[tuple[int, str, str]] = []
+        self.errors: list[Exception] = []
+        self.numbers = itertools.count()
+        self.stopping = threading.Event()
+        self.threads = [
+            threading.Thread(target=self.run, daemon=True)
+            for _ in range(threads)
+        ]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self) -> None:
+        """Send calls one after another."""
+        while not self.stopping.is_set():
+            number = next(self.numbers)
+            url = self.urls[number % len(self.urls)]
+            path = '%s/%d' % (url, number)
+            method = 'POST' if number // len(self.urls) % 2 else 'GET'
+            try:
+                status, headers, _ = http_support.request(method, path)
+            except (OSError, http.client.HTTPException) as error:
+                self.errors.append(error)
+                continue
+            rule = headers.get('oleanderknot-rule', '')
+            self.answers.append((status, rule, path))
+
+    def stop(self) -> None:
+        """Stop and wait for the calls in flight."""
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -17,6 +17,7 @@
 from oleanderknot.decisions.peer_row import format_address
 from oleanderknot.decisions.peer_row import MAX_ADDRESSES
 from oleanderknot.decisions.peer_row import plan_row
+from oleanderknot.decisions.policy_changes import describe_changes
 from oleanderknot.decisions.policy_table import match_route
 from oleanderknot.decisions.policy_table import PolicyTable
 from oleanderknot.decisions.priority import rank
@@ -30,6 +31,15 @@
 from oleanderknot.decisions.refutation import refute
 from oleanderknot.decisions.refutation import split_claims
 from oleanderknot.decisions.retry_budget import RetryBudget
+from oleanderknot.decisions.ticket_filing import number_ticket
+from oleanderknot.decisions.ticket_filing import settle
+from oleanderknot.decisions.ticket_force import group_by_centre
+from oleanderknot.decisions.ticket_force import is_in_force
+from oleanderknot.decisions.ticket_schedule import choose_targets
+from oleanderknot.decisions.ticket_schedule import find_poll_delay
+from oleanderknot.decisions.ticket_schedule import list_alive
+from oleanderknot.decisions.ticket_schedule import POLL_PERIOD_S
+from oleanderknot.decisions.ticket_schedule import split_batches
 from oleanderknot.decisions.upstream_choice import Candidate
 from oleanderknot.decisions.upstream_choice import choose
 
@@ -47,6 +57,7 @@
     'MAX_ADDRESSES',
     'MAX_LEVEL',
     'MemberTable',
+    'POLL_PERIOD_S',
     'PolicyTable',
     'ProbeAction',
     'ProbeSchedule',
@@ -55,15 +66,24 @@
     'RetryBudget',
     'SUSPICION_S',
     'choose',
+    'choose_targets',
     'compare',
     'describe',
+    'describe_changes',
+    'find_poll_delay',
     'format_address',
+    'group_by_centre',
+    'is_in_force',
     'is_newer',
     'limit_rides',
+    'list_alive',
     'match_route',
+    'number_ticket',
     'open_account',
     'plan_row',
     'rank',
     'refute',
+    'settle',
+    'split_batches',
     'split_claims',
 ]
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -30,6 +30,10 @@
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import prober
 from oleanderknot.tasks import runner
+from oleanderknot.tasks import ticket_loader
+from oleanderknot.tasks import ticket_poll
+from oleanderknot.tasks import ticket_sync
+from oleanderknot.tasks import work_gate
 
 
 def build_incarnation() -> int:
@@ -72,7 +76,6 @@
         self.policy = decisions.PolicyTable()
         self.chains = decisions.ChainTable()
         self.traffic = control_traffic.ControlTraffic()
-        self.table: platform.TableClient | None = None
         self.background: list[asyncio.Task] = []
         self.stopped = asyncio.Event()
 
@@ -83,6 +86,9 @@
         self.build_tasks()
         listen = self.settings.listen
         host = str(listen.host)
+        self.egress_port = await self.egress.start(
+            str(listen.egress_host), listen.egress_port
+        )
         ports = {
             'peer_port': await self.peer_listener.start(
                 host, listen.peer_port
@@ -92,9 +98,6 @@
                 str(listen.operator_host), listen.operator_port
             ),
         }
-        self.egress_port = await self.egress.start(
-            str(listen.egress_host), listen.egress_port
-        )
         own = model.Member(
             instance=self.identity.instance,
             incarnation=self.identity.incarnation,
@@ -115,6 +118,7 @@
             count=self.count,
         )
         self.start_membership()
+        self.start_tickets()
         if self.settings.upstream is not None:
             await self.announce(self.settings.upstream)
         logging.info('node %s started: %s', self.identity.instance, ports)
@@ -130,24 +134,22 @@
         await asyncio.gather(*self.background, return_exceptions=True)
         for listener in (self.callers, self.egress, self.operators):
             await listener.close()
+        self.tickets.close()
         self.pool.close()
+        await self.runner.close()
         if self.table is not None:
             await self.table.close()
-        await self.runner.close()
         logging.info('node %s stopped', self.identity.instance)
 
     def build_tasks(self) -> None:
         """Build the tasks and connect them by their message functions."""
         self.runner = runner.Runner(chains=self.chains)
-        self.leaving = leaving.Leaving(
-            takes_work=lambda: self.policy.takes_work(self.identity.instance),
-            on_change=self.change_leaving,
-        )
+        self.leaving = leaving.Leaving(on_change=self.change_leaving)
         handlers = peer_handlers.PeerHandlers(
             run=self.runner.run,
             query=self.runner.describe_key,
             gossip=lambda peer, item: self.membership.handle(peer, item),
-            policy=lambda peer, item: None,
+            policy=lambda peer, item: self.tickets.handle(peer, item),
             opened=self.greet,
             closed=lambda peer: self.pool.remove(peer),
             count=self.count,
@@ -160,6 +162,18 @@
             handlers=handlers,
             local_host=None if host.is_unspecified else str(host),
         )
+        self.tickets = ticket_sync.TicketSync(
+            identity=self.identity,
+            policy=self.policy,
+            members=self.members,
+            pool=self.pool,
+            count=self.count,
+            rng=random.Random(),
+        )
+        self.runner.gate = work_gate.build_gate(
+            self.policy, self.identity.instance
+        )
+        self.table = self.build_table_client()
         self.peer_listener = peer_listener.PeerListener(
             identity=self.identity, handlers=handlers
         )
@@ -193,13 +207,6 @@
         self.prober = prober.Prober(
             members=self.membership, pool=self.pool, rng=rng
         )
-        host = self.settings.listen.host
-        if self.settings.platform.table_url:
-            self.table = platform.TableClient(
-                url=self.settings.platform.table_url,
-                timeout_s=self.settings.platform.timeout_ms / 1000,
-                local_host=None if host.is_unspecified else str(host),
-            )
         finder = first_peers.FirstPeers(
             members=self.membership,
             pool=self.pool,
@@ -207,9 +214,37 @@
             seeds=self.settings.seeds,
             rng=rng,
         )
-        for task in (self.prober, finder, self.pool, self.leaving):
+        for task in (self.prober, finder, self.pool):
             self.background.append(asyncio.create_task(task.run()))
 
+    def build_table_client(self) -> platform.TableClient | None:
+        """Build the client of the table service, if settings name one."""
+        settings = self.settings.platform
+        host = self.settings.listen.host
+        if not settings.table_url:
+            return None
+        return platform.TableClient(
+            url=settings.table_url,
+            timeout_s=settings.timeout_ms / 1000,
+            local_host=None if host.is_unspecified else str(host),
+        )
+
+    def start_tickets(self) -> None:
+        """Start to exchange policy with peers and to poll the table."""
+        self.background.append(asyncio.create_task(self.tickets.run()))
+        if self.table is None:
+            return
+        poll = ticket_poll.TicketPoll(
+            loader=ticket_loader.TicketLoader(
+                table=self.table, count=self.count
+            ),
+            policy=self.policy,
+            count_nodes=self.tickets.count_nodes,
+            on_news=self.tickets.spread,
+            rng=random.Random(),
+        )
+        self.background.append(asyncio.create_task(poll.run()))
+
     async def announce(self, upstream: border.UpstreamSettings) -> None:
         """Take the upstream's announcement and tell the other nodes."""
         await self.runner.attach(
@@ -257,6 +292,7 @@
         """Take a connection whose handshake is done."""
         self.pool.add(connection)
         self.membership.greet(connection)
+        self.tickets.greet(connection)
 
     def count(self, name: str) -> None:
         """Count an event."""
@@ -275,6 +311,7 @@
             'service': self.runner.service,
             'leaving': self.runner.leaving,
             'running': self.runner.running,
+            'refused_leaving': self.runner.refused_leaving,
             'egress_port': self.egress_port,
             'caller_port': self.membership.own.caller_port,
             'members': [
@@ -291,6 +328,7 @@
                 }
                 for member in self.members.members.values()
             ],
+            'policy': self.tickets.describe(),
             'connections': sorted(self.pool.connections),
             'control': {
                 'sent_bytes': self.traffic.sent,
--- a/oleanderknot/tasks/leaving.py
+++ b/oleanderknot/tasks/leaving.py
@@ -1,19 +1,18 @@
 """Decides whether the own upstream takes new work."""
 
-import asyncio
 import collections.abc
 import enum
 
-# A ticket has 7 s to be in force; looking twice a second costs nothing.
-POLICY_PERIOD_S = 0.5
-
 
 class LeavingReason(enum.Enum):
-    """Why an upstream takes no new work."""
+    """Why an upstream takes no new work.
+
+    Work that a ticket stops is refused by ``work_gate``, which names the
+    ticket.
+    """
 
     UPSTREAM = 'the upstream asked to leave'
     STOP = 'the node stops'
-    POLICY = 'the policy in force gives it no work'
 
 
 class Leaving:
@@ -21,18 +20,15 @@
 
     Attributes:
         reasons: The reasons that hold now.
-        takes_work: Returns whether the policy gives the upstream work.
         on_change: Called with whether any reason holds, when that changes.
     """
 
     def __init__(
         self,
         *,
-        takes_work: collections.abc.Callable[[], bool],
         on_change: collections.abc.Callable[[bool], None],
     ) -> None:
         self.reasons: set[LeavingReason] = set()
-        self.takes_work = takes_work
         self.on_change = on_change
 
     def set(self, reason: LeavingReason, holds: bool) -> None:
@@ -44,13 +40,3 @@
             self.reasons.discard(reason)
         if bool(self.reasons) != before:
             self.on_change(not before)
-
-    def check_policy(self) -> None:
-        """Follow the policy in force; to be called when it changes."""
-        self.set(LeavingReason.POLICY, not self.takes_work())
-
-    async def run(self) -> None:
-        """Follow the policy in force until cancelled."""
-        while True:
-            self.check_policy()
-            await asyncio.sleep(POLICY_PERIOD_S)
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -1,6 +1,7 @@
 """Runs calls at the own upstream."""
 
 import asyncio
+import collections.abc
 import time
 
 from expression import Error
@@ -17,6 +18,8 @@
 # Answers of an upstream that sheds load.
 SHED_STATUSES = (429, 503)
 
+GateFunction = collections.abc.Callable[[model.Call], model.Refusal | None]
+
 
 class Runner:
     """Owns the way to the own upstream and decides what it runs.
@@ -29,6 +32,8 @@
         leaving: Whether the upstream takes no new work.
         running: Calls that this task works on, until their answer is whole.
         idle: Set while ``running`` is 0.
+        refused_leaving: Calls refused because the upstream is leaving.
+        gate: Returns why policy refuses a call, or None.
     """
 
     def __init__(self, *, chains: decisions.ChainTable) -> None:
@@ -40,6 +45,8 @@
         self.running = 0
         self.idle = asyncio.Event()
         self.idle.set()
+        self.refused_leaving = 0
+        self.gate: GateFunction = lambda call: None
 
     async def attach(
         self, *, service: str, host: str, port: int, slots: int
@@ -90,13 +97,14 @@
             rule = model.Rule.NO_UPSTREAM
             detail = 'this node has no upstream of %s' % call.service
         elif self.leaving:
+            self.refused_leaving += 1
             rule = model.Rule.LEAVING
             detail = 'the upstream is leaving'
         elif call.deadline <= time.monotonic():
             rule = model.Rule.DEADLINE
             detail = 'the deadline passed before the call could start'
         else:
-            return None
+            return self.gate(call)
         return model.build_refusal(call, model.Verdict.NOT_RUN, rule, detail)
 
     async def execute(
