--- a/oleanderknot/tasks/http_listener.py
+++ b/oleanderknot/tasks/http_listener.py
@@ -7,6 +7,10 @@
 
 from oleanderknot import border
 
+# The HTTP server waits this long for each connection, idle ones as well;
+# requests in flight have been waited for before.
+CLOSE_S = 0.1
+
 HandleFunction = collections.abc.Callable[
     [web.BaseRequest], collections.abc.Awaitable[web.StreamResponse]
 ]
@@ -92,4 +96,4 @@
     async def close(self) -> None:
         """End all connections."""
         self.stop_accepting()
-        await self.server.shutdown(1.0)
+        await self.server.shutdown(CLOSE_S)
