--- a/oleanderknot/standins/fault_link.py
+++ b/oleanderknot/standins/fault_link.py
@@ -12,7 +12,8 @@
     Attributes:
         reader: Where the bytes come from.
         writer: Where the bytes go to.
-        frozen: Whether bytes are held back for good.
+        frozen: Whether bytes, and the end of the connection, are held back
+            for good.
         delay_s: Seconds that each part waits.
         swap: Frames to pass on in another order: each odd one after the
             even one that follows it.
@@ -33,12 +34,14 @@
     async def copy(self) -> None:
         """Copy until either side ends."""
         try:
-            while data := await self.reader.read(65536):
-                if self.delay_s:
+            while True:
+                data = await self.reader.read(65536)
+                if data and self.delay_s:
                     await asyncio.sleep(self.delay_s)
-                while self.frozen:
-                    await asyncio.sleep(0.05)
-                if self.drop:
+                if self.frozen:
+                    # The other side must not learn of an end either.
+                    await asyncio.Event().wait()
+                if self.drop or not data:
                     return
                 self.writer.write(self.reorder(data) if self.swap else data)
                 await self.writer.drain()
--- a/oleanderknot/standins/fault_proxy.py
+++ b/oleanderknot/standins/fault_proxy.py
@@ -19,12 +19,15 @@
         refuse: Refuse new connections.
         refuse_from: Refuse new connections from addresses with one of these
             prefixes.
+        hold_from: Accept new connections from addresses with one of these
+            prefixes and stay silent, as a path does that drops packets.
         delay_ms: Milliseconds that each part waits, each way.
         swap: Swap neighbouring frames on the way to the caller.
     """
 
     refuse: bool = False
     refuse_from: list[str] = dataclasses.field(default_factory=list)
+    hold_from: list[str] = dataclasses.field(default_factory=list)
     delay_ms: float = 0.0
     swap: bool = False
 
@@ -35,7 +38,8 @@
     Control: ``POST /<port>`` with JSON. Fields of ``Faults`` stay in force;
     ``cut`` (true, or address prefixes) ends open connections once;
     ``freeze`` (``forward``, ``back`` or ``both``) makes the open connections
-    silent for good while new ones work; ``drop_answers`` loses the next part
+    silent for good while new ones work, with ``freeze_from`` only those from
+    addresses with one of its prefixes; ``drop_answers`` loses the next part
     towards the caller and cuts.
 
     Attributes:
@@ -79,6 +83,11 @@
         if faults.refuse or source.startswith(tuple(faults.refuse_from)):
             writer.transport.abort()
             return
+        if source.startswith(tuple(faults.hold_from)):
+            # Held until the caller gives up.
+            await reader.read()
+            writer.transport.abort()
+            return
         try:
             far_reader, far_writer = await asyncio.open_connection(
                 *self.targets[port]
@@ -108,6 +117,7 @@
         changes = json.loads(await request.read())
         cut = changes.pop('cut', False)
         freeze = changes.pop('freeze', '')
+        freeze_from = tuple(changes.pop('freeze_from', ('',)))
         drop = changes.pop('drop_answers', False)
         self.faults[port] = dataclasses.replace(self.faults[port], **changes)
         faults = self.faults[port]
@@ -115,8 +125,9 @@
             source, forward, back = link
             forward.delay_s = back.delay_s = faults.delay_ms / 1000
             back.swap = faults.swap
-            forward.frozen = forward.frozen or freeze in ('forward', 'both')
-            back.frozen = back.frozen or freeze in ('back', 'both')
+            if freeze and source.startswith(freeze_from):
+                forward.frozen |= freeze in ('forward', 'both')
+                back.frozen |= freeze in ('back', 'both')
             back.drop = back.drop or drop
             if cut is True or (cut and source.startswith(tuple(cut))):
                 abort(link)
--- a/oleanderknot/standins/upstream.py
+++ b/oleanderknot/standins/upstream.py
@@ -63,7 +63,7 @@
         announcement = {
             'service': self.options.service,
             'host': self.options.host,
-            'port': self.port,
+            'port': self.options.announce_port or self.port,
             'slots': self.options.slots,
         }
         url = self.options.node + '/-/announce'
--- a/oleanderknot/standins/upstream_options.py
+++ b/oleanderknot/standins/upstream_options.py
@@ -21,6 +21,7 @@
         drop_answers: Whether it ends the connection after its work.
         own_retries: Times that it repeats a failed call by itself.
         pass_trace: Whether it passes ``traceparent`` on.
+        announce_port: TCP port that it announces; 0 for its own.
     """
 
     service: str
@@ -35,6 +36,7 @@
     drop_answers: bool = False
     own_retries: int = 0
     pass_trace: bool = True
+    announce_port: int = 0
 
 
 def parse_options(arguments: list[str] | None = None) -> UpstreamOptions:
@@ -55,5 +57,6 @@
     parser.add_argument('--delay-ms', type=float, default=0.0)
     parser.add_argument('--calls', nargs='*', default=[])
     parser.add_argument('--parallel', action='store_true')
+    parser.add_argument('--announce-port', type=int, default=0)
     values = parser.parse_args(arguments)
     return UpstreamOptions(**vars(values))
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -78,6 +78,7 @@
             The answer, or the refusal of the last attempt.
         """
         tried: set[str] = set()
+        heard_since = 0.0
         while True:
             member = self.choose(call, tried)
             if member is None:
@@ -85,7 +86,10 @@
             tried.add(member.instance)
             granted = account.grant()
             attempt = dataclasses.replace(call, allowance=granted)
-            result = await self.attempt(member, attempt, content, body)
+            started = time.monotonic()
+            result = await self.attempt(
+                member, attempt, content, body, heard_since
+            )
             now = time.monotonic()
             self.take_reports(member.instance, result, now)
             if result.is_ok():
@@ -99,6 +103,10 @@
                 self.suspicions.note_failure(
                     member.instance, result.error, now
                 )
+                if result.error.rule is model.Rule.CONNECTION_LOST:
+                    # The connection that a retry finds may have gone silent
+                    # together with this one; a new one costs 1 ms.
+                    heard_since = started
             if not self.may_retry(call, account, result, body, now):
                 return result
             self.count_decision(
@@ -167,6 +175,7 @@
         call: model.Call,
         content: bytes,
         body: model.Body | None,
+        heard_since: float,
     ) -> Result[model.Answer, model.Refusal]:
         """Send a call once, to one node."""
         load = self.find_load(member)
@@ -174,9 +183,9 @@
         try:
             if member.instance == self.identity.instance:
                 return await self.runner.run(call, content, body)
-            connection = self.pool.find(member.instance)
+            connection = self.pool.find(member.instance, heard_since)
             if connection is None:
-                connection = await self.pool.connect(member)
+                connection = await self.pool.connect(member, heard_since)
             return await connection.open(call, content, body)
         except ConnectionError as error:
             refusal = model.build_refusal(
--- a/oleanderknot/tasks/peer_connection.py
+++ b/oleanderknot/tasks/peer_connection.py
@@ -32,6 +32,7 @@
         session: Number of the connection, in every frame.
         parting: Ends the connection when both sides have finished.
         used_at: Loop time in seconds of the last frame received.
+        silent: Whether it ended because it had gone silent.
         closed: Whether the connection has ended.
     """
 
@@ -53,6 +54,7 @@
         self.session = secrets.randbits(63) if target is not None else 0
         self.writable: asyncio.Future[None] | None = None
         self.used_at = self.loop.time()
+        self.silent = False
         self.closed = False
         outlet = body_sender.Outlet(
             send=self.send, wait_writable=self.wait_writable
@@ -252,6 +254,7 @@
 
     def close_silent(self) -> None:
         """End a connection that has gone silent."""
+        self.silent = True
         self.handlers.count('peer.silent')
         logging.warning(
             'the connection to %s is silent with %d calls outstanding',
--- a/oleanderknot/tasks/peer_pool.py
+++ b/oleanderknot/tasks/peer_pool.py
@@ -50,17 +50,29 @@
         self.dialling: dict[str, asyncio.Task] = {}
         self.emptied = asyncio.Event()
 
-    def find(self, instance: str) -> peer_connection.PeerConnection | None:
-        """Return the open connection to an instance, if there is one."""
-        return self.connections.get(instance)
+    def find(
+        self, instance: str, heard_since: float = 0.0
+    ) -> peer_connection.PeerConnection | None:
+        """Return the open connection to an instance, if there is one.
+
+        Args:
+            instance: Name of the instance.
+            heard_since: Loop time in seconds; a connection that has received
+                nothing since then does not count.
+        """
+        connection = self.connections.get(instance)
+        if connection is not None and connection.used_at < heard_since:
+            return None
+        return connection
 
     async def connect(
-        self, member: model.Member
+        self, member: model.Member, heard_since: float = 0.0
     ) -> peer_connection.PeerConnection:
         """Return a connection to a node; callers at once share one attempt.
 
         Args:
             member: The node.
+            heard_since: See ``find``.
 
         Returns:
             A connection whose handshake is done.
@@ -68,7 +80,7 @@
         Raises:
             ConnectionError: The node cannot be reached.
         """
-        connection = self.connections.get(member.instance)
+        connection = self.find(member.instance, heard_since)
         if connection is not None:
             return connection
         task = self.dialling.get(member.instance)
@@ -149,6 +161,10 @@
         """Forget a connection that has ended."""
         self.part(connection)
         self.open.discard(connection)
+        if connection.silent:
+            # What silenced it may have silenced others that are idle.
+            for other in self.open:
+                other.watch.expect()
         if not self.open:
             self.emptied.set()
 
--- a/oleanderknot/tasks/prober.py
+++ b/oleanderknot/tasks/prober.py
@@ -80,6 +80,7 @@
         elif action is decisions.ProbeAction.PROBE:
             self.spawn(self.probe(step.instance))
         elif action is decisions.ProbeAction.ASK_OTHERS:
+            self.members.count('member.asked_others')
             self.spawn(self.probe_again(step.instance))
             names = self.schedule.choose_helpers(
                 self.members.table, step.instance
--- a/oleanderknot/tasks/upstream_client.py
+++ b/oleanderknot/tasks/upstream_client.py
@@ -1,7 +1,9 @@
 """Sends requests to the own upstream over HTTP."""
 
+import asyncio
 import collections.abc
 import random
+import time
 
 import aiohttp
 from expression import Error
@@ -11,10 +13,17 @@
 
 from oleanderknot import border
 from oleanderknot import model
+from oleanderknot.tasks import finished_body
 from oleanderknot.tasks import response_body
 from oleanderknot.tasks import send_window
+from oleanderknot.tasks import upstream_session
 
-CONNECT_TIMEOUT_S = 2.0
+# Under overload many calls miss their deadlines; the connections are then
+# replaced no more often than this.
+MIN_AGE_S = 1.0
+
+# The event loop's timers may fire this much early, since it rounds times.
+TIMER_S = 0.01
 
 
 class UpstreamClient:
@@ -22,26 +31,31 @@
 
     Attributes:
         base: Address of the upstream, ``http://host:port``.
-        session: The connections.
+        slots: Connections at most.
+        session: The connections that new requests use.
     """
 
     def __init__(self, *, host: str, port: int, slots: int) -> None:
         self.base = 'http://%s:%d' % (host, port)
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=slots),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            auto_decompress=False,
-            skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
-            timeout=aiohttp.ClientTimeout(
-                total=None,
-                sock_connect=CONNECT_TIMEOUT_S,
-                sock_read=None,
-            ),
-        )
-        # The HTTP client repeats idempotent requests by itself when a kept
-        # connection ends without an answer. It has no public switch for
-        # that, and each layer would double the runs of the layers below.
-        self.session._retry_connection = False
+        self.slots = slots
+        self.session = upstream_session.UpstreamSession(slots=slots)
+
+    def replace_silent(
+        self, session: upstream_session.UpstreamSession
+    ) -> None:
+        """Use new connections after one has given no answer in time.
+
+        HTTP cannot tell a slow upstream from a silent connection. If idle
+        connections have gone silent together, each would cost one more
+        call; a new connection costs a millisecond.
+
+        Args:
+            session: The connections that the unanswered request used.
+        """
+        age = asyncio.get_running_loop().time() - session.opened_at
+        if session is self.session and age >= MIN_AGE_S:
+            self.session = upstream_session.UpstreamSession(slots=self.slots)
+            session.retire()
 
     async def request(
         self,
@@ -62,10 +76,39 @@
         Returns:
             The answer of the upstream, or a refusal when there is none.
         """
+        session = self.session
+        session.enter()
+        answered = False
+        try:
+            result = await self.send(session, call, content, body, now)
+            answered = True
+        except asyncio.CancelledError:
+            # Only the deadline or a caller that went away ends the wait.
+            if time.monotonic() >= call.deadline - TIMER_S:
+                self.replace_silent(session)
+            raise
+        finally:
+            if not answered or result.is_error() or not result.ok.body:
+                session.leave()
+        if result.is_ok() and result.ok.body is not None:
+            result.ok.body = finished_body.FinishedBody(
+                body=result.ok.body, on_done=session.leave
+            )
+        return result
+
+    async def send(
+        self,
+        session: upstream_session.UpstreamSession,
+        call: model.Call,
+        content: bytes,
+        body: model.Body | None,
+        now: float,
+    ) -> Result[model.Answer, model.Refusal]:
+        """Send a request on some connections; see ``request``."""
         headers = build_headers(call, now)
         data = content if body is None else stream(content, body)
         try:
-            response = await self.session.request(
+            response = await session.http.request(
                 call.method,
                 yarl.URL(self.base + call.path, encoded=True),
                 headers=headers,
@@ -123,7 +166,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self.session.close()
+        await self.session.http.close()
 
 
 def build_headers(call: model.Call, now: float) -> list[tuple[str, str]]:
--- /dev/null
+++ b/oleanderknot/tasks/upstream_session.py
@@ -0,0 +1,86 @@
+"""HTTP connections to the own upstream."""
+
+import asyncio
+import socket
+
+import aiohttp
+
+from oleanderknot.tasks import task_log
+
+CONNECT_TIMEOUT_S = 2.0
+
+# The kernel probes a connection that owes an answer, since HTTP has no
+# message for it; a path that drops packets is then found in 3 s.
+SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000),
+)
+
+
+def build_socket(address: tuple) -> socket.socket:
+    """Build a socket whose silence the kernel notices.
+
+    Args:
+        address: Address as ``getaddrinfo`` returns it.
+
+    Returns:
+        The socket.
+    """
+    family, kind, protocol = address[:3]
+    built = socket.socket(family=family, type=kind, proto=protocol)
+    built.setblocking(False)
+    for option in SOCKET_OPTIONS:
+        built.setsockopt(*option)
+    return built
+
+
+class UpstreamSession:
+    """One set of connections to the upstream, replaced as a whole.
+
+    Attributes:
+        http: The connections.
+        opened_at: Loop time in seconds of the start.
+        uses: Requests whose answer is not whole.
+        retired: Whether no more requests use it; it closes after the last.
+    """
+
+    def __init__(self, *, slots: int) -> None:
+        self.http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=slots, socket_factory=build_socket
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+            timeout=aiohttp.ClientTimeout(
+                total=None,
+                sock_connect=CONNECT_TIMEOUT_S,
+                sock_read=None,
+            ),
+        )
+        self.opened_at = asyncio.get_running_loop().time()
+        self.uses = 0
+        self.retired = False
+
+    def enter(self) -> None:
+        """Note that a request uses the connections."""
+        self.uses += 1
+
+    def leave(self) -> None:
+        """Note that a request has ended."""
+        self.uses -= 1
+        self.close_if_unused()
+
+    def retire(self) -> None:
+        """Take no more requests; those in flight go on."""
+        self.retired = True
+        self.close_if_unused()
+
+    def close_if_unused(self) -> None:
+        """Close retired connections after their last request."""
+        if self.retired and self.uses == 0 and not self.http.closed:
+            task = asyncio.get_running_loop().create_task(self.http.close())
+            task.add_done_callback(task_log.log_failure)
