--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -3,10 +3,17 @@
 from oleanderknot.decisions.chain_account import ChainAccount
 from oleanderknot.decisions.chain_account import open_account
 from oleanderknot.decisions.chain_table import ChainTable
+from oleanderknot.decisions.change_spread import CHANGES_PER_PING
+from oleanderknot.decisions.change_spread import ChangeSpread
+from oleanderknot.decisions.change_spread import limit_rides
 from oleanderknot.decisions.home_key_check import check_home_key
 from oleanderknot.decisions.instance_load import InstanceLoad
 from oleanderknot.decisions.instance_load import MAX_LEVEL
 from oleanderknot.decisions.key_account_table import KeyAccountTable
+from oleanderknot.decisions.local_suspicion import LocalSuspicion
+from oleanderknot.decisions.local_suspicion import SUSPICION_S
+from oleanderknot.decisions.member_table import ENDED
+from oleanderknot.decisions.member_table import FORGET_S
 from oleanderknot.decisions.member_table import is_newer
 from oleanderknot.decisions.member_table import MemberTable
 from oleanderknot.decisions.not_run import may_say_not_run
@@ -21,10 +28,22 @@
 from oleanderknot.decisions.order_query import QueryAnswer
 from oleanderknot.decisions.order_record import OrderRecord
 from oleanderknot.decisions.order_records import OrderRecords
+from oleanderknot.decisions.peer_row import format_address
+from oleanderknot.decisions.peer_row import MAX_ADDRESSES
+from oleanderknot.decisions.peer_row import plan_row
 from oleanderknot.decisions.policy_changes import describe_changes
 from oleanderknot.decisions.policy_table import match_route
 from oleanderknot.decisions.policy_table import PolicyTable
 from oleanderknot.decisions.priority import rank
+from oleanderknot.decisions.probe_schedule import ProbeSchedule
+from oleanderknot.decisions.probe_step import ProbeAction
+from oleanderknot.decisions.probe_step import ProbeStep
+from oleanderknot.decisions.record_exchange import compare
+from oleanderknot.decisions.record_exchange import describe
+from oleanderknot.decisions.record_exchange import ExchangePace
+from oleanderknot.decisions.record_exchange import RecordVersion
+from oleanderknot.decisions.refutation import refute
+from oleanderknot.decisions.refutation import split_claims
 from oleanderknot.decisions.retry_budget import RetryBudget
 from oleanderknot.decisions.ticket_filing import number_ticket
 from oleanderknot.decisions.ticket_filing import settle
@@ -50,9 +69,14 @@
     'describe_changes',
     'number_ticket',
     'settle',
+    'CHANGES_PER_PING',
     'Candidate',
     'ChainAccount',
     'ChainTable',
+    'ChangeSpread',
+    'ENDED',
+    'ExchangePace',
+    'FORGET_S',
     'InstanceLoad',
     'KEY_RETENTION_S',
     'KeyAccountTable',
@@ -75,5 +99,19 @@
     'may_say_not_run',
     'open_account',
     'parse_order_key',
+    'LocalSuspicion',
+    'MAX_ADDRESSES',
+    'ProbeAction',
+    'ProbeSchedule',
+    'ProbeStep',
+    'RecordVersion',
+    'SUSPICION_S',
+    'compare',
+    'describe',
+    'format_address',
+    'limit_rides',
+    'plan_row',
     'rank',
+    'refute',
+    'split_claims',
 ]
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -15,16 +15,21 @@
 from oleanderknot import model
 from oleanderknot import platform
 from oleanderknot.node import order_assembly
+from oleanderknot.tasks import control_traffic
 from oleanderknot.tasks import dispatcher
+from oleanderknot.tasks import drain
 from oleanderknot.tasks import egress
+from oleanderknot.tasks import first_peers
 from oleanderknot.tasks import http_listener
 from oleanderknot.tasks import ingress
+from oleanderknot.tasks import leaving
 from oleanderknot.tasks import membership
 from oleanderknot.tasks import operator_listener
 from oleanderknot.tasks import peer_connection
 from oleanderknot.tasks import peer_handlers
 from oleanderknot.tasks import peer_listener
 from oleanderknot.tasks import peer_pool
+from oleanderknot.tasks import prober
 from oleanderknot.tasks import runner
 from oleanderknot.tasks import ticket_loader
 from oleanderknot.tasks import ticket_poll
@@ -40,14 +45,8 @@
     return int(time.time() * 1000) << 20 | secrets.randbits(20)
 
 
-def parse_address(text: str) -> tuple[str, int]:
-    """Parse ``ip:port``.
-
-    Raises:
-        ValueError: The text has no port.
-    """
-    host, _, port = text.rpartition(':')
-    return host, int(port)
+# Other nodes answer a goodbye at once; a silent one must not hold the stop.
+GOODBYE_S = 2.0
 
 
 class NodeApplication(aiomisc.Service):
@@ -77,6 +76,7 @@
         self.members = decisions.MemberTable()
         self.policy = decisions.PolicyTable()
         self.chains = decisions.ChainTable()
+        self.traffic = control_traffic.ControlTraffic()
         self.background: list[asyncio.Task] = []
         self.stopped = asyncio.Event()
 
@@ -87,6 +87,9 @@
         self.build_tasks()
         listen = self.settings.listen
         host = str(listen.host)
+        self.egress_port = await self.egress.start(
+            str(listen.egress_host), listen.egress_port
+        )
         ports = {
             'peer_port': await self.peer_listener.start(
                 host, listen.peer_port
@@ -96,9 +99,6 @@
                 str(listen.operator_host), listen.operator_port
             ),
         }
-        self.egress_port = await self.egress.start(
-            str(listen.egress_host), listen.egress_port
-        )
         own = model.Member(
             instance=self.identity.instance,
             incarnation=self.identity.incarnation,
@@ -116,10 +116,9 @@
             table=self.members,
             own=own,
             pool=self.pool,
-            seeds=[parse_address(seed) for seed in self.settings.seeds],
-            rng=random.Random(),
+            count=self.count,
         )
-        self.background.append(asyncio.create_task(self.membership.run()))
+        self.start_membership()
         self.start_tickets()
         if self.settings.upstream is not None:
             await self.announce(self.settings.upstream)
@@ -128,12 +127,14 @@
     async def stop(self, error: Exception | None = None) -> None:
         """Drain and stop all tasks; called by aiomisc."""
         await self.drain()
+        self.membership.change_own(state=model.MemberState.LEFT)
+        self.peer_listener.close()
+        await self.pool.say_goodbye(GOODBYE_S)
         for task in self.background:
             task.cancel()
         await asyncio.gather(*self.background, return_exceptions=True)
         for listener in (self.callers, self.egress, self.operators):
             await listener.close()
-        self.peer_listener.close()
         self.tickets.close()
         self.pool.close()
         await self.orders.close()
@@ -145,6 +146,7 @@
     def build_tasks(self) -> None:
         """Build the tasks and connect them by their message functions."""
         self.runner = runner.Runner(chains=self.chains)
+        self.leaving = leaving.Leaving(on_change=self.change_leaving)
         handlers = peer_handlers.PeerHandlers(
             run=self.runner.run,
             query=lambda key, wait_s: self.orders.describe(key, wait_s),
@@ -153,6 +155,8 @@
             opened=self.greet,
             closed=lambda peer: self.pool.remove(peer),
             count=self.count,
+            parting=lambda peer: self.pool.part(peer),
+            traffic=self.traffic,
         )
         host = self.settings.listen.host
         self.pool = peer_pool.PeerPool(
@@ -205,6 +209,22 @@
             handle=operator_listener.build_handler(self.describe)
         )
 
+    def start_membership(self) -> None:
+        """Start to look for other nodes and to watch them."""
+        rng = random.Random()
+        self.prober = prober.Prober(
+            members=self.membership, pool=self.pool, rng=rng
+        )
+        finder = first_peers.FirstPeers(
+            members=self.membership,
+            pool=self.pool,
+            table=self.table,
+            seeds=self.settings.seeds,
+            rng=rng,
+        )
+        for task in (self.prober, finder, self.pool):
+            self.background.append(asyncio.create_task(task.run()))
+
     def build_table_client(self) -> platform.TableClient | None:
         """Build the client of the table service, if settings name one."""
         settings = self.settings.platform
@@ -244,31 +264,37 @@
         self.membership.change_own(
             service=upstream.service,
             slots=upstream.slots,
-            state=model.MemberState.TAKING,
+            state=model.MemberState.LEAVING
+            if self.runner.leaving
+            else model.MemberState.TAKING,
         )
+        self.leaving.set(leaving.LeavingReason.UPSTREAM, False)
         logging.info('upstream of %s announced', upstream.service)
 
     def leave(self) -> None:
-        """Take no new work from now on and tell the other nodes."""
-        if not self.runner.leaving:
-            self.runner.leaving = True
-            self.membership.change_own(state=model.MemberState.LEAVING)
+        """Take no new work until the upstream announces itself again."""
+        self.leaving.set(leaving.LeavingReason.UPSTREAM, True)
+
+    def change_leaving(self, leaves: bool) -> None:
+        """Take new work or none, and tell the other nodes at once."""
+        self.runner.leaving = leaves
+        if leaves:
+            state = model.MemberState.LEAVING
+        elif self.runner.service:
+            state = model.MemberState.TAKING
+        else:
+            state = model.MemberState.JOINING
+        self.membership.change_own(state=state)
 
     async def drain(self) -> None:
         """Leave and wait until no request is in flight."""
-        self.leave()
-        self.callers.stop_accepting()
-        try:
-            async with asyncio.timeout(self.settings.drain_timeout_s):
-                while self.is_busy():
-                    await asyncio.sleep(0.02)
-        except TimeoutError:
-            logging.error('requests still in flight when the drain ended')
-
-    def is_busy(self) -> bool:
-        """Return whether a request is in flight."""
-        return bool(
-            self.callers.active or self.runner.running or self.orders.is_busy()
+        self.leaving.set(leaving.LeavingReason.STOP, True)
+        await drain.drain(
+            callers=self.callers,
+            egress=self.egress,
+            runs=self.runner,
+            orders=self.orders.table,
+            timeout_s=self.settings.drain_timeout_s,
         )
 
     def greet(self, connection: peer_connection.PeerConnection) -> None:
@@ -294,11 +320,14 @@
             'service': self.runner.service,
             'leaving': self.runner.leaving,
             'running': self.runner.running,
+            'refused_leaving': self.runner.refused_leaving,
             'egress_port': self.egress_port,
             'caller_port': self.membership.own.caller_port,
             'members': [
                 {
                     'instance': member.instance,
+                    'incarnation': member.incarnation,
+                    'version': member.version,
                     'state': member.state.name.lower(),
                     'service': member.service,
                     'data_centre': member.data_centre,
@@ -310,5 +339,9 @@
             ],
             'policy': self.tickets.describe(),
             'connections': sorted(self.pool.connections),
+            'control': {
+                'sent_bytes': self.traffic.sent,
+                'received_bytes': self.traffic.received,
+            },
             'counters': dict(self.counters),
         }
--- /dev/null
+++ b/oleanderknot/tasks/leaving.py
@@ -0,0 +1,42 @@
+"""Decides whether the own upstream takes new work."""
+
+import collections.abc
+import enum
+
+
+class LeavingReason(enum.Enum):
+    """Why an upstream takes no new work.
+
+    Work that a ticket stops is refused by ``work_gate``, which names the
+    ticket.
+    """
+
+    UPSTREAM = 'the upstream asked to leave'
+    STOP = 'the node stops'
+
+
+class Leaving:
+    """Keeps the reasons for which the own upstream takes no new work.
+
+    Attributes:
+        reasons: The reasons that hold now.
+        on_change: Called with whether any reason holds, when that changes.
+    """
+
+    def __init__(
+        self,
+        *,
+        on_change: collections.abc.Callable[[bool], None],
+    ) -> None:
+        self.reasons: set[LeavingReason] = set()
+        self.on_change = on_change
+
+    def set(self, reason: LeavingReason, holds: bool) -> None:
+        """Note whether a reason holds."""
+        before = bool(self.reasons)
+        if holds:
+            self.reasons.add(reason)
+        else:
+            self.reasons.discard(reason)
+        if bool(self.reasons) != before:
+            self.on_change(not before)
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -33,6 +33,8 @@
         leaving: Whether the upstream takes no new work.
         running: Calls that this task works on, until their answer is whole.
         orders: Runs non-idempotent calls at most once.
+        idle: Set while ``running`` is 0.
+        refused_leaving: Calls refused because the upstream is leaving.
         gate: Returns why policy refuses a call, or None.
     """
 
@@ -44,6 +46,9 @@
         self.leaving = False
         self.running = 0
         self.orders: order_runner.OrderRunner | None = None
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self.refused_leaving = 0
         self.gate: GateFunction = lambda call: None
 
     async def attach(
@@ -135,6 +140,7 @@
             rule = model.Rule.NO_UPSTREAM
             detail = 'this node has no upstream of %s' % call.service
         elif self.leaving:
+            self.refused_leaving += 1
             rule = model.Rule.LEAVING
             detail = 'the upstream is leaving'
         elif call.deadline <= time.monotonic():
@@ -156,6 +162,7 @@
         started = time.monotonic()
         waited = account.waited
         self.running += 1
+        self.idle.clear()
         unspent = 0
 
         def finish(failed: bool) -> int:
@@ -164,6 +171,8 @@
             slots.leave(call, own_time_s=max(0.0, own_time), failed=failed)
             unspent = self.chains.leave(call)
             self.running -= 1
+            if self.running == 0:
+                self.idle.set()
             return unspent
 
         try:
--- a/oleanderknot/wire/frame_reader.py
+++ b/oleanderknot/wire/frame_reader.py
@@ -13,11 +13,13 @@
     Attributes:
         codec: Decodes the frames.
         pending: Bytes received that make up no whole frame yet.
+        frame_bytes: Size of the last frame with its length prefix.
     """
 
     def __init__(self, *, codec: codecs.Codec) -> None:
         self.codec = codec
         self.pending = bytearray()
+        self.frame_bytes = 0
 
     def feed(self, data: bytes) -> collections.abc.Iterator[ttypes.Frame]:
         """Take bytes and give the frames that they complete.
@@ -46,6 +48,7 @@
             if end > size:
                 break
             content = bytes(pending[start + codecs.LENGTH.size : end])
+            self.frame_bytes = end - start
             start = end
             yield self.codec.decode(content)
         del pending[:start]
