--- a/features/alerts.feature
+++ b/features/alerts.feature
@@ -36,6 +36,15 @@
     And the alert "objects-out" is in the table
     Then the morning report names "It has not reached the webhook."
 
+  Scenario: A dead member is told once and stands in the account
+    Given a webhook that answers with status 204
+    And a system that reports every 0.3 s
+    When node "b" is killed
+    Then the webhook has taken the alert "member-dead" once
+    And the morning report names "Instance b does not answer any more."
+    When an operator asks for the account until it says "b (catalogue) went silent"
+    Then the account's section "upstreams" says "b (catalogue) went silent"
+
   Scenario: Orders must be refused for the whole time, not now and then
     Given orders are watched with a limit of 60 s
     When orders are refused at 0, 1, 30, 55 s
--- a/features/steps/account_steps.py
+++ b/features/steps/account_steps.py
@@ -118,6 +118,31 @@
     context.lost = sum(item['dropped'] for item in read_accounts(context))
 
 
+@when('node "{name}" has written a report')
+def wait_for_report(context, name):
+    """Wait until a report of a node is in the object store."""
+    node = context.system.nodes[name]
+    context.system.wait_for(
+        lambda: http.get_json(node.status_url())['account']['written'] > 0,
+        'a report is written',
+    )
+
+
+@when('all nodes are stopped as planned once they know that "{name}" is dead')
+def stop_after_death(context, name):
+    """Wait for the member state, then stop the nodes that run."""
+
+    def is_known(node):
+        members = http.get_json(node.status_url())['members']
+        states = {item['instance']: item['state'] for item in members}
+        return states[name] == 'dead'
+
+    for node in context.system.nodes.values():
+        if node.process.is_running():
+            context.system.wait_for(lambda node=node: is_known(node), 'dead')
+    stop_nodes(context)
+
+
 @when('all nodes are stopped as planned')
 def stop_nodes(context):
     """Ask the upstreams what they ran, then stop all nodes."""
@@ -125,9 +150,14 @@
         service: len(context.system.list_runs(service))
         for service in ('catalogue', 'inventory')
     }
-    for node in context.system.nodes.values():
+    running = [
+        node
+        for node in context.system.nodes.values()
+        if node.process.is_running()
+    ]
+    for node in running:
         node.process.send(signal.SIGTERM)
-    for node in context.system.nodes.values():
+    for node in running:
         assert node.process.wait() == 0, node.name
 
 
--- a/features/steps/alert_steps.py
+++ b/features/steps/alert_steps.py
@@ -65,7 +65,12 @@
 
 def wait_for_empty(context):
     """Wait until each node has stored and posted its alerts."""
-    for node in context.system.nodes.values():
+    running = [
+        node
+        for node in context.system.nodes.values()
+        if node.process.is_running()
+    ]
+    for node in running:
         context.system.wait_for(
             lambda node=node: http.get_json(node.status_url())['alerts'] == [],
             'no alert is on its way',
--- a/features/support/http.py
+++ b/features/support/http.py
@@ -46,8 +46,15 @@
 
 
 def get_json(url: str) -> typing.Any:
-    """Return the JSON body of an address."""
-    return json.loads(request('GET', url)[2])
+    """Return the JSON body of an address.
+
+    Raises:
+        ConnectionError: The other side is not ready to answer.
+    """
+    status, _, body = request('GET', url)
+    if status >= 500:
+        raise ConnectionError('%s answered %d' % (url, status))
+    return json.loads(body)
 
 
 def post_json(url: str, value: object) -> int:
--- a/oleanderknot/border/__init__.py
+++ b/oleanderknot/border/__init__.py
@@ -19,6 +19,9 @@
 from oleanderknot.border.model_mistakes import collect
 from oleanderknot.border.node_status import MemberStatus
 from oleanderknot.border.node_status import NodeStatus
+from oleanderknot.border.peer_row import parse_peer_row
+from oleanderknot.border.peer_row import PEER_ROW_PREFIX
+from oleanderknot.border.peer_row import PeerRow
 from oleanderknot.border.scopes import dump_policy
 from oleanderknot.border.scopes import parse_policy
 from oleanderknot.border.settings import ListenSettings
@@ -53,6 +56,8 @@
     'Mistake',
     'MistakesError',
     'NodeSettings',
+    'PEER_ROW_PREFIX',
+    'PeerRow',
     'PlatformSettings',
     'StatsdSettings',
     'TlsSettings',
@@ -69,5 +74,6 @@
     'load_yaml',
     'parse_alert',
     'parse_batch',
+    'parse_peer_row',
     'parse_yaml',
 ]
--- a/oleanderknot/decisions/account_gaps.py
+++ b/oleanderknot/decisions/account_gaps.py
@@ -39,9 +39,25 @@
     for node in totals.nodes:
         sentences += describe_missing(node)
         sentences += describe_end(node, now)
+    sentences += describe_unheard(totals)
     return sentences + describe_outages(totals)
 
 
+def describe_unheard(totals: model.AccountTotals) -> list[str]:
+    """Say which instances went silent without any report of theirs."""
+    reported = {node.instance for node in totals.nodes}
+    dead = {
+        event.subject
+        for event in totals.events
+        if event.kind is model.EventKind.UPSTREAM_DEAD
+    }
+    return [
+        'Node %s went silent and no report of it was found; what it decided'
+        ' is not known.' % name
+        for name in sorted(dead - reported)
+    ]
+
+
 def describe_missing(node: model.NodeRecord) -> list[str]:
     """Say which reports of a node are missing."""
     missing = node.count_missing()
--- a/oleanderknot/node/order_assembly.py
+++ b/oleanderknot/node/order_assembly.py
@@ -33,10 +33,6 @@
         """Say what became of a key; see ``KeyAnswerer.describe``."""
         return await self.answerer.describe(key, wait_s)
 
-    def is_busy(self) -> bool:
-        """Return whether an order runs."""
-        return bool(self.table.tasks)
-
     async def close(self) -> None:
         """Stop what still runs."""
         tasks = list(self.table.tasks.values())
--- a/oleanderknot/tasks/alerts.py
+++ b/oleanderknot/tasks/alerts.py
@@ -144,7 +144,11 @@
             return row
         result = await self.table.commit({key: 0}, {key: value})
         if result.is_error():
-            return None
+            if result.error.kind is not model.FaultKind.CONFLICT:
+                return None
+            # Another node was faster, or an answer of this one was lost.
+            found = await self.table.read([key])
+            return found.ok[0] if found.is_ok() else None
         return model.TableRow(key=key, version=1, value=value)
 
     async def mark_posted(self, row: model.TableRow) -> bool:
--- a/oleanderknot/tasks/metric_list.py
+++ b/oleanderknot/tasks/metric_list.py
@@ -29,6 +29,21 @@
         'lines',
         'Log lines about refusals that were left out by sampling.',
     ),
+    (
+        'member.asked_others',
+        'probes',
+        'Nodes that did not answer, so that others were asked to try.',
+    ),
+    (
+        'member.refuted',
+        'claims',
+        'Wrong claims that this node had left or died, which it corrected.',
+    ),
+    (
+        'member.replaced',
+        'claims',
+        'Claims of a newer life of this instance elsewhere.',
+    ),
     (
         'operators.refused',
         'requests',
--- a/oleanderknot/tasks/order_table.py
+++ b/oleanderknot/tasks/order_table.py
@@ -34,6 +34,11 @@
         """Note that the task of a key is about to end."""
         del self.tasks[text]
 
+    async def wait_idle(self) -> None:
+        """Wait until no key runs."""
+        while self.tasks:
+            await asyncio.wait(set(self.tasks.values()))
+
     async def join(self, text: str, timeout_s: float) -> None:
         """Wait until the task of a key has ended, or for a time.
 
