--- a/features/steps/chain_steps.py
+++ b/features/steps/chain_steps.py
@@ -14,16 +14,20 @@
 from features.support import http as http_support
 from features.support import memory
 
+# Only a limit for a test that hangs.
+ANSWER_LIMIT_S = 20
+
 
 @given('a chain of services {names}')
 def start_chain(context, names):
     """Start one instance for each service; each calls the next one."""
     services = [name.strip(' "') for name in names.split(',')]
     context.services = services
-    for name, below in zip(services, [*services[1:], None], strict=True):
-        node = context.system.start_node(name)
-        arguments = ['--calls', below] if below else []
-        context.system.start_upstream(node, name, *arguments)
+    with context.system.together():
+        for name, below in zip(services, [*services[1:], None], strict=True):
+            node = context.system.start_node(name)
+            arguments = ['--calls', below] if below else []
+            context.system.start_upstream(node, name, *arguments)
     for name in services:
         context.system.wait_for_members(name, 1)
 
@@ -99,7 +103,10 @@
 
     async def send_all():
         connector = aiohttp.TCPConnector(limit=0)
-        async with aiohttp.ClientSession(connector=connector) as session:
+        limit = aiohttp.ClientTimeout(total=ANSWER_LIMIT_S)
+        async with aiohttp.ClientSession(
+            connector=connector, timeout=limit
+        ) as session:
             return await asyncio.gather(
                 *(send(session, index) for index in range(count))
             )
--- a/features/steps/retry_steps.py
+++ b/features/steps/retry_steps.py
@@ -25,10 +25,13 @@
     context.services = [name.strip(' "') for name in names.split(',')]
     context.fan_out = count
     belows = [*context.services[1:], None]
-    for name, below in zip(context.services, belows, strict=True):
-        node = context.system.start_node(name)
-        calls = ['--calls', *[below] * count, '--parallel'] if below else []
-        context.system.start_upstream(node, name, *calls)
+    with context.system.together():
+        for name, below in zip(context.services, belows, strict=True):
+            node = context.system.start_node(name)
+            calls = (
+                ['--calls', *[below] * count, '--parallel'] if below else []
+            )
+            context.system.start_upstream(node, name, *calls)
     for name in context.services:
         context.system.wait_for_members(name, 1)
 
--- a/features/support/system.py
+++ b/features/support/system.py
@@ -1,5 +1,6 @@
 """All processes of one scenario."""
 
+import collections.abc
 import contextlib
 import pathlib
 import tempfile
@@ -19,6 +20,8 @@
     Attributes:
         nodes: Instances by name.
         processes: All processes started.
+        postponed: Waits that come later, while processes are started
+            together.
         extra_settings: Settings that every node gets besides its own.
     """
 
@@ -30,6 +33,7 @@
         self.nodes: dict[str, nodes.Node] = {}
         self.processes: list[process.Process] = []
         self.extra_settings: dict[str, object] = {}
+        self.postponed: list | None = None
         self.networks: dict[str, int] = {}
         self.last_host = 0
         self.platform_port = 0
@@ -230,9 +234,23 @@
         return runs
 
     def wait_for(self, condition, what: str) -> object:
-        """Wait for a condition; a process that ended fails the wait."""
+        """Wait for a condition; see ``together``."""
+        if self.postponed is not None:
+            self.postponed.append((condition, what))
+            return None
         return wait.wait_until(condition, what)
 
+    @contextlib.contextmanager
+    def together(self) -> collections.abc.Iterator[None]:
+        """Start processes side by side: all waits come at the end."""
+        self.postponed = []
+        try:
+            yield
+        finally:
+            postponed, self.postponed = self.postponed, None
+        for condition, what in postponed:
+            wait.wait_until(condition, what)
+
     def stop(self) -> None:
         """End all processes of the scenario."""
         for item in reversed(self.processes):
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -87,15 +87,13 @@
         self.build_tasks()
         listen = self.settings.listen
         host = str(listen.host)
-        self.egress_port = await self.egress.start(
+        self.egress_port = await self.egress.bind(
             str(listen.egress_host), listen.egress_port
         )
         ports = {
-            'peer_port': await self.peer_listener.start(
-                host, listen.peer_port
-            ),
-            'caller_port': await self.callers.start(host, listen.caller_port),
-            'operator_port': await self.operators.start(
+            'peer_port': await self.peer_listener.bind(host, listen.peer_port),
+            'caller_port': await self.callers.bind(host, listen.caller_port),
+            'operator_port': await self.operators.bind(
                 str(listen.operator_host), listen.operator_port
             ),
         }
@@ -120,6 +118,14 @@
         )
         self.start_membership()
         self.start_tickets()
+        # All parts are in place before the first message arrives.
+        for listener in (
+            self.peer_listener,
+            self.egress,
+            self.callers,
+            self.operators,
+        ):
+            await listener.start()
         if self.settings.upstream is not None:
             await self.announce(self.settings.upstream)
         logging.info('node %s started: %s', self.identity.instance, ports)
--- a/oleanderknot/tasks/http_listener.py
+++ b/oleanderknot/tasks/http_listener.py
@@ -45,8 +45,8 @@
         self.idle = asyncio.Event()
         self.idle.set()
 
-    async def start(self, host: str, port: int) -> int:
-        """Start to listen.
+    async def bind(self, host: str, port: int) -> int:
+        """Take an address; connections are refused until ``start``.
 
         Args:
             host: IP address.
@@ -59,10 +59,14 @@
             OSError: The address cannot be used.
         """
         self.sockets = await asyncio.get_running_loop().create_server(
-            self.server, host, port, backlog=1024
+            self.server, host, port, backlog=1024, start_serving=False
         )
         return self.sockets.sockets[0].getsockname()[1]
 
+    async def start(self) -> None:
+        """Start to accept connections."""
+        await self.sockets.start_serving()
+
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; called by the HTTP server."""
         self.active += 1
--- a/oleanderknot/tasks/peer_listener.py
+++ b/oleanderknot/tasks/peer_listener.py
@@ -28,8 +28,8 @@
         self.tls = tls
         self.server: asyncio.Server | None = None
 
-    async def start(self, host: str, port: int) -> int:
-        """Start to listen.
+    async def bind(self, host: str, port: int) -> int:
+        """Take an address; connections are refused until ``start``.
 
         Args:
             host: IP address.
@@ -42,10 +42,18 @@
             OSError: The address cannot be used.
         """
         self.server = await asyncio.get_running_loop().create_server(
-            self.build_connection, host, port, ssl=self.tls
+            self.build_connection,
+            host,
+            port,
+            ssl=self.tls,
+            start_serving=False,
         )
         return self.server.sockets[0].getsockname()[1]
 
+    async def start(self) -> None:
+        """Start to accept connections."""
+        await self.server.start_serving()
+
     def build_connection(self) -> peer_connection.PeerConnection:
         """Build the protocol object of an accepted connection."""
         return peer_connection.PeerConnection(
--- a/oleanderknot/tasks/upstream_session.py
+++ b/oleanderknot/tasks/upstream_session.py
@@ -61,6 +61,10 @@
                 sock_read=None,
             ),
         )
+        # The HTTP client repeats idempotent requests by itself when a kept
+        # connection ends without an answer. It has no public switch for
+        # that, and each layer would double the runs of the layers below.
+        self.http._retry_connection = False
         self.opened_at = asyncio.get_running_loop().time()
         self.uses = 0
         self.retired = False
