Prove at-most-once for keys of callers under platform faults

Cause: nothing showed that a caller's own key runs once when the table service is out, loses answers, or two nodes claim the key at once; and a link frozen by the fault proxy lost most of what it held when its sender closed, so no delayed order ever arrived.

--- a/features/steps/order_fault_steps.py
+++ b/features/steps/order_fault_steps.py
@@ -59,7 +59,9 @@
             key = order_support.take_key(base, SERVICE)
         elif kind == 'own':
             key = 'my-order/%d' % number
-        orders.append(order_support.Order(number='n%d' % number, key=key))
+        orders.append(
+            order_support.Order(number='%s-%d' % (kind, number), key=key)
+        )
     context.url = base + '/orders/place?' + query
     context.client.send(context.url, orders, headers=headers)
 
--- a/oleanderknot/standins/fault_link.py
+++ b/oleanderknot/standins/fault_link.py
@@ -5,6 +5,12 @@
 
 LENGTH = struct.Struct('>I')
 
+POLL_S = 0.05
+FLUSH_S = 0.3
+
+# More than this is left in the sender's socket, as by a real network.
+MAX_HELD_BYTES = 1 << 20
+
 
 class FaultLink:
     """Copies bytes one way, with faults.
@@ -36,17 +42,45 @@
             while data := await self.reader.read(65536):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
-                while self.frozen:
-                    await asyncio.sleep(0.05)
+                held = self.frozen
+                if held:
+                    data = await self.hold(data)
                 if self.drop:
                     return
                 self.writer.write(self.reorder(data) if self.swap else data)
                 await self.writer.drain()
+                if held:
+                    # The sender may have reset the connection; the receiver
+                    # must read what was held back before it is reset too.
+                    await asyncio.sleep(FLUSH_S)
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
             self.writer.close()
 
+    async def hold(self, data: bytes) -> bytes:
+        """Collect what arrives while the link is frozen.
+
+        It is read although it cannot go on, since a reset by the sender
+        would drop it.
+        """
+        held = bytearray(data)
+        reading = True
+        while self.frozen:
+            if not reading or len(held) >= MAX_HELD_BYTES:
+                await asyncio.sleep(POLL_S)
+                continue
+            try:
+                async with asyncio.timeout(POLL_S):
+                    more = await self.reader.read(65536)
+            except TimeoutError:
+                continue
+            except OSError:
+                more = b''
+            reading = bool(more)
+            held += more
+        return bytes(held)
+
     def reorder(self, data: bytes) -> bytes:
         """Swap neighbouring frames among those that have arrived whole.
 
--- a/oleanderknot/standins/upstream.py
+++ b/oleanderknot/standins/upstream.py
@@ -95,6 +95,10 @@
 
     async def run(self, request: web.BaseRequest) -> web.StreamResponse:
         """Work on a request in a slot."""
+        if self.options.refuses:
+            return web.Response(
+                status=503, headers={'Oleanderknot-Verdict': 'not-run'}
+            )
         await self.enter()
         self.runs.append(
             {
--- a/oleanderknot/standins/upstream_options.py
+++ b/oleanderknot/standins/upstream_options.py
@@ -19,6 +19,7 @@
         parallel: Whether it makes these calls at the same time.
         fail_status: Status that it answers instead of 200; 0 for none.
         drop_answers: Whether it ends the connection after its work.
+        refuses: Whether it sheds all requests and says that none ran.
         own_retries: Times that it repeats a failed call by itself.
         pass_trace: Whether it passes ``traceparent`` on.
     """
@@ -33,6 +34,7 @@
     parallel: bool = False
     fail_status: int = 0
     drop_answers: bool = False
+    refuses: bool = False
     own_retries: int = 0
     pass_trace: bool = True
 
