Claim a caller's key before its call takes a slot

Cause: a claim was written while the call held a slot of the upstream, so a slow table service would have kept slots from orders with home keys, which need no table. A copy of an open frame on one connection was told from a new call only while the first one ran. Change: the key is claimed first, and the claim row gets the refusal when the call then finds no slot. Call numbers of the other side are noted, in any order, and a number that was used before ends the connection.

--- a/features/order_decisions.feature
+++ b/features/order_decisions.feature
@@ -110,3 +110,23 @@
       | claim_refused              | may     |
       | own_attempt sent           | may not |
       | own_attempt                | may     |
+
+  Scenario Outline: A copy of a call's first frame is not taken for a new call
+    Guards against a second run by a frame that arrives twice.
+    When a peer opens calls with the numbers "<numbers>"
+    Then the calls are taken as "<taken>"
+
+    Examples:
+      | numbers         | taken           |
+      | 1 3 5           | yes yes yes     |
+      | 1 1             | yes no          |
+      | 1 5 3 3         | yes yes yes no  |
+      | 2 4 2           | yes yes no      |
+      | 1 99999999      | yes no          |
+
+  Scenario: Repeats of a key draw on one account for ten minutes
+    Given key accounts for 2 keys
+    Then the requests of key "k" with 2 retries at 0, 1, 2, 3 are "yes yes yes no"
+    And the requests of key "other" with 2 retries at 4, 5 are "yes yes"
+    And the requests of key "third" with 2 retries at 6 are "no"
+    And the requests of key "k" with 2 retries at 600, 601 are "no yes"
--- a/features/steps/order_decision_steps.py
+++ b/features/steps/order_decision_steps.py
@@ -163,3 +163,49 @@
 def check_may(context, may):
     """Check whether `not run` may be said."""
     assert context.may == (may == 'may'), context.may
+
+
+@when('a peer opens calls with the numbers "{numbers}"')
+def take_numbers(context, numbers):
+    """Take the numbers one after another."""
+    known = decisions.CallNumbers()
+    context.taken = [known.take(int(number)) for number in numbers.split()]
+
+
+@then('the calls are taken as "{taken}"')
+def check_taken(context, taken):
+    """Check which calls were new."""
+    expected = [word == 'yes' for word in taken.split()]
+    assert context.taken == expected, context.taken
+
+
+@given('key accounts for {count:d} keys')
+def build_accounts(context, count):
+    """Build a small table of accounts."""
+    context.accounts = decisions.KeyAccountTable(max_accounts=count)
+
+
+@then(
+    'the requests of key "{key}" with {retries:d} retries at {times} are'
+    ' "{outcomes}"'
+)
+def check_requests(context, key, retries, times, outcomes):
+    """Let requests with a key arrive and check which are admitted."""
+    admitted = []
+    for now in times.split(', '):
+        call = model.Call(
+            service='orders',
+            method='POST',
+            path='/',
+            headers=[],
+            request_class=model.RequestClass.ORDER,
+            deadline=0,
+            trace_id='',
+            span_id='',
+            allowance=retries,
+            key=key,
+        )
+        account = decisions.open_account(call)
+        found = context.accounts.enter(call, account, float(now))
+        admitted.append('yes' if found is not None else 'no')
+    assert admitted == outcomes.split(), admitted
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -1,5 +1,6 @@
 """Pure decisions: no input or output, no clock, no random source."""
 
+from oleanderknot.decisions.call_numbers import CallNumbers
 from oleanderknot.decisions.chain_account import ChainAccount
 from oleanderknot.decisions.chain_account import open_account
 from oleanderknot.decisions.chain_table import ChainTable
@@ -50,6 +51,7 @@
     'describe_changes',
     'number_ticket',
     'settle',
+    'CallNumbers',
     'Candidate',
     'ChainAccount',
     'ChainTable',
--- a/oleanderknot/model/order_state.py
+++ b/oleanderknot/model/order_state.py
@@ -6,7 +6,6 @@
 class OrderState(enum.Enum):
     """What the home of a key knows about it; the values go over the wire."""
 
-    UNSEEN = 'unseen'
     RUNNING = 'running'
     DONE = 'done'
     REFUSED = 'refused'
--- a/oleanderknot/node/order_assembly.py
+++ b/oleanderknot/node/order_assembly.py
@@ -71,6 +71,7 @@
     )
     runner.orders = order_runner.OrderRunner(
         identity=identity,
+        check_call=runner.check,
         run_call=runner.admit,
         find_service=lambda: runner.service,
         claims=rows,
--- a/oleanderknot/tasks/incoming_calls.py
+++ b/oleanderknot/tasks/incoming_calls.py
@@ -5,6 +5,7 @@
 
 from absl import logging
 
+from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot import wire
 from oleanderknot.tasks import body_pipe
@@ -25,6 +26,7 @@
         outlet: Way to the other node.
         handlers: What the node does with calls and questions.
         entries: Calls whose answer is not sent, by number.
+        numbers: Call numbers that the other node has used.
     """
 
     def __init__(
@@ -36,6 +38,7 @@
         self.outlet = outlet
         self.handlers = handlers
         self.entries: dict[int, incoming_call.IncomingCall] = {}
+        self.numbers = decisions.CallNumbers()
         self.loop = asyncio.get_running_loop()
 
     def handle_open(self, number: int, message: wire.Open) -> None:
@@ -44,8 +47,8 @@
         Raises:
             BadFrame: The call is malformed or its number is in use.
         """
-        if number in self.entries:
-            raise wire.BadFrame('call number %d is in use' % number)
+        if not self.numbers.take(number):
+            raise wire.BadFrame('call number %d was used before' % number)
         call = wire.call_from_open(
             message,
             now=self.loop.time(),
@@ -116,7 +119,13 @@
         self.outlet.send(number, key_state=state)
 
     def handle_key_query(self, number: int, query: wire.KeyQuery) -> None:
-        """Start to answer a question about a key."""
+        """Start to answer a question about a key.
+
+        Raises:
+            BadFrame: The number was used before.
+        """
+        if not self.numbers.take(number):
+            raise wire.BadFrame('call number %d was used before' % number)
         task = self.loop.create_task(self.answer_query(number, query))
         task.add_done_callback(task_log.log_failure)
 
--- a/oleanderknot/tasks/order_claim.py
+++ b/oleanderknot/tasks/order_claim.py
@@ -1,25 +1,24 @@
 """Runs a caller-made key under its claim row."""
 
 import collections.abc
-import time
 
 from expression import Error
 
+from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot.tasks import claims as claim_rows
 from oleanderknot.tasks import order_result
 
-# Called once a call is admitted; a refusal keeps it from running.
-ClaimFunction = collections.abc.Callable[
-    [], collections.abc.Awaitable[model.Refusal | None]
-]
-
 # Asks one life of a node, by instance and incarnation, about a call's key.
 AskFunction = collections.abc.Callable[
     [str, int, model.Call],
     collections.abc.Awaitable[order_result.CallResult],
 ]
 
+RunFunction = collections.abc.Callable[
+    [], collections.abc.Awaitable[order_result.CallResult]
+]
+
 REFUSED_STATES = (model.ClaimState.OWN, model.ClaimState.REFUSED)
 
 
@@ -28,19 +27,20 @@
     digest: bytes,
     *,
     claims: claim_rows.Claims,
-    run: collections.abc.Callable[
-        [ClaimFunction], collections.abc.Awaitable[order_result.CallResult]
-    ],
+    run: RunFunction,
     ask: AskFunction,
-    refusal: model.Refusal | None = None,
+    refusal: model.Refusal | None,
 ) -> tuple[order_result.CallResult, bool]:
     """Run a call if its claim row lets this node run it.
 
+    The key is claimed before the call gets a slot, so that a slow table
+    service keeps no slots from orders that do not need it.
+
     Args:
         call: The call.
         digest: Digest of the request.
         claims: Claim rows.
-        run: Admits the call, claims its key and runs it.
+        run: Admits the call and runs it.
         ask: Asks another home about the key.
         refusal: Why the call cannot run, when that is known before.
 
@@ -48,37 +48,23 @@
         The result, and whether it stands for all repeats; otherwise a repeat
         asks again.
     """
-    claim = None
-
-    async def claim_row() -> model.Refusal | None:
-        nonlocal claim
+    claimed = refusal is None
+    if claimed:
         claim = await claims.acquire(call.service, call.key, digest)
-        if (
-            claim.state is model.ClaimState.OWN
-            and call.deadline > time.monotonic()
-        ):
-            return None
-        return model.build_refusal(
-            call,
-            model.Verdict.NOT_RUN,
-            model.Rule.DEADLINE,
-            'the deadline passed before the key was claimed',
-        )
-
-    if refusal is None:
-        result = await run(claim_row)
+        if claim.state is not model.ClaimState.OWN:
+            return await follow(call, digest, claim, claims, ask)
+        result = await run()
         if (
             result.is_ok()
             or result.error.verdict is model.Verdict.MAY_HAVE_RUN
         ):
             return result, True
         refusal = result.error
-    if claim is None or claim.state is model.ClaimState.OWN:
-        claim = await claims.refuse(
-            call.service, call.key, digest, claimed=claim is not None
-        )
-        if claim.state is model.ClaimState.OWN:
-            return Error(refusal), True
+    claim = await claims.refuse(
+        call.service, call.key, digest, claimed=claimed
+    )
+    if claim.state is model.ClaimState.OWN:
+        return Error(refusal), True
     return await follow(call, digest, claim, claims, ask)
 
 
@@ -137,6 +123,8 @@
         The refusal.
     """
     claim = await claims.refuse(call.service, call.key, b'')
-    if claim.state not in REFUSED_STATES:
+    if not decisions.may_say_not_run(
+        claim_refused=claim.state in REFUSED_STATES
+    ):
         refusal.verdict = model.Verdict.MAY_HAVE_RUN
     return Error(refusal)
--- a/oleanderknot/tasks/order_dispatcher.py
+++ b/oleanderknot/tasks/order_dispatcher.py
@@ -103,9 +103,12 @@
             if member is None:
                 return Error(self.calls.refuse_early(call))
             tried.add(member.instance)
-            result = await self.sender.attempt(
-                member, call, account, content, body
-            )
+            try:
+                result = await self.sender.attempt(
+                    member, call, account, content, body
+                )
+            except ConnectionError as error:
+                result = refuse_unsent(call, str(error))
             now = time.monotonic()
             if result.is_ok():
                 self.calls.budget.count_success(now)
@@ -138,19 +141,14 @@
                     call, refusal, self.claims
                 )
             tried.add(member.instance)
-            result = await self.sender.attempt(
-                member, call, account, content, body
-            )
-            if result.is_ok():
-                self.calls.budget.count_success(time.monotonic())
-                return result
-            if result.error.rule is not model.Rule.CONNECTION_REFUSED:
-                return result
-            if result.error.verdict is model.Verdict.MAY_HAVE_RUN or (
-                not self.calls.may_retry(
-                    call, account, result, body, time.monotonic()
+            try:
+                return await self.sender.attempt(
+                    member, call, account, content, body
                 )
-            ):
+            except ConnectionError as error:
+                result = refuse_unsent(call, str(error))
+            now = time.monotonic()
+            if not self.calls.may_retry(call, account, result, body, now):
                 return await order_claim.refuse_claimed(
                     call, result.error, self.claims
                 )
@@ -195,3 +193,13 @@
                     call, model.Rule.KEY_HOME_UNREACHABLE, detail
                 )
             await asyncio.sleep(random.random() * PAUSE_S)
+
+
+def refuse_unsent(call: model.Call, detail: str) -> order_result.CallResult:
+    """Refuse an attempt that was sent to no node."""
+    return order_result.refuse(
+        call,
+        model.Rule.CONNECTION_REFUSED,
+        detail,
+        model.Verdict.NOT_RUN,
+    )
--- a/oleanderknot/tasks/order_runner.py
+++ b/oleanderknot/tasks/order_runner.py
@@ -17,12 +17,7 @@
 from oleanderknot.tasks import order_table
 
 RunFunction = collections.abc.Callable[
-    [
-        model.Call,
-        bytes,
-        model.Body | None,
-        order_claim.ClaimFunction | None,
-    ],
+    [model.Call, bytes, model.Body | None],
     collections.abc.Awaitable[order_result.CallResult],
 ]
 
@@ -44,6 +39,7 @@
 
     Attributes:
         identity: Identity of this node.
+        check_call: Returns why a call cannot run at all, or None.
         run_call: Admits a call and runs it at the own upstream.
         find_service: Returns the service of the own upstream.
         claims: Claim rows of caller-made keys.
@@ -57,6 +53,9 @@
         self,
         *,
         identity: model.NodeIdentity,
+        check_call: collections.abc.Callable[
+            [model.Call], model.Refusal | None
+        ],
         run_call: RunFunction,
         find_service: collections.abc.Callable[[], str],
         claims: claims.Claims,
@@ -65,6 +64,7 @@
         table: order_table.OrderTable,
     ) -> None:
         self.identity = identity
+        self.check_call = check_call
         self.run_call = run_call
         self.find_service = find_service
         self.claims = claims
@@ -197,13 +197,13 @@
                 call,
                 digest,
                 claims=self.claims,
-                run=lambda row: self.run_call(call, content, body, row),
+                run=lambda: self.run_call(call, content, body),
                 ask=self.ask,
-                refusal=cut,
+                refusal=cut or self.check_call(call),
             )
         if cut is not None:
             return Error(cut), True
-        return await self.run_call(call, content, body, None), True
+        return await self.run_call(call, content, body), True
 
     def record(
         self,
--- a/oleanderknot/tasks/order_sender.py
+++ b/oleanderknot/tasks/order_sender.py
@@ -60,7 +60,11 @@
         content: bytes,
         body: model.Body | None,
     ) -> order_result.CallResult:
-        """Send a call once, to a chosen node, and settle a lost answer."""
+        """Send a call once, to a chosen node, and settle a lost answer.
+
+        Raises:
+            ConnectionError: The call was sent nowhere.
+        """
         load = self.calls.find_load(member)
         load.outstanding += 1
         try:
@@ -75,13 +79,6 @@
             return await self.send(
                 connection, home, call, key, account, content, body
             )
-        except ConnectionError as error:
-            return order_result.refuse(
-                call,
-                model.Rule.CONNECTION_REFUSED,
-                str(error),
-                model.Verdict.NOT_RUN,
-            )
         finally:
             load.outstanding -= 1
 
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -12,7 +12,6 @@
 from oleanderknot import model
 from oleanderknot.tasks import admission
 from oleanderknot.tasks import finished_body
-from oleanderknot.tasks import order_claim
 from oleanderknot.tasks import order_runner
 from oleanderknot.tasks import upstream_client
 
@@ -84,51 +83,19 @@
         return await self.admit(call, content, body)
 
     async def admit(
-        self,
-        call: model.Call,
-        content: bytes,
-        body: model.Body | None,
-        claim: order_claim.ClaimFunction | None = None,
+        self, call: model.Call, content: bytes, body: model.Body | None
     ) -> Result[model.Answer, model.Refusal]:
-        """Run a call at the upstream if it may be run now.
-
-        Args:
-            call: The call.
-            content: First bytes of the request body.
-            body: Rest of the request body, if it arrives in parts.
-            claim: Has the last word once the call has a slot.
-
-        Returns:
-            The answer, or a refusal that says whether the call may have run.
-        """
+        """Run a call at the upstream if it may run now; see ``run``."""
         refusal = self.check(call)
         if refusal is None:
             slots = self.admission
             refusal = await slots.enter(call)
-            if refusal is None and claim is not None:
-                refusal = await self.take_claim(call, slots, claim)
         if refusal is not None:
             refusal.unspent = call.allowance
             refusal.reports = (self.admission.build_report(call),)
             return Error(refusal)
         return await self.execute(call, content, body, slots)
 
-    async def take_claim(
-        self,
-        call: model.Call,
-        slots: admission.Admission,
-        claim: order_claim.ClaimFunction,
-    ) -> model.Refusal | None:
-        """Claim a call's key, and free the slot when that fails."""
-        passed = False
-        try:
-            refusal = await claim()
-            passed = refusal is None
-            return refusal
-        finally:
-            if not passed:
-                slots.leave(call, own_time_s=0.0, failed=False)
-
     def check(self, call: model.Call) -> model.Refusal | None:
         """Return why a call cannot run at all, or None."""
         if self.client is None or call.service != self.service:
