Take ports of tests from outside the range of outgoing connections

Cause: a port that a test had chosen was given to an outgoing connection before the node could listen on it ('address already in use'), seen once in 23 scenarios with several test runs at once. Change: ports are drawn at random between 10000 and 32000 and tried.

--- a/features/support/ports.py
+++ b/features/support/ports.py
@@ -1,7 +1,13 @@
 """Free TCP ports for processes of a test."""
 
+import random
 import socket
 
+# Below the ports that the system gives to outgoing connections (32768 up),
+# which could take a port between its choice and its use.
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+
 
 def take_ports(count: int) -> list[int]:
     """Return free TCP ports of the loopback address.
@@ -15,10 +21,17 @@
     Returns:
         The ports.
     """
-    sockets = [socket.socket() for _ in range(count)]
+    source = random.SystemRandom()
+    sockets = []
     try:
-        for item in sockets:
-            item.bind(('127.0.0.1', 0))
+        while len(sockets) < count:
+            item = socket.socket()
+            try:
+                item.bind(('', source.randint(FIRST_PORT, LAST_PORT)))
+            except OSError:
+                item.close()
+                continue
+            sockets.append(item)
         return [item.getsockname()[1] for item in sockets]
     finally:
         for item in sockets:
