Tell a streamed order that was cut as what it is

Cause: a caller that left in the middle of a body left the home waiting 10 s for the rest, and a repeat with another streamed body got the first answer when the upstream had answered before the end of the body was read. Change: the home is told at once that the body is cut; the digest of a body is whole when its announced size has passed. Operators see the records of orders in the status of a node.

--- a/features/order_faults.feature
+++ b/features/order_faults.feature
@@ -128,3 +128,27 @@
     And the orders have been answered
     Then at least 5 orders were refused as "retry_allowance"
     And at least 5 orders were told "may-have-run"
+
+  Scenario Outline: A streamed order that is cut
+    Guards against "may have run" for an order that its upstream never saw.
+    When a caller sends <sent> of 1000000 bytes of an order with a home key and leaves
+    And the same order is sent again whole
+    And the orders have been answered
+    Then at least 1 orders were told "<verdict>"
+    And the order ran <runs> times
+
+    Examples:
+      | sent   | verdict      | runs |
+      | 0      | not-run      | 0    |
+      | 200000 | may-have-run | 1    |
+
+  Scenario: A repeat of a streamed order must have the same body
+    When 4 orders with home keys are sent with 300000 bytes of "a"
+    And the orders have been answered
+    And the same orders are sent again with 300000 bytes of "a"
+    And the orders have been answered
+    Then all orders were answered and ran once
+    When the same orders are sent again with 300000 bytes of "b"
+    And the orders have been answered
+    Then at least 4 orders were refused as "bad_request"
+    And no order ran twice and none ran that was told "not-run"
--- a/features/steps/order_fault_steps.py
+++ b/features/steps/order_fault_steps.py
@@ -49,7 +49,7 @@
     )
 
 
-def send_orders(context, kind, count, query, **headers):
+def send_orders(context, kind, count, query, body=b'', **headers):
     """Send new orders to the front node."""
     base = context.front.caller_url('')
     orders = []
@@ -63,7 +63,7 @@
             order_support.Order(number='%s-%d' % (kind, number), key=key)
         )
     context.url = base + '/orders/place?' + query
-    context.client.send(context.url, orders, headers=headers)
+    context.client.send(context.url, orders, body=body, headers=headers)
 
 
 @when('{count:d} orders with {kind} keys are sent')
@@ -105,17 +105,25 @@
 
 
 @when('the same orders are sent again')
-@when('the same orders are sent again with {what}')
-def send_again(context, what=''):
+def send_again(context):
     """Repeat all orders with their keys."""
-    repeats = {order.number: order for order in context.client.orders}
-    context.repeats = [
+    repeat(context, b'')
+
+
+@when('the same orders are sent again with another body')
+def send_other(context):
+    """Repeat all keys with another request."""
+    repeat(context, b'other')
+
+
+def repeat(context, body):
+    """Send each order again with its key."""
+    orders = {order.number: order for order in context.client.orders}
+    repeats = [
         order_support.Order(number=order.number, key=order.key)
-        for order in repeats.values()
+        for order in orders.values()
     ]
-    context.client.send(
-        context.url, context.repeats, body=what.encode() and b'other'
-    )
+    context.client.send(context.url, repeats, body=body)
 
 
 @when('all orders run')
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -294,6 +294,7 @@
             'service': self.runner.service,
             'leaving': self.runner.leaving,
             'running': self.runner.running,
+            'orders': self.orders.describe_load(),
             'egress_port': self.egress_port,
             'caller_port': self.membership.own.caller_port,
             'members': [
--- a/oleanderknot/node/order_assembly.py
+++ b/oleanderknot/node/order_assembly.py
@@ -37,6 +37,16 @@
         """Return whether an order runs."""
         return bool(self.table.tasks)
 
+    def describe_load(self) -> dict[str, int]:
+        """Describe the records for operators."""
+        records = self.table.records
+        return {
+            'running': len(self.table.tasks),
+            'records': len(records.records),
+            'tombstones': len(records.records) - records.live,
+            'answer_bytes': records.size,
+        }
+
     async def close(self) -> None:
         """Stop what still runs."""
         tasks = list(self.table.tasks.values())
--- a/oleanderknot/tasks/digest_body.py
+++ b/oleanderknot/tasks/digest_body.py
@@ -11,11 +11,13 @@
     Attributes:
         body: The body.
         hash: Digest of what has passed.
+        left: Bytes that have not passed; -1 when the size is not known.
         whole: Whether the body has passed to its end.
     """
 
-    def __init__(self, *, body: model.Body, first: bytes) -> None:
+    def __init__(self, *, body: model.Body, first: bytes, length: int) -> None:
         self.body = body
+        self.left = length - len(first) if length >= 0 else -1
         self.hash = hashlib.blake2b(first, digest_size=16)
         self.whole = False
 
@@ -27,7 +29,10 @@
         """
         data = await self.body.read()
         self.hash.update(data)
-        self.whole = self.whole or not data
+        if self.left >= 0:
+            self.left -= len(data)
+        # An upstream may answer before the end of the body is read.
+        self.whole = self.whole or not data or self.left == 0
         return data
 
     def cancel(self) -> None:
@@ -39,6 +44,14 @@
         return self.hash.digest() if self.whole else b''
 
 
+def find_length(call: model.Call) -> int:
+    """Return the size of a call's body in bytes, or -1."""
+    for name, value in call.headers:
+        if name.lower() == b'content-length' and value.isdigit():
+            return int(value)
+    return -1
+
+
 def digest_request(call: model.Call, content: bytes) -> bytes:
     """Return the digest that tells two requests of one key apart.
 
--- a/oleanderknot/tasks/order_runner.py
+++ b/oleanderknot/tasks/order_runner.py
@@ -157,7 +157,9 @@
         try:
             if body is not None:
                 body = passed = digest_body.DigestBody(
-                    body=body, first=content
+                    body=body,
+                    first=content,
+                    length=digest_body.find_length(call),
                 )
             result, final = await self.execute(
                 call, key, digest, content, body
--- a/oleanderknot/tasks/outgoing_calls.py
+++ b/oleanderknot/tasks/outgoing_calls.py
@@ -142,10 +142,24 @@
         return entry
 
     def abandon(self, number: int) -> None:
-        """Forget a call; an idempotent one is cancelled at the other node."""
+        """Forget a call; an idempotent one is cancelled at the other node.
+
+        A non-idempotent one goes on, unless a part of its body is missing.
+        """
         entry = self.finish(number)
-        if entry is not None and entry.call.idempotent:
+        if entry is None:
+            return
+        if entry.call.idempotent:
             self.outlet.send(number, cancel=wire.Cancel())
+        elif entry.sender is not None:
+            self.outlet.send(
+                number,
+                failure=wire.Failure(
+                    verdict=1,
+                    rule=model.Rule.BODY_CUT.value,
+                    detail='the caller left',
+                ),
+            )
 
     def expire(self, number: int) -> None:
         """Fail a call whose deadline has passed."""
