--- a/features/steps/ticket_spread_steps.py
+++ b/features/steps/ticket_spread_steps.py
@@ -142,12 +142,6 @@
         assert found == str(context.filed), (node.name, headers)
 
 
-@when('node "{name}" is killed')
-def kill_node(context, name):
-    """Kill a node."""
-    context.system.nodes[name].process.kill()
-
-
 @then('ticket status names "{name}" as not asked and ends with exit code 0')
 def check_not_asked(context, name):
     """Check that a node that is out of reach is named and no failure."""
--- a/oleanderknot/standins/fault_link.py
+++ b/oleanderknot/standins/fault_link.py
@@ -18,7 +18,8 @@
     Attributes:
         reader: Where the bytes come from.
         writer: Where the bytes go to.
-        frozen: Whether bytes are held back.
+        frozen: Whether bytes, and the end of the connection, are held back
+            until a thaw.
         delay_s: Seconds that each part waits.
         swap: Frames to pass on in another order: each odd one after the
             even one that follows it.
@@ -39,13 +40,14 @@
     async def copy(self) -> None:
         """Copy until either side ends."""
         try:
-            while data := await self.reader.read(65536):
-                if self.delay_s:
+            while True:
+                data = await self.read()
+                if data and self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 held = self.frozen
                 if held:
                     data = await self.hold(data)
-                if self.drop:
+                if self.drop or not data:
                     return
                 self.writer.write(self.reorder(data) if self.swap else data)
                 await self.writer.drain()
@@ -58,25 +60,30 @@
         finally:
             self.writer.close()
 
+    async def read(self) -> bytes:
+        """Return the next part; empty bytes mark the end."""
+        try:
+            return await self.reader.read(65536)
+        except OSError:
+            return b''
+
     async def hold(self, data: bytes) -> bytes:
         """Collect what arrives while the link is frozen.
 
         It is read although it cannot go on, since a reset by the sender
-        would drop it.
+        would drop it. The other side must not learn of an end either.
         """
         held = bytearray(data)
-        reading = True
+        reading = bool(data)
         while self.frozen:
             if not reading or len(held) >= MAX_HELD_BYTES:
                 await asyncio.sleep(POLL_S)
                 continue
             try:
                 async with asyncio.timeout(POLL_S):
-                    more = await self.reader.read(65536)
+                    more = await self.read()
             except TimeoutError:
                 continue
-            except OSError:
-                more = b''
             reading = bool(more)
             held += more
         return bytes(held)
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -33,6 +33,7 @@
         pool: Connections to other nodes.
         count: Counts a decision.
         loads: Load by instance.
+        suspicions: Instances that have just failed a call.
         budget: Retries of this node as a share of its successes.
         rng: Source of randomness.
         orders: Sends non-idempotent calls.
@@ -56,6 +57,7 @@
         self.pool = pool
         self.count = count
         self.loads: dict[str, decisions.InstanceLoad] = {}
+        self.suspicions = decisions.LocalSuspicion()
         self.budget = decisions.RetryBudget()
         self.rng = rng or random.Random()
         self.orders: order_dispatcher.OrderDispatcher | None = None
@@ -81,6 +83,7 @@
         if not call.idempotent:
             return await self.orders.dispatch(call, account, content, body)
         tried: set[str] = set()
+        heard_since = 0.0
         while True:
             member = self.choose(call, tried)
             if member is None:
@@ -88,16 +91,27 @@
             tried.add(member.instance)
             granted = account.grant()
             attempt = dataclasses.replace(call, allowance=granted)
-            result = await self.attempt(member, attempt, content, body)
+            started = time.monotonic()
+            result = await self.attempt(
+                member, attempt, content, body, heard_since
+            )
             now = time.monotonic()
             self.take_reports(member.instance, result, now)
             if result.is_ok():
                 account.refund(result.ok.unspent, granted)
+                self.suspicions.note_answer(member.instance)
                 if not self.is_shed(result.ok, call, body):
                     self.budget.count_success(now)
                     return result
             else:
                 account.refund(result.error.unspent, granted)
+                self.suspicions.note_failure(
+                    member.instance, result.error, now
+                )
+                if result.error.rule is model.Rule.CONNECTION_LOST:
+                    # The connection that a retry finds may have gone silent
+                    # together with this one; a new one costs 1 ms.
+                    heard_since = started
             if not self.may_retry(call, account, result, body, now):
                 return result
             self.count_decision(
@@ -144,7 +158,8 @@
         return decisions.Candidate(
             instance=member.instance,
             local=member.data_centre == self.identity.data_centre,
-            suspect=member.state is model.MemberState.SUSPECT,
+            suspect=member.state is model.MemberState.SUSPECT
+            or self.suspicions.holds(member.instance, now),
             outstanding=load.outstanding,
             in_flight=load.in_flight,
             limit=load.limit,
@@ -165,6 +180,7 @@
         call: model.Call,
         content: bytes,
         body: model.Body | None,
+        heard_since: float,
     ) -> Result[model.Answer, model.Refusal]:
         """Send a call once, to one node."""
         load = self.find_load(member)
@@ -172,9 +188,9 @@
         try:
             if member.instance == self.identity.instance:
                 return await self.runner.run(call, content, body)
-            connection = self.pool.find(member.instance)
+            connection = self.pool.find(member.instance, heard_since)
             if connection is None:
-                connection = await self.pool.connect(member)
+                connection = await self.pool.connect(member, heard_since)
             return await connection.open(call, content, body)
         except ConnectionError as error:
             refusal = model.build_refusal(
--- a/oleanderknot/tasks/incoming_calls.py
+++ b/oleanderknot/tasks/incoming_calls.py
@@ -1,6 +1,7 @@
 """Calls that the other node has opened on one connection."""
 
 import asyncio
+import collections.abc
 import time
 
 from absl import logging
@@ -27,6 +28,7 @@
         handlers: What the node does with calls and questions.
         entries: Calls whose answer is not sent, by number.
         numbers: Call numbers that the other node has used.
+        on_done: Called when a call has ended.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         self.handlers = handlers
         self.entries: dict[int, incoming_call.IncomingCall] = {}
         self.numbers = decisions.CallNumbers()
+        self.on_done: collections.abc.Callable[[], None] = lambda: None
         self.loop = asyncio.get_running_loop()
 
     def handle_open(self, number: int, message: wire.Open) -> None:
@@ -110,6 +113,7 @@
             )
         finally:
             self.entries.pop(number, None)
+            self.on_done()
 
     async def answer_query(self, number: int, query: wire.KeyQuery) -> None:
         """Answer a question about a key."""
