--- a/features/support/ports.py
+++ b/features/support/ports.py
@@ -3,14 +3,14 @@
 import random
 import socket
 
-# Below the range that the kernel takes ports of outgoing connections from;
-# such a connection could otherwise take a port before its process starts.
+# Below the ports that the system gives to outgoing connections (32768 up),
+# which could take a port between its choice and its use.
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
 
 
 def take_ports(count: int) -> list[int]:
-    """Return TCP ports that are free at all addresses.
+    """Return free TCP ports of the loopback address.
 
     The sockets are held until all ports are known, so that no port comes
     twice.
@@ -21,12 +21,13 @@
     Returns:
         The ports.
     """
-    sockets: list[socket.socket] = []
+    source = random.SystemRandom()
+    sockets = []
     try:
         while len(sockets) < count:
             item = socket.socket()
             try:
-                item.bind(('', random.randint(FIRST_PORT, LAST_PORT)))
+                item.bind(('', source.randint(FIRST_PORT, LAST_PORT)))
             except OSError:
                 item.close()
                 continue
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -326,6 +326,7 @@
             'service': self.runner.service,
             'leaving': self.runner.leaving,
             'running': self.runner.running,
+            'orders': self.orders.describe_load(),
             'refused_leaving': self.runner.refused_leaving,
             'egress_port': self.egress_port,
             'caller_port': self.membership.own.caller_port,
--- a/oleanderknot/node/order_assembly.py
+++ b/oleanderknot/node/order_assembly.py
@@ -33,6 +33,16 @@
         """Say what became of a key; see ``KeyAnswerer.describe``."""
         return await self.answerer.describe(key, wait_s)
 
+    def describe_load(self) -> dict[str, int]:
+        """Describe the records for operators."""
+        records = self.table.records
+        return {
+            'running': len(self.table.tasks),
+            'records': len(records.records),
+            'tombstones': len(records.records) - records.live,
+            'answer_bytes': records.size,
+        }
+
     async def close(self) -> None:
         """Stop what still runs."""
         tasks = list(self.table.tasks.values())
@@ -67,6 +77,7 @@
     )
     runner.orders = order_runner.OrderRunner(
         identity=identity,
+        check_call=runner.check,
         run_call=runner.admit,
         find_service=lambda: runner.service,
         claims=rows,
