Admit calls by level, adaptive limit and bounded queue

Cause: admission only counted slots and refused calls when all were in use, so it could neither prefer important calls nor wait for a free slot.

Change: the admission level, the concurrency limit, the queue and the expected service time are pure decisions on a passed-in clock. The admission task waits by futures and wakes the next call when one leaves. Refusals carry the rule and the time after which a repeat may be admitted. Calls are grouped into windows by their start, since the calls that end first are the short ones. A limit that was lowered twice without shorter own times goes back, so a service that is slow at any load keeps its slots. The rise of the level doubles with each window in which no call waited: at 2 % a window it would take more than 5 s to reach the top. An announcement may say that the upstream is warm; the test with 1,000 calls at once says so, since a cold start begins at a tenth of the slots.

--- a/features/steps/chain_steps.py
+++ b/features/steps/chain_steps.py
@@ -30,10 +30,15 @@
 
 @given('an upstream of "{service}" with {slots:d} slots')
 def start_wide_upstream(context, service, slots):
-    """Start one instance with many slots."""
+    """Start one instance with many slots that needs no slow start.
+
+    From a cold start the first of many calls at once would be shed.
+    """
     context.services = [service]
     node = context.system.start_node(service)
-    context.system.start_upstream(node, service, '--slots', str(slots))
+    context.system.start_upstream(
+        node, service, '--slots', str(slots), '--warm'
+    )
 
 
 @given('a node "{name}" without an upstream')
--- /dev/null
+++ b/features/steps/overload_decision_steps.py
@@ -0,0 +1,248 @@
+"""Steps about admission, limits and the queue on a passed-in clock."""
+
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from oleanderknot import decisions
+from oleanderknot import model
+
+WINDOW_S = 0.1
+
+
+@given('an admission level at time 0')
+def make_level(context):
+    """Make a level and the source of priority numbers."""
+    context.level = decisions.AdmissionLevel(now=0.0)
+    context.now = 0.0
+    context.rng = random.Random(5)
+
+
+@when(
+    '{kind} calls arrive at {rate:d} a second and {starts:d} a second can'
+    ' start, for {seconds:d} s'
+)
+def drive_level(context, kind, rate, starts, seconds):
+    """Let calls through a queue of 20 places that empties at a fixed rate."""
+    classes = (0, 1, 2, 3) if kind == 'mixed' else (1,)
+    end = context.now + seconds
+    backlog = 0.0
+    context.last = []
+    while context.now < end:
+        context.now += 1 / rate
+        backlog = max(0.0, backlog - starts / rate)
+        priority = context.rng.choice(classes) + context.rng.random()
+        admitted = context.level.admit(priority, context.now)
+        if admitted and backlog < 20:
+            context.level.count_start(int(backlog) / starts)
+            backlog += 1
+        elif admitted:
+            context.level.count_refusal()
+        if context.now > end - 1:
+            context.last.append((int(priority), admitted))
+
+
+@then(
+    'between {low:d} % and {high:d} % of the browsing calls of the last'
+    ' second were admitted'
+)
+def check_admitted(context, low, high):
+    """Check the share of admitted calls."""
+    share = sum(ok for _, ok in context.last) / len(context.last)
+    assert low <= share * 100 <= high, share
+
+
+@then('the level is between {low:g} and {high:g}')
+def check_level(context, low, high):
+    """Check the level."""
+    assert low <= context.level.level <= high, context.level.level
+
+
+@then('no order and all internal lookups of the last second were refused')
+def check_classes(context):
+    """Check which classes were refused."""
+    assert all(ok for number, ok in context.last if number == 0)
+    assert not any(ok for number, ok in context.last if number == 3)
+
+
+@given('a concurrency limit of {slots:d} slots')
+def make_cold_limit(context, slots):
+    """Make the limit of a new upstream."""
+    context.limit = decisions.ConcurrencyLimit(slots=slots, now=0.0)
+    context.now = 0.0
+
+
+@given('a warm concurrency limit of {slots:d} slots')
+def make_warm_limit(context, slots):
+    """Make the limit of an upstream that needs no slow start."""
+    context.limit = decisions.ConcurrencyLimit(slots=slots, now=0.0, warm=True)
+    context.now = 0.0
+
+
+def pass_windows(context, count, own_time):
+    """Run windows in which as many calls run as the limit allows."""
+    limit = context.limit
+    for _ in range(count):
+        places = limit.count_places()
+        cohorts = [
+            limit.start(1 + index % places, context.now + index / 1000)
+            for index in range(max(10, places))
+        ]
+        for cohort in cohorts:
+            limit.finish(
+                cohort, context.now + 0.09, own_time_s=own_time(places)
+            )
+        context.now += WINDOW_S + 0.001
+    # The next call closes the last window.
+    limit.start(1, context.now)
+
+
+@when('{count:d} windows of calls with {own_ms:d} ms own time pass')
+def pass_even_windows(context, count, own_ms):
+    """Run windows whose own time does not depend on the limit."""
+    pass_windows(context, count, lambda places: own_ms / 1000)
+
+
+@when(
+    '{count:d} windows pass whose own time is {step_ms:d} ms for each call'
+    ' at once above {free:d}'
+)
+def pass_loaded_windows(context, count, step_ms, free):
+    """Run windows whose own time grows with the number of calls."""
+    small = decisions.ConcurrencyLimit(slots=free, now=0.0, warm=True)
+    places, context.limit.limit = context.limit.limit, small.limit
+    own_time = lambda n: (10 + max(0, n - free) * step_ms) / 1000  # noqa: E731
+    pass_windows(context, 1, own_time)
+    context.limit.limit = places
+    pass_windows(context, count, own_time)
+
+
+@when('{count:d} calls that started together are refused by the upstream')
+def refuse_together(context, count):
+    """Let all calls of one window fail."""
+    cohorts = [context.limit.start(1, 0.001) for _ in range(count)]
+    for cohort in cohorts:
+        context.limit.finish(cohort, 0.05, own_time_s=0.01, failed=True)
+
+
+@then('the limit allows {count:d} calls')
+def check_limit(context, count):
+    """Check the limit."""
+    assert context.limit.count_places() == count, context.limit.limit
+
+
+@then('the limit allows between {low:d} and {high:d} calls')
+def check_limit_range(context, low, high):
+    """Check the limit."""
+    assert low <= context.limit.count_places() <= high, context.limit.limit
+
+
+@given('an admission queue of {count:d} calls')
+def make_queue(context, count):
+    """Make a queue."""
+    context.queue = decisions.AdmissionQueue(capacity=count)
+    context.dropped = []
+
+
+def push(context, name, now, *, cls='BROWSING', depth=0, deadline=9.0, s=0.0):
+    """Queue one call."""
+    entry = decisions.QueuedCall(
+        request_class=model.RequestClass[cls],
+        depth=depth,
+        arrived_at=now,
+        deadline=deadline,
+        expected_s=s,
+        token=name,
+    )
+    context.dropped += context.queue.push(entry, now)
+    return entry
+
+
+@when('these calls are queued at time {now:g}')
+def push_table(context, now):
+    """Queue the calls of a table."""
+    for row in context.table:
+        depth = int(row['depth'])
+        push(context, row['name'], now, cls=row['class'], depth=depth)
+
+
+@when('calls "{names}" are queued at time {now:g}')
+def push_names(context, names, now):
+    """Queue browsing calls."""
+    context.entries = {
+        name: push(context, name, now) for name in names.split(', ')
+    }
+
+
+@when(
+    'a call "{name}" is queued with deadline {deadline:g} and {work:g} s of'
+    ' work'
+)
+def push_slow(context, name, deadline, work):
+    """Queue a call with a deadline."""
+    push(context, name, 0.0, deadline=deadline, s=work)
+
+
+@when('call "{name}" leaves the queue')
+def remove(context, name):
+    """Take a call out, as when its caller has left."""
+    context.queue.remove(context.entries[name])
+
+
+@then('at time {now:g} the queue runs "{names}"')
+def check_pops(context, now, names):
+    """Check the order of the next calls."""
+    ran = []
+    for _ in names.split(', '):
+        entry, dropped = context.queue.pop(now)
+        context.dropped += dropped
+        ran.append(entry.token if entry else None)
+    assert ran == names.split(', '), ran
+
+
+@then('the queue refused "{names}" as {rule}')
+def check_dropped(context, names, rule):
+    """Check what was refused so far."""
+    dropped = [(entry.token, why.value) for entry, why in context.dropped]
+    assert dropped == [(name, rule) for name in names.split(', ')], dropped
+
+
+@given('service times of {count:d} calls of {taken_ms:d} ms')
+def make_times(context, count, taken_ms):
+    """Count calls of one route."""
+    context.times = decisions.ServiceTimes()
+    for index in range(count):
+        context.times.count('GET', '/', taken_ms / 1000, index / 10)
+    context.now = (count - 1) / 10
+
+
+@then('the expected time is between {low:d} and {high:d} ms')
+def check_expected(context, low, high):
+    """Check the expectation."""
+    expected = context.times.expect('GET', '/', context.now) * 1000
+    assert low <= expected <= high, expected
+
+
+@then('after {seconds:d} s without a call it is below {high:d} ms')
+def check_forgotten(context, seconds, high):
+    """Check that the expectation shrinks."""
+    later = context.now + seconds
+    assert context.times.expect('GET', '/', later) * 1000 < high
+
+
+@given('the load of an upstream that reported level {level:g} at time 0')
+def make_load(context, level):
+    """Take one report."""
+    context.load = decisions.InstanceLoad(limit=10)
+    report = model.LoadReport(
+        service='s', route='/', level=level, in_flight=1, limit=10
+    )
+    context.load.take_report(report, 0.0)
+
+
+@then('its level at time {now:g} is {level:g}')
+def check_load_level(context, now, level):
+    """Check the level that another node assumes."""
+    assert context.load.find_level('/', now) == level
--- a/oleanderknot/border/settings.py
+++ b/oleanderknot/border/settings.py
@@ -58,12 +58,15 @@
         host: IP address of the upstream.
         port: TCP port of the upstream.
         slots: Calls that it can run at once.
+        warm: Whether it can take its full load at once; otherwise the load
+            rises slowly after the announcement.
     """
 
     service: Name
     host: pydantic.IPvAnyAddress
     port: typing.Annotated[int, pydantic.Field(ge=1, le=65535)]
     slots: typing.Annotated[int, pydantic.Field(ge=1, le=100000)]
+    warm: bool = False
 
 
 class PlatformSettings(Model):
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -1,28 +1,40 @@
 """Pure decisions: no input or output, no clock, no random source."""
 
+from oleanderknot.decisions.admission_level import AdmissionLevel
+from oleanderknot.decisions.admission_level import MAX_LEVEL
+from oleanderknot.decisions.admission_queue import AdmissionQueue
+from oleanderknot.decisions.call_cohort import CallCohort
 from oleanderknot.decisions.chain_account import ChainAccount
 from oleanderknot.decisions.chain_account import open_account
 from oleanderknot.decisions.chain_table import ChainTable
+from oleanderknot.decisions.concurrency_limit import ConcurrencyLimit
 from oleanderknot.decisions.instance_load import InstanceLoad
-from oleanderknot.decisions.instance_load import MAX_LEVEL
 from oleanderknot.decisions.member_table import is_newer
 from oleanderknot.decisions.member_table import MemberTable
 from oleanderknot.decisions.policy_table import match_route
 from oleanderknot.decisions.policy_table import PolicyTable
 from oleanderknot.decisions.priority import rank
+from oleanderknot.decisions.queued_call import QueuedCall
 from oleanderknot.decisions.retry_budget import RetryBudget
+from oleanderknot.decisions.service_time import ServiceTimes
 from oleanderknot.decisions.upstream_choice import Candidate
 from oleanderknot.decisions.upstream_choice import choose
 
 __all__ = [
+    'AdmissionLevel',
+    'AdmissionQueue',
+    'CallCohort',
     'Candidate',
     'ChainAccount',
     'ChainTable',
+    'ConcurrencyLimit',
     'InstanceLoad',
     'MAX_LEVEL',
     'MemberTable',
     'PolicyTable',
+    'QueuedCall',
     'RetryBudget',
+    'ServiceTimes',
     'choose',
     'is_newer',
     'match_route',
--- /dev/null
+++ b/oleanderknot/decisions/admission_level.py
@@ -0,0 +1,160 @@
+"""Admission level of one upstream, after DAGOR (SoCC 2018)."""
+
+MAX_LEVEL = 4.0
+BINS = 256
+BINS_PER_CLASS = 64
+WINDOW_S = 0.1
+TARGET_DELAY_S = 0.02
+
+# Shares by which the expected admissions change each window.
+FALL = 0.05
+RISE = 0.02
+
+# Largest rise in one window. It is the pace at which other nodes raise a
+# reported level, so faster rises would not bring more calls.
+MAX_RISE = 0.1
+
+# Windows in a row without a wait after which the rise stops to double.
+MAX_CALM = 6
+
+# Weight of older windows in the histogram: one window of 100 ms holds too
+# few calls for 256 bins.
+MEMORY = 0.8
+
+# Bins below the level whose mean stands for those above it. Other nodes
+# refuse calls above the level, so the runner does not see their number.
+BAND = 16
+
+
+class AdmissionLevel:
+    """Moves the level so that admitted calls wait about the target delay.
+
+    Attributes:
+        level: Calls with a priority number below it are admitted; 0 to 4.
+        window_start: Monotonic time in seconds at which the window started.
+        arrivals: Calls of this window by priority number.
+        density: Calls a window by priority number, smoothed.
+        delay_sum: Seconds that calls started in this window had waited.
+        started: Calls started in this window.
+        refused: Whether the queue refused a call in this window.
+        calm: Windows in a row in which no call waited.
+    """
+
+    def __init__(self, *, now: float) -> None:
+        self.level = MAX_LEVEL
+        self.window_start = now
+        self.arrivals = [0] * BINS
+        self.density = [0.0] * BINS
+        self.delay_sum = 0.0
+        self.started = 0
+        self.refused = False
+        self.calm = 0
+
+    def admit(self, priority: float, now: float) -> bool:
+        """Count an arrival.
+
+        Args:
+            priority: Priority number of the call.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Whether the call is admitted.
+        """
+        self.advance(now)
+        self.arrivals[int(priority * BINS_PER_CLASS)] += 1
+        return priority < self.level
+
+    def count_start(self, delay_s: float) -> None:
+        """Count a call that starts after a wait in the queue."""
+        self.delay_sum += delay_s
+        self.started += 1
+
+    def count_refusal(self) -> None:
+        """Count a call that the queue refused."""
+        self.refused = True
+
+    def advance(self, now: float) -> None:
+        """Close the windows that have ended."""
+        passed = int((now - self.window_start) / WINDOW_S)
+        if passed <= 0:
+            return
+        self.window_start += passed * WINDOW_S
+        self.close_window()
+        if passed > 1:
+            self.pass_idle(passed - 1)
+
+    def close_window(self) -> None:
+        """Adjust the level after one window."""
+        self.density = [
+            MEMORY * old + (1 - MEMORY) * new
+            for old, new in zip(self.density, self.arrivals, strict=True)
+        ]
+        overloaded = self.refused or (
+            self.delay_sum > TARGET_DELAY_S * self.started
+        )
+        waited = overloaded or self.delay_sum > 0
+        self.calm = 0 if waited else self.calm + 1
+        if overloaded:
+            self.lower()
+        elif self.level < MAX_LEVEL:
+            self.rise()
+        self.arrivals = [0] * BINS
+        self.delay_sum = 0.0
+        self.started = 0
+        self.refused = False
+
+    def pass_idle(self, windows: int) -> None:
+        """Let windows without any call pass."""
+        self.level = min(MAX_LEVEL, self.level + windows * MAX_RISE)
+        share = MEMORY**windows
+        self.density = [value * share for value in self.density]
+
+    def lower(self) -> None:
+        """Lower the level until expected admissions shrink by ``FALL``."""
+        whole, part = divmod(self.level * BINS_PER_CLASS, 1)
+        index = int(whole)
+        admitted = sum(self.density[:index])
+        if part:
+            admitted += part * self.density[index]
+        left = FALL * admitted
+        if not left:
+            return
+        position = self.level * BINS_PER_CLASS
+        while position > 0:
+            index = int(-(-position // 1)) - 1
+            width = position - index
+            calls = self.density[index] * width
+            if calls >= left:
+                position -= width * left / calls
+                break
+            left -= calls
+            position = index
+        self.level = position / BINS_PER_CLASS
+
+    def rise(self) -> None:
+        """Raise the level until ``RISE`` of the arrivals are added.
+
+        The share doubles with each window in which no call waited: at 2 % a
+        window alone a level of 1.3 would need more than 5 s to the top.
+        """
+        left = RISE * 2 ** min(self.calm, MAX_CALM) * sum(self.density)
+        end = min(MAX_LEVEL, self.level + MAX_RISE) * BINS_PER_CLASS
+        position = self.level * BINS_PER_CLASS
+        index = int(position)
+        below = self.density[max(0, index - BAND) : index]
+        hidden = sum(below) / len(below) if below else 0.0
+        while position < end:
+            index = int(position)
+            width = min(index + 1, end) - position
+            calls = max(self.density[index], hidden) * width
+            if calls > left:
+                position += width * left / calls
+                break
+            left -= calls
+            position += width
+        self.level = min(MAX_LEVEL, position / BINS_PER_CLASS)
+
+    def estimate_wait_ms(self, priority: float) -> int:
+        """Return in how many milliseconds a call may be admitted."""
+        gap = max(0.0, priority - self.level)
+        return int(1000 * WINDOW_S * (1 + gap / MAX_RISE))
--- /dev/null
+++ b/oleanderknot/decisions/admission_queue.py
@@ -0,0 +1,152 @@
+"""Bounded queue of the calls that wait for a place at an upstream."""
+
+import collections
+
+from oleanderknot import model
+from oleanderknot.decisions import queued_call
+
+TARGET_DELAY_S = 0.02
+
+# Time for which the delay must be over its target before the order changes.
+OVERLOAD_AFTER_S = 0.1
+
+# Under overload an entry is refused after this time, or after twice its
+# service time: with few slots and long calls the next slot frees late.
+MAX_DELAY_S = 0.1
+MAX_DELAY_CALLS = 2.0
+
+Dropped = list[tuple[queued_call.QueuedCall, model.Rule]]
+
+
+class AdmissionQueue:
+    """Orders waiting calls by class, then depth, then age.
+
+    Among equal calls the oldest goes first. Under overload the newest goes
+    first, since the oldest would miss its deadline or be repeated by its
+    caller anyway.
+
+    Attributes:
+        capacity: Most calls that may wait.
+        groups: Waiting calls, oldest first, by class and negative depth.
+        size: Calls that wait.
+        over_since: Monotonic time in seconds since which the oldest call
+            has waited too long; None when it has not.
+        overloaded: Whether that has lasted long enough to change the order.
+    """
+
+    def __init__(self, *, capacity: int) -> None:
+        self.capacity = capacity
+        self.groups: dict[
+            tuple[int, int], collections.deque[queued_call.QueuedCall]
+        ] = {}
+        self.size = 0
+        self.over_since: float | None = None
+        self.overloaded = False
+
+    def push(self, entry: queued_call.QueuedCall, now: float) -> Dropped:
+        """Add a call; when the queue is full the least important leaves.
+
+        Args:
+            entry: The call.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Calls that are refused, perhaps the new one, with the rule.
+        """
+        self.measure(now)
+        dropped = self.sweep(now)
+        key = (int(entry.request_class), -entry.depth)
+        if self.size >= self.capacity:
+            worst = max(self.groups)
+            if key > worst or (key == worst and not self.overloaded):
+                return [*dropped, (entry, model.Rule.QUEUE_FULL)]
+            victim = self.take(worst, oldest=self.overloaded)
+            dropped.append((victim, model.Rule.QUEUE_FULL))
+        group = self.groups.get(key)
+        if group is None:
+            group = self.groups[key] = collections.deque()
+        group.append(entry)
+        self.size += 1
+        return dropped
+
+    def pop(self, now: float) -> tuple[queued_call.QueuedCall | None, Dropped]:
+        """Take the call that runs next.
+
+        Args:
+            now: Monotonic time in seconds.
+
+        Returns:
+            The call, or None, and calls that are refused with the rule.
+        """
+        self.measure(now)
+        dropped: Dropped = []
+        chosen = None
+        while self.size:
+            entry = self.take(min(self.groups), oldest=not self.overloaded)
+            if not entry.is_hopeless(now):
+                chosen = entry
+                break
+            dropped.append((entry, model.Rule.DEADLINE))
+        # Late calls are refused only after one was chosen, so that a slot
+        # is not left unused when all calls in the queue are late.
+        dropped += self.sweep(now)
+        return chosen, dropped
+
+    def remove(self, entry: queued_call.QueuedCall) -> None:
+        """Take out a call whose caller has left, if it still waits."""
+        key = (int(entry.request_class), -entry.depth)
+        group = self.groups.get(key)
+        if group is None or entry not in group:
+            return
+        group.remove(entry)
+        self.shrink(key)
+
+    def measure(self, now: float) -> None:
+        """Note whether the oldest call has waited too long."""
+        oldest = min(
+            (group[0].arrived_at for group in self.groups.values()),
+            default=now,
+        )
+        if now - oldest <= TARGET_DELAY_S:
+            self.over_since = None
+            self.overloaded = False
+            return
+        if self.over_since is None:
+            self.over_since = oldest + TARGET_DELAY_S
+        self.overloaded = now - self.over_since >= OVERLOAD_AFTER_S
+
+    def sweep(self, now: float) -> Dropped:
+        """Take out calls that have waited too long under overload."""
+        dropped: Dropped = []
+        if not self.overloaded:
+            return dropped
+        for key in list(self.groups):
+            group = self.groups[key]
+            while group:
+                entry = group[0]
+                longest = max(MAX_DELAY_S, MAX_DELAY_CALLS * entry.expected_s)
+                if now - entry.arrived_at <= longest:
+                    break
+                group.popleft()
+                late = entry.is_hopeless(now)
+                rule = model.Rule.DEADLINE if late else model.Rule.QUEUE_DELAY
+                dropped.append((entry, rule))
+                self.size -= 1
+            if not group:
+                del self.groups[key]
+        return dropped
+
+    def take(
+        self, key: tuple[int, int], *, oldest: bool
+    ) -> queued_call.QueuedCall:
+        """Take one call out of a group."""
+        group = self.groups[key]
+        entry = group.popleft() if oldest else group.pop()
+        self.shrink(key)
+        return entry
+
+    def shrink(self, key: tuple[int, int]) -> None:
+        """Note that a group has one call less."""
+        self.size -= 1
+        if not self.groups[key]:
+            del self.groups[key]
--- /dev/null
+++ b/oleanderknot/decisions/concurrency_limit.py
@@ -0,0 +1,148 @@
+"""Adaptive concurrency limit of one upstream."""
+
+import collections
+
+from oleanderknot.decisions import call_cohort
+
+WINDOW_S = 0.1
+BASELINE_S = 30.0
+BACK_OFF = 0.9
+SLOW_FACTOR = 2.0
+COLD_SHARE = 0.1
+
+# Fewer calls give a median that one slow call can move.
+MIN_CALLS = 10
+
+# Own times below this differ by the timing of event loops alone.
+NOISE_S = 0.005
+
+# Reductions in a row after which own times must have become shorter. If they
+# have not, the upstream is slow for another reason than the number of calls,
+# and a lower limit would only waste its slots.
+MAX_STREAK = 2
+IMPROVED = 0.9
+
+
+class ConcurrencyLimit:
+    """Additive increase, multiplicative decrease, by own time and failures.
+
+    Attributes:
+        slots: Calls that the upstream says it can run at once.
+        limit: Calls that may run at once, before rounding.
+        starting: Whether the limit still grows from a cold start.
+        cohort: Calls that start in the present window.
+        medians: Time and median own time of past windows, both in seconds.
+        backed_off_at: Monotonic time in seconds of the last reduction.
+        streak: Reductions in a row for long own times.
+        streak_median: Median in seconds at the first of them.
+        streak_limit: Limit before the first of them.
+    """
+
+    def __init__(self, *, slots: int, now: float, warm: bool = False) -> None:
+        self.slots = slots
+        self.limit = float(slots if warm else max(1.0, slots * COLD_SHARE))
+        self.starting = not warm
+        self.cohort = call_cohort.CallCohort(opened_at=now)
+        self.medians: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
+        self.backed_off_at = now - WINDOW_S
+        self.streak = 0
+        self.streak_median = 0.0
+        self.streak_limit = 0.0
+
+    def count_places(self) -> int:
+        """Return how many calls may run at once."""
+        return max(1, round(self.limit))
+
+    def start(self, running: int, now: float) -> call_cohort.CallCohort:
+        """Count a call that starts.
+
+        Args:
+            running: Calls that run, with this one.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The window that the call's outcome is to be given to.
+        """
+        cohort = self.cohort
+        if now - cohort.opened_at >= WINDOW_S and cohort.started >= MIN_CALLS:
+            cohort.closed = True
+            if cohort.done == cohort.started:
+                self.evaluate(cohort, now)
+            cohort = self.cohort = call_cohort.CallCohort(opened_at=now)
+        cohort.started += 1
+        if running >= self.count_places():
+            cohort.in_use = True
+        return cohort
+
+    def finish(
+        self,
+        cohort: call_cohort.CallCohort,
+        now: float,
+        *,
+        own_time_s: float | None,
+        failed: bool = False,
+    ) -> None:
+        """Take the outcome of a call.
+
+        Args:
+            cohort: What ``start`` returned for the call.
+            now: Monotonic time in seconds.
+            own_time_s: Seconds that the upstream worked on the call, without
+                the time that it waited for its own calls; None when unknown.
+            failed: Whether the upstream refused the call or let it time out.
+        """
+        cohort.done += 1
+        if own_time_s is not None:
+            cohort.own_times.append(own_time_s)
+        if failed and cohort.opened_at >= self.backed_off_at:
+            self.back_off(now)
+        elif cohort.closed and cohort.done == cohort.started:
+            self.evaluate(cohort, now)
+
+    def back_off(self, now: float) -> None:
+        """Lower the limit; calls started before do not lower it again."""
+        self.starting = False
+        self.limit = max(1.0, self.limit * BACK_OFF)
+        self.backed_off_at = now
+
+    def evaluate(self, cohort: call_cohort.CallCohort, now: float) -> None:
+        """Adjust the limit to a window whose calls have all ended."""
+        if cohort.opened_at < self.backed_off_at or not cohort.own_times:
+            return
+        times = sorted(cohort.own_times)
+        median = max(NOISE_S, times[len(times) // 2])
+        baseline = self.find_baseline(now)
+        if cohort.in_use and baseline and median > SLOW_FACTOR * baseline:
+            self.back_off_slow(median, now)
+            return
+        self.medians.append((now, median))
+        self.streak = 0
+        if self.starting or cohort.in_use:
+            self.limit = min(float(self.slots), self.limit + 1)
+
+    def find_baseline(self, now: float) -> float:
+        """Return the lowest median of the last 30 s; 0.0 for none."""
+        medians = self.medians
+        while medians and medians[0][0] < now - BASELINE_S:
+            medians.popleft()
+        return min((median for _, median in medians), default=0.0)
+
+    def back_off_slow(self, median: float, now: float) -> None:
+        """Lower the limit for long own times, unless that did not help."""
+        if self.streak == 0:
+            self.streak_median = median
+            self.streak_limit = self.limit
+        elif self.streak >= MAX_STREAK:
+            if median > IMPROVED * self.streak_median:
+                self.limit = self.streak_limit
+                self.medians.clear()
+                self.medians.append((now, median))
+                self.streak = 0
+                return
+            self.streak = 0
+            self.streak_median = median
+            self.streak_limit = self.limit
+        self.streak += 1
+        self.back_off(now)
--- a/oleanderknot/decisions/instance_load.py
+++ b/oleanderknot/decisions/instance_load.py
@@ -3,8 +3,9 @@
 import dataclasses
 
 from oleanderknot import model
+from oleanderknot.decisions import admission_level
 
-MAX_LEVEL = 4.0
+MAX_LEVEL = admission_level.MAX_LEVEL
 
 # Levels that a reported admission level regains each second without a new
 # report; this is how a node probes an upstream again after refusals.
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -183,6 +183,7 @@
             host=str(upstream.host),
             port=upstream.port,
             slots=upstream.slots,
+            warm=upstream.warm,
         )
         self.membership.change_own(
             service=upstream.service,
--- a/oleanderknot/standins/upstream.py
+++ b/oleanderknot/standins/upstream.py
@@ -65,6 +65,7 @@
             'host': self.options.host,
             'port': self.port,
             'slots': self.options.slots,
+            'warm': self.options.warm,
         }
         url = self.options.node + '/-/announce'
         while True:
--- a/oleanderknot/standins/upstream_options.py
+++ b/oleanderknot/standins/upstream_options.py
@@ -19,6 +19,7 @@
         parallel: Whether it makes these calls at the same time.
         fail_status: Status that it answers instead of 200; 0 for none.
         drop_answers: Whether it ends the connection after its work.
+        warm: Whether it announces that it needs no slow start.
         pass_trace: Whether it passes ``traceparent`` on.
     """
 
@@ -33,6 +34,7 @@
     fail_status: int = 0
     drop_answers: bool = False
     pass_trace: bool = True
+    warm: bool = False
 
 
 def parse_options(arguments: list[str] | None = None) -> UpstreamOptions:
@@ -53,5 +55,6 @@
     parser.add_argument('--delay-ms', type=float, default=0.0)
     parser.add_argument('--calls', nargs='*', default=[])
     parser.add_argument('--parallel', action='store_true')
+    parser.add_argument('--warm', action='store_true')
     values = parser.parse_args(arguments)
     return UpstreamOptions(**vars(values))
--- a/oleanderknot/tasks/admission.py
+++ b/oleanderknot/tasks/admission.py
@@ -1,65 +1,210 @@
 """Admits calls to the own upstream."""
 
+import asyncio
+import dataclasses
+
 from oleanderknot import decisions
 from oleanderknot import model
 
+# Entries of the queue for each slot.
+QUEUE_SHARE = 2
+
+DETAILS = {
+    model.Rule.LEVEL: 'the upstream is overloaded and admits only calls that'
+    ' matter more',
+    model.Rule.QUEUE_FULL: 'the queue of the upstream is full',
+    model.Rule.QUEUE_DELAY: 'the call waited too long in the queue',
+    model.Rule.DEADLINE: 'the call cannot end before its deadline',
+}
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Place:
+    """The right of one call to run at the upstream.
+
+    Attributes:
+        cohort: Window that the call started in.
+        started_at: Time of the event loop in seconds at the start.
+        reported: Whether the limit knows the outcome.
+    """
+
+    cohort: decisions.CallCohort
+    started_at: float
+    reported: bool = False
+
 
 class Admission:
-    """Owns the slots of the own upstream.
+    """Owns the places, the queue and the admission level of the upstream.
 
     Attributes:
-        slots: Calls that the upstream can run at once.
+        level: Moves the admission level.
+        limit: Moves the number of calls that may run at once.
+        queue: Calls that wait for a place.
+        times: Expected time of calls.
         running: Calls that run now.
-        waiting: Calls that wait for a slot.
     """
 
-    def __init__(self, *, slots: int) -> None:
-        self.slots = slots
+    def __init__(self, *, slots: int, warm: bool = False) -> None:
+        self.loop = asyncio.get_running_loop()
+        now = self.loop.time()
+        self.level = decisions.AdmissionLevel(now=now)
+        self.limit = decisions.ConcurrencyLimit(
+            slots=slots, now=now, warm=warm
+        )
+        self.queue = decisions.AdmissionQueue(capacity=QUEUE_SHARE * slots)
+        self.times = decisions.ServiceTimes()
         self.running = 0
-        self.waiting = 0
 
-    def has_room(self) -> bool:
-        """Return whether a call would start at once."""
-        return self.running < self.slots
+    def has_room(self, priority: float) -> bool:
+        """Return whether a call would start at once.
+
+        Args:
+            priority: Priority number of the call.
+        """
+        return (
+            self.running < self.limit.count_places()
+            and priority < self.level.level
+        )
 
-    async def enter(self, call: model.Call) -> model.Refusal | None:
+    async def enter(self, call: model.Call) -> Place | model.Refusal:
         """Wait until a call may run.
 
         Args:
             call: The call.
 
         Returns:
-            None when the call may run, else why it must not.
+            A place, to be given back by ``leave``, or why the call must not
+            run.
+
+        Raises:
+            asyncio.CancelledError: The caller has left; nothing is kept.
         """
-        if self.running >= self.slots:
-            return model.build_refusal(
-                call,
-                model.Verdict.NOT_RUN,
-                model.Rule.QUEUE_FULL,
-                'all slots are in use',
-            )
+        now = self.loop.time()
+        priority = decisions.rank(call.request_class, call.trace_id)
+        if not self.level.admit(priority, now):
+            return self.refuse(call, model.Rule.LEVEL)
+        expected = self.times.expect(call.method, call.route, now)
+        if now + expected >= call.deadline:
+            return self.refuse(call, model.Rule.DEADLINE)
+        if not self.queue.size and self.running < self.limit.count_places():
+            return self.start(0.0, now)
+        entry = decisions.QueuedCall(
+            request_class=call.request_class,
+            depth=call.depth,
+            arrived_at=now,
+            deadline=call.deadline,
+            expected_s=expected,
+            token=self.loop.create_future(),
+        )
+        self.drop(self.queue.push(entry, now))
+        return await self.wait(call, entry)
+
+    async def wait(
+        self, call: model.Call, entry: decisions.QueuedCall
+    ) -> Place | model.Refusal:
+        """Wait in the queue, at most until the deadline."""
+        future = entry.token
+        timer = self.loop.call_at(call.deadline, self.expire, entry)
+        try:
+            outcome = await future
+        except asyncio.CancelledError:
+            self.abandon(entry)
+            raise
+        finally:
+            timer.cancel()
+        if isinstance(outcome, Place):
+            return outcome
+        return self.refuse(call, outcome)
+
+    def abandon(self, entry: decisions.QueuedCall) -> None:
+        """Give up a call that waits or has just been given a place."""
+        future = entry.token
+        if future.done() and not future.cancelled():
+            # The place was granted in the same turn of the event loop in
+            # which the waiter was cancelled.
+            if isinstance(future.result(), Place):
+                self.leave(future.result())
+            return
+        self.queue.remove(entry)
+
+    def expire(self, entry: decisions.QueuedCall) -> None:
+        """Refuse a call whose deadline passes while it waits."""
+        self.queue.remove(entry)
+        self.drop([(entry, model.Rule.DEADLINE)])
+
+    def drop(
+        self, dropped: list[tuple[decisions.QueuedCall, model.Rule]]
+    ) -> None:
+        """Wake calls that the queue refused."""
+        for entry, rule in dropped:
+            self.level.count_refusal()
+            if not entry.token.done():
+                entry.token.set_result(rule)
+
+    def start(self, delay_s: float, now: float) -> Place:
+        """Give a place to a call that has waited."""
         self.running += 1
-        return None
+        self.level.count_start(delay_s)
+        cohort = self.limit.start(self.running, now)
+        return Place(cohort=cohort, started_at=now)
 
-    def leave(
-        self, call: model.Call, *, own_time_s: float, failed: bool
+    def answer(
+        self,
+        call: model.Call,
+        place: Place,
+        *,
+        own_time_s: float | None,
+        failed: bool,
     ) -> None:
-        """Free the slot of a call.
+        """Take the outcome of a call; the place stays taken.
 
         Args:
             call: The call.
-            own_time_s: Seconds that the upstream worked on it, without the
-                time that it waited for its own outgoing calls.
-            failed: Whether the upstream refused it or did not answer.
+            place: Its place.
+            own_time_s: Seconds that the upstream worked on it until the head
+                of the answer, without the time that it waited for its own
+                outgoing calls; None when it gave no answer.
+            failed: Whether the upstream refused it or let it time out.
         """
+        now = self.loop.time()
+        place.reported = True
+        self.limit.finish(
+            place.cohort, now, own_time_s=own_time_s, failed=failed
+        )
+        if own_time_s is not None and not failed:
+            self.times.count(
+                call.method, call.route, now - place.started_at, now
+            )
+
+    def leave(self, place: Place) -> None:
+        """Give a place back and start the calls that now fit."""
+        now = self.loop.time()
+        if not place.reported:
+            self.limit.finish(place.cohort, now, own_time_s=None)
         self.running -= 1
+        self.level.advance(now)
+        while self.queue.size and self.running < self.limit.count_places():
+            entry, dropped = self.queue.pop(now)
+            self.drop(dropped)
+            if entry is not None and not entry.token.done():
+                entry.token.set_result(self.start(now - entry.arrived_at, now))
+
+    def refuse(self, call: model.Call, rule: model.Rule) -> model.Refusal:
+        """Build the refusal of a call that was not started."""
+        refusal = model.build_refusal(
+            call, model.Verdict.NOT_RUN, rule, DETAILS[rule]
+        )
+        priority = decisions.rank(call.request_class, call.trace_id)
+        refusal.retry_after_ms = self.level.estimate_wait_ms(priority)
+        return refusal
 
     def build_report(self, call: model.Call) -> model.LoadReport:
         """Build the load report for a call's route."""
+        self.level.advance(self.loop.time())
         return model.LoadReport(
             service=call.service,
             route=call.route,
-            level=decisions.MAX_LEVEL,
-            in_flight=self.running + self.waiting,
-            limit=self.slots,
+            level=self.level.level,
+            in_flight=self.running + self.queue.size,
+            limit=self.limit.count_places(),
         )
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -18,6 +18,14 @@
 # do not arrive together.
 RETRY_PAUSE_S = 0.02
 
+# Every node computes the same priority number, so another node would refuse
+# the call as well; a deadline that cannot be met is not met by waiting.
+FINAL_RULES = (
+    model.Rule.LEVEL,
+    model.Rule.EARLY_REFUSAL,
+    model.Rule.DEADLINE,
+)
+
 CountFunction = collections.abc.Callable[[model.DecisionKey], None]
 
 
@@ -105,12 +113,13 @@
     ) -> model.Member | None:
         """Choose the node whose upstream gets the next attempt."""
         own = self.identity.instance
+        priority = decisions.rank(call.request_class, call.trace_id)
         if (
             not tried
             and call.service == self.runner.service
             and not self.runner.leaving
             and self.policy.takes_work(own)
-            and self.runner.admission.has_room()
+            and self.runner.admission.has_room(priority)
         ):
             return self.members.members.get(own)
         now = time.monotonic()
@@ -123,7 +132,7 @@
         ]
         choice = decisions.choose(
             candidates,
-            priority=decisions.rank(call.request_class, call.trace_id),
+            priority=priority,
             tried=tried,
             draw=self.rng.randrange,
         )
@@ -219,6 +228,8 @@
         if body is not None or now + RETRY_PAUSE_S >= call.deadline:
             return False
         if result.is_error():
+            if result.error.rule in FINAL_RULES:
+                return False
             verdict = result.error.verdict
             if verdict is not model.Verdict.NOT_RUN and not call.idempotent:
                 return False
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -17,6 +17,9 @@
 # Answers of an upstream that sheds load.
 SHED_STATUSES = (429, 503)
 
+# Refusals that say that the upstream has too much work.
+FAILURE_RULES = (model.Rule.UPSTREAM_REFUSED, model.Rule.UPSTREAM_TIMEOUT)
+
 
 class Runner:
     """Owns the way to the own upstream and decides what it runs.
@@ -39,7 +42,13 @@
         self.running = 0
 
     async def attach(
-        self, *, service: str, host: str, port: int, slots: int
+        self,
+        *,
+        service: str,
+        host: str,
+        port: int,
+        slots: int,
+        warm: bool = False,
     ) -> None:
         """Take the upstream that calls run at.
 
@@ -48,12 +57,13 @@
             host: IP address of the upstream.
             port: TCP port of the upstream.
             slots: Calls that it can run at once.
+            warm: Whether it needs no slow start.
         """
         old = self.client
         self.client = upstream_client.UpstreamClient(
             host=host, port=port, slots=slots
         )
-        self.admission = admission.Admission(slots=slots)
+        self.admission = admission.Admission(slots=slots, warm=warm)
         self.service = service
         if old is not None:
             await old.close()
@@ -72,14 +82,13 @@
             The answer, or a refusal that says whether the call may have run.
         """
         refusal = self.check(call)
-        if refusal is None:
-            slots = self.admission
-            refusal = await slots.enter(call)
-        if refusal is not None:
-            refusal.unspent = call.allowance
-            refusal.reports = (self.admission.build_report(call),)
-            return Error(refusal)
-        return await self.execute(call, content, body, slots)
+        slots = self.admission
+        place = refusal or await slots.enter(call)
+        if isinstance(place, model.Refusal):
+            place.unspent = call.allowance
+            place.reports = (self.admission.build_report(call),)
+            return Error(place)
+        return await self.execute(call, content, body, slots, place)
 
     def check(self, call: model.Call) -> model.Refusal | None:
         """Return why a call cannot run at all, or None."""
@@ -102,6 +111,7 @@
         content: bytes,
         body: model.Body | None,
         slots: admission.Admission,
+        place: admission.Place,
     ) -> Result[model.Answer, model.Refusal]:
         """Send an admitted call to the upstream."""
         account = self.chains.enter(call)
@@ -110,32 +120,44 @@
         self.running += 1
         unspent = 0
 
-        def finish(failed: bool) -> int:
+        def finish() -> int:
             nonlocal unspent
-            own_time = time.monotonic() - started - (account.waited - waited)
-            slots.leave(call, own_time_s=max(0.0, own_time), failed=failed)
+            slots.leave(place)
             unspent = self.chains.leave(call)
             self.running -= 1
             return unspent
 
+        def measure(failed: bool, answered: bool) -> None:
+            own_time = time.monotonic() - started - (account.waited - waited)
+            # An upstream that made calls may only pass on that a deeper
+            # service refused or was late; this must not lower its limit.
+            slots.answer(
+                call,
+                place,
+                own_time_s=max(0.0, own_time) if answered else None,
+                failed=failed and not account.called,
+            )
+
         try:
             result = await self.request(call, content, body, started)
         except BaseException:
-            finish(True)
+            finish()
             raise
         if result.is_error():
-            result.error.unspent = finish(True)
+            measure(result.error.rule in FAILURE_RULES, False)
+            result.error.unspent = finish()
             result.error.reports = (slots.build_report(call),)
             return result
         answer = result.ok
-        failed = answer.status in SHED_STATUSES
+        # The time of a streamed request is that of its sender.
+        measure(answer.status in SHED_STATUSES, body is None)
         if answer.body is None:
-            answer.unspent = finish(failed)
+            answer.unspent = finish()
         else:
             # Retries of a streamed answer are not given back: its head has
             # left before the upstream has stopped to make calls.
             answer.body = finished_body.FinishedBody(
-                body=answer.body, on_done=lambda: finish(failed)
+                body=answer.body, on_done=finish
             )
         answer.reports = (slots.build_report(call),)
         return Ok(answer)
