Report load along the chain and refuse early at the first node

Cause: a node reported only its own level, so a first node sent requests into a chain whose deeper service refused them after work above it.

Change: a report carries the lowest of the own level and those of the services that the route calls in half of its requests or more, with the levels that this node learned from answers. A node checks the same level before it runs a call at its own upstream.

--- a/features/support/system.py
+++ b/features/support/system.py
@@ -20,6 +20,7 @@
         nodes: Instances by name.
         processes: All processes started.
         extra_settings: Settings that every node gets besides its own.
+        node_command: Module and arguments that run a node.
     """
 
     def __init__(self) -> None:
@@ -30,6 +31,7 @@
         self.nodes: dict[str, nodes.Node] = {}
         self.processes: list[process.Process] = []
         self.extra_settings: dict[str, object] = {}
+        self.node_command = ['oleanderknot', 'node']
         self.networks: dict[str, int] = {}
         self.last_host = 0
         self.platform_port = 0
@@ -169,7 +171,7 @@
         """Start the process of a node with its settings file."""
         path = self.folder / (node.name + '.yaml')
         node.process = self.run(
-            'node-' + node.name, 'oleanderknot', 'node', str(path)
+            'node-' + node.name, *self.node_command, str(path)
         )
         self.wait_for(
             lambda: http.get_json(node.status_url()), node.name + ' starts'
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -8,7 +8,10 @@
 from oleanderknot.decisions.chain_account import open_account
 from oleanderknot.decisions.chain_table import ChainTable
 from oleanderknot.decisions.concurrency_limit import ConcurrencyLimit
+from oleanderknot.decisions.instance_load import estimate_wait_ms
 from oleanderknot.decisions.instance_load import InstanceLoad
+from oleanderknot.decisions.load_view import ADMITTING_STATES
+from oleanderknot.decisions.load_view import LoadView
 from oleanderknot.decisions.member_table import is_newer
 from oleanderknot.decisions.member_table import MemberTable
 from oleanderknot.decisions.policy_table import match_route
@@ -16,11 +19,13 @@
 from oleanderknot.decisions.priority import rank
 from oleanderknot.decisions.queued_call import QueuedCall
 from oleanderknot.decisions.retry_budget import RetryBudget
+from oleanderknot.decisions.route_calls import RouteCalls
 from oleanderknot.decisions.service_time import ServiceTimes
 from oleanderknot.decisions.upstream_choice import Candidate
 from oleanderknot.decisions.upstream_choice import choose
 
 __all__ = [
+    'ADMITTING_STATES',
     'AdmissionLevel',
     'AdmissionQueue',
     'CallCohort',
@@ -29,13 +34,16 @@
     'ChainTable',
     'ConcurrencyLimit',
     'InstanceLoad',
+    'LoadView',
     'MAX_LEVEL',
     'MemberTable',
     'PolicyTable',
     'QueuedCall',
     'RetryBudget',
+    'RouteCalls',
     'ServiceTimes',
     'choose',
+    'estimate_wait_ms',
     'is_newer',
     'match_route',
     'open_account',
--- a/oleanderknot/decisions/admission_level.py
+++ b/oleanderknot/decisions/admission_level.py
@@ -153,8 +153,3 @@
             left -= calls
             position += width
         self.level = min(MAX_LEVEL, position / BINS_PER_CLASS)
-
-    def estimate_wait_ms(self, priority: float) -> int:
-        """Return in how many milliseconds a call may be admitted."""
-        gap = max(0.0, priority - self.level)
-        return int(1000 * WINDOW_S * (1 + gap / MAX_RISE))
--- a/oleanderknot/decisions/chain_account.py
+++ b/oleanderknot/decisions/chain_account.py
@@ -23,7 +23,7 @@
         waiting_since: Monotonic time in seconds since which ``outgoing`` is
             above 0.
         waited: Seconds with at least one outgoing call, so far.
-        called: Services that the upstream has called.
+        called: Services and routes that the upstream has called.
         failures: Failed outgoing calls that have not been repeated, counted
             by method, service and path.
     """
@@ -39,7 +39,7 @@
     outgoing: int = 0
     waiting_since: float = 0.0
     waited: float = 0.0
-    called: set[str] = dataclasses.field(default_factory=set)
+    called: set[tuple[str, str]] = dataclasses.field(default_factory=set)
     failures: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
--- a/oleanderknot/decisions/instance_load.py
+++ b/oleanderknot/decisions/instance_load.py
@@ -11,6 +11,9 @@
 # report; this is how a node probes an upstream again after refusals.
 LEVEL_RISE_PER_S = 1.0
 
+# Shortest wait that a refused caller is told: one window of the level.
+RETRY_AFTER_S = 0.1
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class InstanceLoad:
@@ -59,3 +62,14 @@
             return MAX_LEVEL
         level, reported_at = reported
         return min(MAX_LEVEL, level + LEVEL_RISE_PER_S * (now - reported_at))
+
+
+def estimate_wait_ms(priority: float, level: float) -> int:
+    """Return in how many milliseconds a refused call may be admitted.
+
+    Args:
+        priority: Priority number of the call.
+        level: Admission level that refused it.
+    """
+    gap = max(0.0, priority - level)
+    return int(1000 * (RETRY_AFTER_S + gap / LEVEL_RISE_PER_S))
--- /dev/null
+++ b/oleanderknot/decisions/load_view.py
@@ -0,0 +1,85 @@
+"""Load of other upstreams as a node knows it from their reports."""
+
+import collections.abc
+
+from oleanderknot import model
+from oleanderknot.decisions import instance_load
+
+# Levels move every 100 ms; a level this old is used again, since looking at
+# all upstreams of a service for each answer would cost more than the answer.
+KEEP_S = 0.01
+
+ADMITTING_STATES = (model.MemberState.TAKING, model.MemberState.SUSPECT)
+
+
+class LoadView:
+    """Keeps the load of each upstream that this node has called.
+
+    Attributes:
+        loads: Load by instance.
+        levels: Time in seconds and level found last, by service and route.
+    """
+
+    def __init__(self) -> None:
+        self.loads: dict[str, instance_load.InstanceLoad] = {}
+        self.levels: dict[tuple[str, str], tuple[float, float]] = {}
+
+    def find(self, member: model.Member) -> instance_load.InstanceLoad:
+        """Return the load of an instance, starting from its slots."""
+        load = self.loads.get(member.instance)
+        if load is None:
+            load = instance_load.InstanceLoad(limit=max(1, member.slots))
+            self.loads[member.instance] = load
+        return load
+
+    def take_reports(
+        self,
+        instance: str,
+        reports: collections.abc.Iterable[model.LoadReport],
+        now: float,
+    ) -> None:
+        """Keep the load reports that an answer carries.
+
+        Args:
+            instance: Instance that answered.
+            reports: Its reports.
+            now: Monotonic time in seconds.
+        """
+        load = self.loads.get(instance)
+        if load is not None:
+            for report in reports:
+                load.take_report(report, now)
+
+    def find_service_level(
+        self,
+        service: str,
+        route: str,
+        members: collections.abc.Iterable[model.Member],
+        now: float,
+    ) -> float:
+        """Return the highest level among the upstreams of a service.
+
+        A call that one upstream admits is admitted by the service.
+
+        Args:
+            service: Name of the service.
+            route: Path prefix of the route.
+            members: Records of the service's instances.
+            now: Monotonic time in seconds.
+
+        Returns:
+            A level from 0 to 4; 4 when nothing is known.
+        """
+        kept = self.levels.get((service, route))
+        if kept is not None and now - kept[0] < KEEP_S:
+            return kept[1]
+        level = max(
+            (
+                self.find(member).find_level(route, now)
+                for member in members
+                if member.state in ADMITTING_STATES
+            ),
+            default=instance_load.MAX_LEVEL,
+        )
+        self.levels[(service, route)] = (now, level)
+        return level
--- /dev/null
+++ b/oleanderknot/decisions/route_calls.py
@@ -0,0 +1,54 @@
+"""Services that the routes of an upstream call."""
+
+import collections.abc
+
+# Counts are halved here, so that they follow a changed upstream.
+MOST_REQUESTS = 200
+
+# A route depends on a service that it calls in this share of its requests.
+NEEDED_SHARE = 0.5
+
+
+class RouteCalls:
+    """Counts for each route which services and routes it calls.
+
+    Attributes:
+        requests: Requests counted, by route.
+        called: Requests that called a service and its route, by route.
+    """
+
+    def __init__(self) -> None:
+        self.requests: dict[str, float] = {}
+        self.called: dict[str, dict[tuple[str, str], float]] = {}
+
+    def count(
+        self,
+        route: str,
+        called: collections.abc.Iterable[tuple[str, str]],
+    ) -> None:
+        """Count a request that has ended.
+
+        Args:
+            route: Path prefix of its route.
+            called: Services and routes that it has called.
+        """
+        requests = self.requests.get(route, 0.0)
+        counts = self.called.setdefault(route, {})
+        if requests >= MOST_REQUESTS:
+            requests /= 2
+            for key in list(counts):
+                counts[key] /= 2
+                if counts[key] < 1:
+                    del counts[key]
+        self.requests[route] = requests + 1
+        for key in called:
+            counts[key] = counts.get(key, 0.0) + 1
+
+    def list_needed(self, route: str) -> list[tuple[str, str]]:
+        """Return the services and routes that a route depends on."""
+        least = self.requests.get(route, 0.0) * NEEDED_SHARE
+        return [
+            key
+            for key, count in self.called.get(route, {}).items()
+            if count >= least
+        ]
--- a/oleanderknot/node/serve.py
+++ b/oleanderknot/node/serve.py
@@ -9,16 +9,20 @@
 from oleanderknot.node import application
 
 
-def serve(settings: border.NodeSettings) -> None:
+def serve(
+    settings: border.NodeSettings,
+    node: application.NodeApplication | None = None,
+) -> None:
     """Run a node until SIGTERM or SIGINT, then drain and stop it.
 
     Args:
         settings: Settings of the node.
+        node: The node, when it is not to be built from the settings alone.
 
     Raises:
         OSError: A listening address cannot be used.
     """
-    node = application.NodeApplication(settings=settings)
+    node = node or application.NodeApplication(settings=settings)
     with aiomisc.entrypoint(
         node,
         log_config=False,
--- a/oleanderknot/tasks/admission.py
+++ b/oleanderknot/tasks/admission.py
@@ -63,9 +63,14 @@
         """
         return (
             self.running < self.limit.count_places()
-            and priority < self.level.level
+            and priority < self.find_level()
         )
 
+    def find_level(self) -> float:
+        """Return the admission level; it rises also while no call comes."""
+        self.level.advance(self.loop.time())
+        return self.level.level
+
     async def enter(self, call: model.Call) -> Place | model.Refusal:
         """Wait until a call may run.
 
@@ -195,16 +200,25 @@
             call, model.Verdict.NOT_RUN, rule, DETAILS[rule]
         )
         priority = decisions.rank(call.request_class, call.trace_id)
-        refusal.retry_after_ms = self.level.estimate_wait_ms(priority)
+        refusal.retry_after_ms = decisions.estimate_wait_ms(
+            priority, self.level.level
+        )
         return refusal
 
-    def build_report(self, call: model.Call) -> model.LoadReport:
-        """Build the load report for a call's route."""
-        self.level.advance(self.loop.time())
+    def build_report(self, call: model.Call, level: float) -> model.LoadReport:
+        """Build the load report for a call's route.
+
+        Args:
+            call: The call.
+            level: Admission level of the route's whole chain.
+
+        Returns:
+            The report.
+        """
         return model.LoadReport(
             service=call.service,
             route=call.route,
-            level=self.level.level,
+            level=level,
             in_flight=self.running + self.queue.size,
             limit=self.limit.count_places(),
         )
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -39,7 +39,7 @@
         runner: Runs calls at the own upstream.
         pool: Connections to other nodes.
         count: Counts a decision.
-        loads: Load by instance.
+        loads: Load of other upstreams.
         budget: Retries of this node as a share of its successes.
         rng: Source of randomness.
     """
@@ -61,7 +61,7 @@
         self.runner = runner
         self.pool = pool
         self.count = count
-        self.loads: dict[str, decisions.InstanceLoad] = {}
+        self.loads = decisions.LoadView()
         self.budget = decisions.RetryBudget()
         self.rng = rng or random.Random()
 
@@ -93,7 +93,8 @@
             attempt = dataclasses.replace(call, allowance=granted)
             result = await self.attempt(member, attempt, content, body)
             now = time.monotonic()
-            self.take_reports(member.instance, result, now)
+            outcome = result.ok if result.is_ok() else result.error
+            self.loads.take_reports(member.instance, outcome.reports, now)
             if result.is_ok():
                 account.refund(result.ok.unspent, granted)
                 if not self.is_shed(result.ok, call, body):
@@ -120,14 +121,14 @@
             and not self.runner.leaving
             and self.policy.takes_work(own)
             and self.runner.admission.has_room(priority)
+            and priority < self.runner.find_level(call.route)
         ):
             return self.members.members.get(own)
         now = time.monotonic()
         candidates = [
             self.build_candidate(member, call, now)
             for member in self.members.list_service(call.service)
-            if member.state
-            in (model.MemberState.TAKING, model.MemberState.SUSPECT)
+            if member.state in decisions.ADMITTING_STATES
             and self.policy.takes_work(member.instance)
         ]
         choice = decisions.choose(
@@ -144,7 +145,8 @@
         self, member: model.Member, call: model.Call, now: float
     ) -> decisions.Candidate:
         """Describe an upstream as the choice needs it."""
-        load = self.find_load(member)
+        load = self.loads.find(member)
+        own = member.instance == self.identity.instance
         return decisions.Candidate(
             instance=member.instance,
             local=member.data_centre == self.identity.data_centre,
@@ -152,16 +154,19 @@
             outstanding=load.outstanding,
             in_flight=load.in_flight,
             limit=load.limit,
-            level=load.find_level(call.route, now),
+            level=self.runner.find_level(call.route)
+            if own
+            else load.find_level(call.route, now),
         )
 
-    def find_load(self, member: model.Member) -> decisions.InstanceLoad:
-        """Return the load of an instance, starting from its slots."""
-        load = self.loads.get(member.instance)
-        if load is None:
-            load = decisions.InstanceLoad(limit=max(1, member.slots))
-            self.loads[member.instance] = load
-        return load
+    def find_service_level(self, service: str, route: str) -> float:
+        """Return the admission level of a service for a route."""
+        return self.loads.find_service_level(
+            service,
+            route,
+            self.members.list_service(service),
+            time.monotonic(),
+        )
 
     async def attempt(
         self,
@@ -171,7 +176,7 @@
         body: model.Body | None,
     ) -> Result[model.Answer, model.Refusal]:
         """Send a call once, to one node."""
-        load = self.find_load(member)
+        load = self.loads.find(member)
         load.outstanding += 1
         try:
             if member.instance == self.identity.instance:
@@ -192,19 +197,6 @@
         finally:
             load.outstanding -= 1
 
-    def take_reports(
-        self,
-        instance: str,
-        result: Result[model.Answer, model.Refusal],
-        now: float,
-    ) -> None:
-        """Keep the load reports that an answer carries."""
-        reports = (result.ok if result.is_ok() else result.error).reports
-        load = self.loads.get(instance)
-        if load is not None:
-            for report in reports:
-                load.take_report(report, now)
-
     def is_shed(
         self, answer: model.Answer, call: model.Call, body: model.Body | None
     ) -> bool:
@@ -246,18 +238,26 @@
 
     def refuse_early(self, call: model.Call) -> model.Refusal:
         """Refuse a call that no upstream would admit."""
-        taking = [
-            member
-            for member in self.members.list_service(call.service)
-            if member.state <= model.MemberState.SUSPECT
-        ]
-        if taking:
-            rule = model.Rule.EARLY_REFUSAL
-            detail = 'no upstream of %s admits this class now' % call.service
-        else:
-            rule = model.Rule.NO_UPSTREAM
-            detail = 'no upstream of %s is known' % call.service
-        return model.build_refusal(call, model.Verdict.NOT_RUN, rule, detail)
+        members = list(self.members.list_service(call.service))
+        if not any(
+            member.state in decisions.ADMITTING_STATES for member in members
+        ):
+            return model.build_refusal(
+                call,
+                model.Verdict.NOT_RUN,
+                model.Rule.NO_UPSTREAM,
+                'no upstream of %s is known' % call.service,
+            )
+        refusal = model.build_refusal(
+            call,
+            model.Verdict.NOT_RUN,
+            model.Rule.EARLY_REFUSAL,
+            'no upstream of %s admits this class now' % call.service,
+        )
+        priority = decisions.rank(call.request_class, call.trace_id)
+        level = self.find_service_level(call.service, call.route)
+        refusal.retry_after_ms = decisions.estimate_wait_ms(priority, level)
+        return refusal
 
     def count_decision(
         self, call: model.Call, rule: model.Rule, verdict: model.Verdict
--- a/oleanderknot/tasks/egress.py
+++ b/oleanderknot/tasks/egress.py
@@ -87,7 +87,7 @@
         if account is None:
             return await ingress.exchange(request, call, isolate(call), calls)
         join_chain(call, account)
-        account.called.add(call.service)
+        account.called.add((call.service, call.route))
         account.start_waiting(time.monotonic())
         try:
             return await ingress.exchange(request, call, account, calls)
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -1,6 +1,7 @@
 """Runs calls at the own upstream."""
 
 import asyncio
+import collections.abc
 import time
 
 from expression import Error
@@ -21,6 +22,14 @@
 FAILURE_RULES = (model.Rule.UPSTREAM_REFUSED, model.Rule.UPSTREAM_TIMEOUT)
 
 
+LevelFunction = collections.abc.Callable[[str, str], float]
+
+
+def assume_top_level(service: str, route: str) -> float:
+    """Return the level of a service about which nothing is known."""
+    return decisions.MAX_LEVEL
+
+
 class Runner:
     """Owns the way to the own upstream and decides what it runs.
 
@@ -29,12 +38,17 @@
         client: HTTP connections to the upstream.
         admission: Slots of the upstream.
         chains: Accounts of the chains that the upstream runs.
+        calls: Services that the upstream's routes call.
+        find_service_level: Returns the admission level of another service
+            for a route, as this node knows it.
         leaving: Whether the upstream takes no new work.
         running: Calls that this task works on, until their answer is whole.
     """
 
     def __init__(self, *, chains: decisions.ChainTable) -> None:
         self.chains = chains
+        self.calls = decisions.RouteCalls()
+        self.find_service_level: LevelFunction = assume_top_level
         self.service = ''
         self.client: upstream_client.UpstreamClient | None = None
         self.admission = admission.Admission(slots=1)
@@ -86,10 +100,28 @@
         place = refusal or await slots.enter(call)
         if isinstance(place, model.Refusal):
             place.unspent = call.allowance
-            place.reports = (self.admission.build_report(call),)
+            place.reports = (self.build_report(call),)
             return Error(place)
         return await self.execute(call, content, body, slots, place)
 
+    def find_level(self, route: str) -> float:
+        """Return the level at which a route's whole chain admits calls.
+
+        It is the lowest of the own level and those of the services that the
+        route calls in at least half of its requests.
+
+        Args:
+            route: Path prefix of the route.
+        """
+        level = self.admission.find_level()
+        for service, inner in self.calls.list_needed(route):
+            level = min(level, self.find_service_level(service, inner))
+        return level
+
+    def build_report(self, call: model.Call) -> model.LoadReport:
+        """Build the load report for a call's route."""
+        return self.admission.build_report(call, self.find_level(call.route))
+
     def check(self, call: model.Call) -> model.Refusal | None:
         """Return why a call cannot run at all, or None."""
         if self.client is None or call.service != self.service:
@@ -123,6 +155,7 @@
         def finish() -> int:
             nonlocal unspent
             slots.leave(place)
+            self.calls.count(call.route, account.called)
             unspent = self.chains.leave(call)
             self.running -= 1
             return unspent
@@ -146,7 +179,7 @@
         if result.is_error():
             measure(result.error.rule in FAILURE_RULES, False)
             result.error.unspent = finish()
-            result.error.reports = (slots.build_report(call),)
+            result.error.reports = (self.build_report(call),)
             return result
         answer = result.ok
         # The time of a streamed request is that of its sender.
@@ -159,7 +192,7 @@
             answer.body = finished_body.FinishedBody(
                 body=answer.body, on_done=finish
             )
-        answer.reports = (slots.build_report(call),)
+        answer.reports = (self.build_report(call),)
         return Ok(answer)
 
     async def request(
