Let the admission level follow strong overload faster

Cause: at 5 % a window the level needed more than 2 s to follow a load of three times the capacity; meanwhile services above worked for requests that the deep one refused. With 4 slots and calls of 50 ms a mean wait of 20 ms also left a fifth of the slots' time unused.

Change: while the queue refuses calls in window after window, the level falls by half of their share, at most 30 %. Calls may wait as long as they take, between 20 and 100 ms. The status page shows level, limit and queue.

--- a/features/steps/overload_decision_steps.py
+++ b/features/steps/overload_decision_steps.py
@@ -36,7 +36,7 @@
         priority = context.rng.choice(classes) + context.rng.random()
         admitted = context.level.admit(priority, context.now)
         if admitted and backlog < 20:
-            context.level.count_start(int(backlog) / starts)
+            context.level.count_start(int(backlog) / starts, 0.02)
             backlog += 1
         elif admitted:
             context.level.count_refusal()
--- a/oleanderknot/decisions/admission_level.py
+++ b/oleanderknot/decisions/admission_level.py
@@ -4,12 +4,22 @@
 BINS = 256
 BINS_PER_CLASS = 64
 WINDOW_S = 0.1
+
+# Calls may wait as long as they take themselves, within these bounds. With
+# few slots and long calls, a mean wait of 20 ms would leave a fifth of the
+# slots' time unused, since the next slot frees later than that.
 TARGET_DELAY_S = 0.02
+LONGEST_TARGET_S = 0.1
 
 # Shares by which the expected admissions change each window.
 FALL = 0.05
 RISE = 0.02
 
+# The fall is larger while the queue refuses calls in window after window:
+# half of their share, but at most this. At 5 % a window a load of three times what the upstream
+# can do would waste the work of the services above it for more than 2 s.
+MAX_FALL = 0.3
+
 # Largest rise in one window. It is the pace at which other nodes raise a
 # reported level, so faster rises would not bring more calls.
 MAX_RISE = 0.1
@@ -35,8 +45,10 @@
         arrivals: Calls of this window by priority number.
         density: Calls a window by priority number, smoothed.
         delay_sum: Seconds that calls started in this window had waited.
-        started: Calls started in this window.
-        refused: Whether the queue refused a call in this window.
+        target_sum: Seconds that they may have waited.
+        admitted: Calls admitted in this window.
+        refused: Calls that the queue refused in this window.
+        overloads: Windows in a row in which calls waited too long.
         calm: Windows in a row in which no call waited.
     """
 
@@ -46,8 +58,10 @@
         self.arrivals = [0] * BINS
         self.density = [0.0] * BINS
         self.delay_sum = 0.0
-        self.started = 0
-        self.refused = False
+        self.target_sum = 0.0
+        self.admitted = 0
+        self.refused = 0
+        self.overloads = 0
         self.calm = 0
 
     def admit(self, priority: float, now: float) -> bool:
@@ -62,16 +76,26 @@
         """
         self.advance(now)
         self.arrivals[int(priority * BINS_PER_CLASS)] += 1
-        return priority < self.level
+        if priority >= self.level:
+            return False
+        self.admitted += 1
+        return True
 
-    def count_start(self, delay_s: float) -> None:
-        """Count a call that starts after a wait in the queue."""
+    def count_start(self, delay_s: float, expected_s: float) -> None:
+        """Count a call that starts.
+
+        Args:
+            delay_s: Seconds that it has waited in the queue.
+            expected_s: Seconds that it is expected to take.
+        """
         self.delay_sum += delay_s
-        self.started += 1
+        self.target_sum += min(
+            LONGEST_TARGET_S, max(TARGET_DELAY_S, expected_s)
+        )
 
     def count_refusal(self) -> None:
         """Count a call that the queue refused."""
-        self.refused = True
+        self.refused += 1
 
     def advance(self, now: float) -> None:
         """Close the windows that have ended."""
@@ -89,19 +113,22 @@
             MEMORY * old + (1 - MEMORY) * new
             for old, new in zip(self.density, self.arrivals, strict=True)
         ]
-        overloaded = self.refused or (
-            self.delay_sum > TARGET_DELAY_S * self.started
-        )
+        overloaded = self.refused or self.delay_sum > self.target_sum
         waited = overloaded or self.delay_sum > 0
         self.calm = 0 if waited else self.calm + 1
         if overloaded:
-            self.lower()
+            # One window may be a burst that the next calls make up for.
+            share = self.refused / max(1, self.admitted) / 2
+            fall = max(FALL, share) if self.overloads else FALL
+            self.lower(min(MAX_FALL, fall))
         elif self.level < MAX_LEVEL:
             self.rise()
+        self.overloads = self.overloads + 1 if overloaded else 0
         self.arrivals = [0] * BINS
         self.delay_sum = 0.0
-        self.started = 0
-        self.refused = False
+        self.target_sum = 0.0
+        self.admitted = 0
+        self.refused = 0
 
     def pass_idle(self, windows: int) -> None:
         """Let windows without any call pass."""
@@ -109,14 +136,14 @@
         share = MEMORY**windows
         self.density = [value * share for value in self.density]
 
-    def lower(self) -> None:
-        """Lower the level until expected admissions shrink by ``FALL``."""
+    def lower(self, fall: float) -> None:
+        """Lower the level until expected admissions shrink by a share."""
         whole, part = divmod(self.level * BINS_PER_CLASS, 1)
         index = int(whole)
         admitted = sum(self.density[:index])
         if part:
             admitted += part * self.density[index]
-        left = FALL * admitted
+        left = fall * admitted
         if not left:
             return
         position = self.level * BINS_PER_CLASS
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -232,6 +232,7 @@
             'service': self.runner.service,
             'leaving': self.runner.leaving,
             'running': self.runner.running,
+            'load': self.runner.admission.describe(),
             'egress_port': self.egress_port,
             'caller_port': self.membership.own.caller_port,
             'members': [
--- a/oleanderknot/tasks/admission.py
+++ b/oleanderknot/tasks/admission.py
@@ -92,7 +92,7 @@
         if now + expected >= call.deadline:
             return self.refuse(call, model.Rule.DEADLINE)
         if not self.queue.size and self.running < self.limit.count_places():
-            return self.start(0.0, now)
+            return self.start(0.0, expected, now)
         entry = decisions.QueuedCall(
             request_class=call.request_class,
             depth=call.depth,
@@ -146,10 +146,10 @@
             if not entry.token.done():
                 entry.token.set_result(rule)
 
-    def start(self, delay_s: float, now: float) -> Place:
+    def start(self, delay_s: float, expected_s: float, now: float) -> Place:
         """Give a place to a call that has waited."""
         self.running += 1
-        self.level.count_start(delay_s)
+        self.level.count_start(delay_s, expected_s)
         cohort = self.limit.start(self.running, now)
         return Place(cohort=cohort, started_at=now)
 
@@ -192,7 +192,9 @@
             entry, dropped = self.queue.pop(now)
             self.drop(dropped)
             if entry is not None and not entry.token.done():
-                entry.token.set_result(self.start(now - entry.arrived_at, now))
+                entry.token.set_result(
+                    self.start(now - entry.arrived_at, entry.expected_s, now)
+                )
 
     def refuse(self, call: model.Call, rule: model.Rule) -> model.Refusal:
         """Build the refusal of a call that was not started."""
@@ -222,3 +224,12 @@
             in_flight=self.running + self.queue.size,
             limit=self.limit.count_places(),
         )
+
+    def describe(self) -> dict[str, float]:
+        """Describe the load for operators."""
+        return {
+            'level': self.find_level(),
+            'limit': self.limit.count_places(),
+            'running': self.running,
+            'queued': self.queue.size,
+        }
