--- a/oleanderknot/border/settings.py
+++ b/oleanderknot/border/settings.py
@@ -95,6 +95,8 @@
         seeds: Peer addresses ``ip:port`` of a few other nodes, tried first.
         drain_timeout_s: Seconds that a planned stop waits for requests in
             flight.
+        control: Whether the node controls load; a node that does not only
+            forwards, which serves to measure what control is worth.
     """
 
     instance: Name
@@ -104,3 +106,4 @@
     upstream: UpstreamSettings | None = None
     seeds: tuple[str, ...] = ()
     drain_timeout_s: typing.Annotated[float, pydantic.Field(gt=0)] = 900.0
+    control: bool = True
--- a/oleanderknot/cli/main.py
+++ b/oleanderknot/cli/main.py
@@ -5,6 +5,11 @@
 from cleo import application
 
 from oleanderknot.cli import node
+from oleanderknot.cli import ticket_file
+from oleanderknot.cli import ticket_list
+from oleanderknot.cli import ticket_show
+from oleanderknot.cli import ticket_status
+from oleanderknot.cli.demo import command as demo
 
 
 def main() -> int:
@@ -15,7 +20,12 @@
         settings.
     """
     app = application.Application('oleanderknot', '0.1.0')
+    app.add(demo.DemoCommand())
     app.add(node.NodeCommand())
+    app.add(ticket_file.TicketFileCommand())
+    app.add(ticket_list.TicketListCommand())
+    app.add(ticket_show.TicketShowCommand())
+    app.add(ticket_status.TicketStatusCommand())
     return app.run()
 
 
--- a/oleanderknot/decisions/admission_level.py
+++ b/oleanderknot/decisions/admission_level.py
@@ -16,8 +16,8 @@
 RISE = 0.02
 
 # The fall is larger while the queue refuses calls in window after window:
-# half of their share, but at most this. At 5 % a window a load of three times what the upstream
-# can do would waste the work of the services above it for more than 2 s.
+# half of their share, but at most this. At 5 % a window a load of three times
+# what the upstream can do would waste work above it for more than 2 s.
 MAX_FALL = 0.3
 
 # Largest rise in one window. It is the pace at which other nodes raise a
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -11,6 +11,7 @@
 
 from oleanderknot import decisions
 from oleanderknot import model
+from oleanderknot.tasks import early_refusal
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import runner
 
@@ -238,26 +239,12 @@
 
     def refuse_early(self, call: model.Call) -> model.Refusal:
         """Refuse a call that no upstream would admit."""
-        members = list(self.members.list_service(call.service))
-        if not any(
-            member.state in decisions.ADMITTING_STATES for member in members
-        ):
-            return model.build_refusal(
-                call,
-                model.Verdict.NOT_RUN,
-                model.Rule.NO_UPSTREAM,
-                'no upstream of %s is known' % call.service,
-            )
-        refusal = model.build_refusal(
+        return early_refusal.build_early_refusal(
             call,
-            model.Verdict.NOT_RUN,
-            model.Rule.EARLY_REFUSAL,
-            'no upstream of %s admits this class now' % call.service,
+            self.members,
+            self.policy,
+            self.find_service_level(call.service, call.route),
         )
-        priority = decisions.rank(call.request_class, call.trace_id)
-        level = self.find_service_level(call.service, call.route)
-        refusal.retry_after_ms = decisions.estimate_wait_ms(priority, level)
-        return refusal
 
     def count_decision(
         self, call: model.Call, rule: model.Rule, verdict: model.Verdict
--- /dev/null
+++ b/oleanderknot/tasks/early_refusal.py
@@ -0,0 +1,44 @@
+"""Refuses calls before any work, when no upstream would take them."""
+
+from oleanderknot import decisions
+from oleanderknot import model
+
+
+def build_early_refusal(
+    call: model.Call,
+    members: decisions.MemberTable,
+    policy: decisions.PolicyTable,
+    level: float,
+) -> model.Refusal:
+    """Build the refusal of a call for which no upstream was found.
+
+    Args:
+        call: The call.
+        members: Nodes and upstreams that are known.
+        policy: Policy in force.
+        level: Admission level of the call's service and route.
+
+    Returns:
+        The refusal; the call was sent nowhere.
+    """
+    taking = [
+        member
+        for member in members.list_service(call.service)
+        if member.state in decisions.ADMITTING_STATES
+    ]
+    stops = [policy.find_stop(item.instance) for item in taking]
+    wait_ms = 0
+    if taking and None not in stops:
+        rule = model.Rule.NOT_TAKING_WORK
+        detail = 'tickets say that no upstream of %s takes work' % call.service
+    elif taking:
+        rule = model.Rule.EARLY_REFUSAL
+        detail = 'no upstream of %s admits this class now' % call.service
+        priority = decisions.rank(call.request_class, call.trace_id)
+        wait_ms = decisions.estimate_wait_ms(priority, level)
+    else:
+        rule = model.Rule.NO_UPSTREAM
+        detail = 'no upstream of %s is known' % call.service
+    refusal = model.build_refusal(call, model.Verdict.NOT_RUN, rule, detail)
+    refusal.retry_after_ms = wait_ms
+    return refusal
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -22,6 +22,8 @@
 FAILURE_RULES = (model.Rule.UPSTREAM_REFUSED, model.Rule.UPSTREAM_TIMEOUT)
 
 
+AdmissionFunction = collections.abc.Callable[..., admission.Admission]
+GateFunction = collections.abc.Callable[[model.Call], model.Refusal | None]
 LevelFunction = collections.abc.Callable[[str, str], float]
 
 
@@ -38,22 +40,31 @@
         client: HTTP connections to the upstream.
         admission: Slots of the upstream.
         chains: Accounts of the chains that the upstream runs.
+        build_admission: Builds the admission for an upstream.
         calls: Services that the upstream's routes call.
         find_service_level: Returns the admission level of another service
             for a route, as this node knows it.
         leaving: Whether the upstream takes no new work.
         running: Calls that this task works on, until their answer is whole.
+        gate: Returns why policy refuses a call, or None.
     """
 
-    def __init__(self, *, chains: decisions.ChainTable) -> None:
+    def __init__(
+        self,
+        *,
+        chains: decisions.ChainTable,
+        build_admission: AdmissionFunction = admission.Admission,
+    ) -> None:
         self.chains = chains
+        self.build_admission = build_admission
         self.calls = decisions.RouteCalls()
         self.find_service_level: LevelFunction = assume_top_level
         self.service = ''
         self.client: upstream_client.UpstreamClient | None = None
-        self.admission = admission.Admission(slots=1)
+        self.admission = build_admission(slots=1)
         self.leaving = False
         self.running = 0
+        self.gate: GateFunction = lambda call: None
 
     async def attach(
         self,
@@ -77,7 +88,7 @@
         self.client = upstream_client.UpstreamClient(
             host=host, port=port, slots=slots
         )
-        self.admission = admission.Admission(slots=slots, warm=warm)
+        self.admission = self.build_admission(slots=slots, warm=warm)
         self.service = service
         if old is not None:
             await old.close()
@@ -134,7 +145,7 @@
             rule = model.Rule.DEADLINE
             detail = 'the deadline passed before the call could start'
         else:
-            return None
+            return self.gate(call)
         return model.build_refusal(call, model.Verdict.NOT_RUN, rule, detail)
 
     async def execute(
