Measure a surge with control and without

Cause: recovery and goodput in a surge were not measured.

Change: bench/surge.py drives a chain of three services through a surge with a slow deep service and clients that repeat hard.

--- /dev/null
+++ b/bench/surge.py
@@ -0,0 +1,266 @@
+"""Surge, a slow deep service and clients that retry hard, all at once.
+
+A chain catalogue -> orders -> inventory of real processes, two instances
+each, runs once with control and once as plain forwarders.
+"""
+
+import bisect
+import collections.abc
+import dataclasses
+import os
+
+from bench import figure
+from bench import load_generator
+from bench import load_kind
+from bench import load_outcome
+from features.support import http
+from features.support import system as systems
+
+SEEDS = (1, 2, 3)
+SERVICES = ('catalogue', 'orders', 'inventory')
+INSTANCES = 2
+
+# Inventory has 25 slots, as in the sizes of today.
+SLOTS = {'catalogue': 70, 'orders': 75, 'inventory': 25}
+FAST_MS = 80
+SLOW_MS = 400
+
+# What the slowest service can do a second while it is slow.
+CAPACITY = INSTANCES * SLOTS['inventory'] * 1000 / SLOW_MS
+
+NORMAL_RATE = 60.0
+SURGE_RATE = 400.0
+NORMAL_S = 3.0
+SURGE_S = 8.0
+AFTER_S = 8.0
+
+PATIENCE_S = 2.0
+REPEATS = 3
+REPEAT_PAUSE_S = 0.1
+
+# Goodput counts as normal in a bin of half a second from this share on.
+BIN_S = 0.5
+NORMAL_SHARE = 0.95
+
+KINDS = (
+    load_kind.LoadKind(name='order', method='POST', path='/catalogue/order'),
+    load_kind.LoadKind(name='page', method='GET', path='/catalogue/page'),
+    load_kind.LoadKind(
+        name='pattern', method='GET', path='/catalogue/pattern'
+    ),
+    load_kind.LoadKind(name='lookup', method='GET', path='/catalogue/lookup'),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SurgeResult:
+    """What one run gave.
+
+    Attributes:
+        goodput: Whole answers in the surge, as a share of the capacity.
+        recovery_s: Seconds from the end of the surge until goodput was
+            normal for good; the rest of the run when it never was.
+        recovered: Whether goodput became normal.
+        wasted: Share of the runs at upstreams that gave no whole answer.
+        answered: Share of the requests of the surge that were answered, by
+            kind.
+    """
+
+    goodput: float
+    recovery_s: float
+    recovered: bool
+    wasted: float
+    answered: dict[str, float]
+
+
+def start_chain(system: systems.System, control: bool) -> None:
+    """Start all instances of the chain."""
+    system.node_command = ['features.support.shop_node']
+    system.extra_settings['control'] = control
+    belows = [*SERVICES[1:], '']
+    for service, below in zip(SERVICES, belows, strict=True):
+        for number in range(INSTANCES):
+            node = system.start_node('%s-%d' % (service, number))
+            arguments = ['--warm', '--slots', str(SLOTS[service])]
+            if below:
+                arguments += ['--calls', below]
+            else:
+                arguments += ['--delay-ms', str(FAST_MS)]
+            system.start_upstream(node, service, *arguments)
+    for service in SERVICES:
+        system.wait_for_members(service, INSTANCES)
+
+
+def slow_down(system: systems.System) -> None:
+    """Let inventory become slow; it stays slow after the surge."""
+    for number in range(INSTANCES):
+        node = system.nodes['inventory-%d' % number]
+        http.post_json(node.upstream_url('/-/options'), {'delay_ms': SLOW_MS})
+
+
+def run(seed: int, control: bool) -> SurgeResult:
+    """Run the whole course once, on processes of its own."""
+    system = systems.System()
+    try:
+        start_chain(system, control)
+        generator = load_generator.LoadGenerator(
+            urls=[
+                system.nodes['catalogue-%d' % number].caller_url('')
+                for number in range(INSTANCES)
+            ],
+            kinds=KINDS,
+            seed=seed,
+            patience_s=PATIENCE_S,
+            repeats=REPEATS,
+            pause_s=REPEAT_PAUSE_S,
+        )
+        outcomes = generator.run(
+            [
+                (NORMAL_RATE, NORMAL_S),
+                (SURGE_RATE, SURGE_S),
+                (NORMAL_RATE, AFTER_S),
+            ],
+            [(NORMAL_S, lambda: slow_down(system))],
+        )
+        traces = [
+            run['trace']
+            for service in SERVICES
+            for run in system.list_runs(service)
+        ]
+    finally:
+        system.stop()
+    if os.environ.get('SURGE_DETAIL'):
+        print_course(outcomes, traces)
+    return summarize(outcomes, traces)
+
+
+def summarize(
+    outcomes: collections.abc.Sequence[load_outcome.LoadOutcome],
+    traces: collections.abc.Sequence[str],
+) -> SurgeResult:
+    """Work out the figures of one run."""
+    start, end = NORMAL_S, NORMAL_S + SURGE_S
+    in_time = sum(
+        item.whole and start <= item.ended_s < end for item in outcomes
+    )
+    recovered_at, recovered = find_recovery(outcomes, end)
+    surge = [item for item in outcomes if start <= item.started_s < end]
+    whole = {item.attempts[-1][0] for item in outcomes if item.whole}
+    sent = {trace for item in surge for trace, _, _ in item.attempts}
+    ran = [trace for trace in traces if trace in sent]
+    wasted = sum(trace not in whole for trace in ran)
+    return SurgeResult(
+        goodput=in_time / (CAPACITY * SURGE_S),
+        recovery_s=recovered_at - end,
+        recovered=recovered,
+        wasted=wasted / max(1, len(ran)),
+        answered={
+            kind.name: share_whole(
+                [item for item in surge if item.kind == kind.name]
+            )
+            for kind in KINDS
+        },
+    )
+
+
+def share_whole(
+    outcomes: collections.abc.Sequence[load_outcome.LoadOutcome],
+) -> float:
+    """Return the share of requests that got a whole answer."""
+    return sum(item.whole for item in outcomes) / max(1, len(outcomes))
+
+
+def find_recovery(
+    outcomes: collections.abc.Sequence[load_outcome.LoadOutcome], end: float
+) -> tuple[float, bool]:
+    """Find the time from which on goodput is normal.
+
+    Args:
+        outcomes: Outcomes of all requests, by their start.
+        end: Seconds from the start of the load to the end of the surge.
+
+    Returns:
+        Seconds from the start of the load, and whether goodput became
+        normal before the load ended.
+    """
+    starts = [item.started_s for item in outcomes]
+    recovered_at = end
+    position = end
+    last = end + AFTER_S
+    while position < last:
+        low = bisect.bisect_left(starts, position)
+        high = bisect.bisect_left(starts, position + BIN_S)
+        position += BIN_S
+        if share_whole(outcomes[low:high]) < NORMAL_SHARE:
+            recovered_at = position
+    return recovered_at, recovered_at < last
+
+
+def print_course(
+    outcomes: collections.abc.Sequence[load_outcome.LoadOutcome],
+    traces: collections.abc.Sequence[str],
+) -> None:
+    """Print what happened in each second, to find causes."""
+    ran = set(traces)
+    for second in range(int(NORMAL_S + SURGE_S + AFTER_S)):
+        begun = [
+            item for item in outcomes if second <= item.started_s < second + 1
+        ]
+        ended = sum(
+            item.whole and second <= item.ended_s < second + 1
+            for item in outcomes
+        )
+        rules: dict[str, int] = {}
+        for item in begun:
+            for trace, status, rule in item.attempts:
+                name = rule or 'status %d' % status
+                if not rule and trace not in ran:
+                    name += ' without a run'
+                rules[name] = rules.get(name, 0) + 1
+        shares = {
+            kind.name: round(
+                share_whole([x for x in begun if x.kind == kind.name]), 2
+            )
+            for kind in KINDS
+        }
+        print(second, len(begun), 'whole', ended, shares, rules)
+
+
+def measure() -> list[figure.Figure]:
+    """Measure all seeds, with control and without."""
+    figures = []
+    for control, mode in ((True, 'on'), (False, 'off')):
+        for seed in SEEDS:
+            result = run(seed, control)
+            figures += build_figures(result, mode, seed)
+    return figures
+
+
+def build_figures(
+    result: SurgeResult, mode: str, seed: int
+) -> list[figure.Figure]:
+    """Build the figures of one run."""
+    note = '' if result.recovered else 'not recovered when the run ended'
+    answered = ', '.join('%s %.2f' % item for item in result.answered.items())
+    return [
+        figure.Figure(
+            name='surge.%s_goodput' % mode,
+            value=round(result.goodput, 3),
+            unit='of what the slowest service can do',
+            seed=seed,
+            note='answered: ' + answered,
+        ),
+        figure.Figure(
+            name='surge.%s_recovery' % mode,
+            value=result.recovery_s,
+            unit='s',
+            seed=seed,
+            note=note,
+        ),
+        figure.Figure(
+            name='surge.%s_wasted' % mode,
+            value=round(result.wasted, 3),
+            unit='of the runs at upstreams',
+            seed=seed,
+        ),
+    ]
