Steer the level by the queue and refuse before work at every node

Cause: the level followed the delay of calls that had started, which tells about the queue of one service time ago, so it swung by more than half a class. Nodes sent requests to other first nodes on levels that had risen between two answers, and those nodes ran them although they knew that a deeper service would refuse. Newest first from 20 ms on let calls of 400 ms starve that would have been in time.

Change: the level falls while the delay of a call queued now is over the target and grows, and only a full queue counts as a refusal. A runner checks the level of the services that the route needs before it runs a call. A report counts as fresh for 100 ms. The order changes to newest first when the oldest call has waited as long as calls take.

--- a/features/decisions_overload.feature
+++ b/features/decisions_overload.feature
@@ -94,7 +94,8 @@
   Scenario: A level that is not renewed rises again
     Given the load of an upstream that reported level 1.5 at time 0
     Then its level at time 0 is 1.5
-    And its level at time 1 is 2.5
+    And its level at time 0.1 is 1.5
+    And its level at time 1.1 is 2.5
     And its level at time 9 is 4.0
 
   Scenario Outline: A caller that leaves while it waits frees its place
--- a/features/steps/overload_decision_steps.py
+++ b/features/steps/overload_decision_steps.py
@@ -36,10 +36,10 @@
         priority = context.rng.choice(classes) + context.rng.random()
         admitted = context.level.admit(priority, context.now)
         if admitted and backlog < 20:
-            context.level.count_start(int(backlog) / starts, 0.02)
             backlog += 1
         elif admitted:
             context.level.count_refusal()
+        context.level.note_queue(max(0, int(backlog) - 1) / starts, 0.02)
         if context.now > end - 1:
             context.last.append((int(priority), admitted))
 
--- a/oleanderknot/decisions/admission_level.py
+++ b/oleanderknot/decisions/admission_level.py
@@ -27,6 +27,9 @@
 # Windows in a row without a wait after which the rise stops to double.
 MAX_CALM = 6
 
+# A queue that is at most this part of what it was is getting shorter.
+SHRINKING = 0.95
+
 # Weight of older windows in the histogram: one window of 100 ms holds too
 # few calls for 256 bins.
 MEMORY = 0.8
@@ -39,16 +42,22 @@
 class AdmissionLevel:
     """Moves the level so that admitted calls wait about the target delay.
 
+    The delay is that of a call that would be queued now. The delay of calls
+    that have started tells the same later, when the queue has already
+    changed; a level moved by it swung between too many calls and too few.
+
     Attributes:
         level: Calls with a priority number below it are admitted; 0 to 4.
         window_start: Monotonic time in seconds at which the window started.
         arrivals: Calls of this window by priority number.
         density: Calls a window by priority number, smoothed.
-        delay_sum: Seconds that calls started in this window had waited.
-        target_sum: Seconds that they may have waited.
+        delay_s: Seconds that a call would wait now.
+        last_delay_s: The same at the end of the last window.
+        target_s: Seconds that it may wait.
+        waited: Whether a call was queued in this window.
         admitted: Calls admitted in this window.
         refused: Calls that the queue refused in this window.
-        overloads: Windows in a row in which calls waited too long.
+        overloads: Windows in a row in which the level fell.
         calm: Windows in a row in which no call waited.
     """
 
@@ -57,8 +66,10 @@
         self.window_start = now
         self.arrivals = [0] * BINS
         self.density = [0.0] * BINS
-        self.delay_sum = 0.0
-        self.target_sum = 0.0
+        self.delay_s = 0.0
+        self.last_delay_s = 0.0
+        self.target_s = TARGET_DELAY_S
+        self.waited = False
         self.admitted = 0
         self.refused = 0
         self.overloads = 0
@@ -81,20 +92,20 @@
         self.admitted += 1
         return True
 
-    def count_start(self, delay_s: float, expected_s: float) -> None:
-        """Count a call that starts.
+    def note_queue(self, delay_s: float, expected_s: float) -> None:
+        """Take the state of the queue whenever it changes.
 
         Args:
-            delay_s: Seconds that it has waited in the queue.
-            expected_s: Seconds that it is expected to take.
+            delay_s: Seconds that a call queued now would wait.
+            expected_s: Seconds that calls are expected to take.
         """
-        self.delay_sum += delay_s
-        self.target_sum += min(
-            LONGEST_TARGET_S, max(TARGET_DELAY_S, expected_s)
-        )
+        self.delay_s = delay_s
+        self.target_s = min(LONGEST_TARGET_S, max(TARGET_DELAY_S, expected_s))
+        if delay_s > 0:
+            self.waited = True
 
     def count_refusal(self) -> None:
-        """Count a call that the queue refused."""
+        """Count a call that the full queue refused."""
         self.refused += 1
 
     def advance(self, now: float) -> None:
@@ -113,23 +124,29 @@
             MEMORY * old + (1 - MEMORY) * new
             for old, new in zip(self.density, self.arrivals, strict=True)
         ]
-        overloaded = self.refused or self.delay_sum > self.target_sum
-        waited = overloaded or self.delay_sum > 0
-        self.calm = 0 if waited else self.calm + 1
-        if overloaded:
-            # One window may be a burst that the next calls make up for.
-            share = self.refused / max(1, self.admitted) / 2
-            fall = max(FALL, share) if self.overloads else FALL
-            self.lower(min(MAX_FALL, fall))
-        elif self.level < MAX_LEVEL:
+        self.calm = 0 if self.waited else self.calm + 1
+        over = self.delay_s > self.target_s
+        growing = self.delay_s > SHRINKING * self.last_delay_s
+        if self.refused or (over and growing):
+            self.lower(self.find_fall())
+            self.overloads += 1
+        elif not over:
+            self.overloads = 0
             self.rise()
-        self.overloads = self.overloads + 1 if overloaded else 0
         self.arrivals = [0] * BINS
-        self.delay_sum = 0.0
-        self.target_sum = 0.0
+        self.last_delay_s = self.delay_s
+        self.waited = self.delay_s > 0
         self.admitted = 0
         self.refused = 0
 
+    def find_fall(self) -> float:
+        """Return the share by which expected admissions are to shrink."""
+        fall = FALL * self.delay_s / self.target_s
+        if self.overloads:
+            # One window may be a burst that the next calls make up for.
+            fall = max(fall, self.refused / max(1, self.admitted) / 2)
+        return min(MAX_FALL, max(FALL, fall))
+
     def pass_idle(self, windows: int) -> None:
         """Let windows without any call pass."""
         self.level = min(MAX_LEVEL, self.level + windows * MAX_RISE)
--- a/oleanderknot/decisions/admission_queue.py
+++ b/oleanderknot/decisions/admission_queue.py
@@ -5,6 +5,9 @@
 from oleanderknot import model
 from oleanderknot.decisions import queued_call
 
+# Wait of the oldest call that is no sign of overload: this, or the time that
+# the call itself takes. With calls of 400 ms, newest first at 20 ms let calls
+# starve that would have been in time.
 TARGET_DELAY_S = 0.02
 
 # Time for which the delay must be over its target before the order changes.
@@ -103,16 +106,19 @@
 
     def measure(self, now: float) -> None:
         """Note whether the oldest call has waited too long."""
-        oldest = min(
-            (group[0].arrived_at for group in self.groups.values()),
+        due = min(
+            (
+                group[0].arrived_at + max(TARGET_DELAY_S, group[0].expected_s)
+                for group in self.groups.values()
+            ),
             default=now,
         )
-        if now - oldest <= TARGET_DELAY_S:
+        if now <= due:
             self.over_since = None
             self.overloaded = False
             return
         if self.over_since is None:
-            self.over_since = oldest + TARGET_DELAY_S
+            self.over_since = due
         self.overloaded = now - self.over_since >= OVERLOAD_AFTER_S
 
     def sweep(self, now: float) -> Dropped:
--- a/oleanderknot/decisions/instance_load.py
+++ b/oleanderknot/decisions/instance_load.py
@@ -11,6 +11,10 @@
 # report; this is how a node probes an upstream again after refusals.
 LEVEL_RISE_PER_S = 1.0
 
+# A report counts as renewed for one window of the level. A rise from the
+# first moment sent about 3 % of a class above the level between two answers.
+FRESH_S = 0.1
+
 # Shortest wait that a refused caller is told: one window of the level.
 RETRY_AFTER_S = 0.1
 
@@ -61,7 +65,8 @@
         if reported is None:
             return MAX_LEVEL
         level, reported_at = reported
-        return min(MAX_LEVEL, level + LEVEL_RISE_PER_S * (now - reported_at))
+        age = max(0.0, now - reported_at - FRESH_S)
+        return min(MAX_LEVEL, level + LEVEL_RISE_PER_S * age)
 
 
 def estimate_wait_ms(priority: float, level: float) -> int:
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -195,7 +195,9 @@
             pool=self.pool,
             count=self.count_decision,
         )
-        self.runner.find_service_level = self.dispatcher.find_service_level
+        self.runner.deeper.find_service_level = (
+            self.dispatcher.find_service_level
+        )
         self.callers = http_listener.HttpListener(
             handle=ingress.build_handler(self.dispatcher, self.policy)
         )
--- a/oleanderknot/tasks/admission.py
+++ b/oleanderknot/tasks/admission.py
@@ -92,7 +92,7 @@
         if now + expected >= call.deadline:
             return self.refuse(call, model.Rule.DEADLINE)
         if not self.queue.size and self.running < self.limit.count_places():
-            return self.start(0.0, expected, now)
+            return self.start(now)
         entry = decisions.QueuedCall(
             request_class=call.request_class,
             depth=call.depth,
@@ -102,6 +102,7 @@
             token=self.loop.create_future(),
         )
         self.drop(self.queue.push(entry, now))
+        self.note_queue(expected)
         return await self.wait(call, entry)
 
     async def wait(
@@ -142,14 +143,19 @@
     ) -> None:
         """Wake calls that the queue refused."""
         for entry, rule in dropped:
-            self.level.count_refusal()
+            if rule is model.Rule.QUEUE_FULL:
+                self.level.count_refusal()
             if not entry.token.done():
                 entry.token.set_result(rule)
 
-    def start(self, delay_s: float, expected_s: float, now: float) -> Place:
-        """Give a place to a call that has waited."""
+    def note_queue(self, expected_s: float) -> None:
+        """Tell the level how long a call queued now would wait."""
+        delay_s = self.queue.size * expected_s / self.limit.count_places()
+        self.level.note_queue(delay_s, expected_s)
+
+    def start(self, now: float) -> Place:
+        """Give a place to a call."""
         self.running += 1
-        self.level.count_start(delay_s, expected_s)
         cohort = self.limit.start(self.running, now)
         return Place(cohort=cohort, started_at=now)
 
@@ -192,9 +198,8 @@
             entry, dropped = self.queue.pop(now)
             self.drop(dropped)
             if entry is not None and not entry.token.done():
-                entry.token.set_result(
-                    self.start(now - entry.arrived_at, entry.expected_s, now)
-                )
+                self.note_queue(entry.expected_s)
+                entry.token.set_result(self.start(now))
 
     def refuse(self, call: model.Call, rule: model.Rule) -> model.Refusal:
         """Build the refusal of a call that was not started."""
--- a/oleanderknot/tasks/open_admission.py
+++ b/oleanderknot/tasks/open_admission.py
@@ -18,4 +18,4 @@
 
     async def enter(self, call: model.Call) -> admission.Place | model.Refusal:
         """Give a place to any call."""
-        return self.start(0.0, 0.0, self.loop.time())
+        return self.start(self.loop.time())
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -12,6 +12,7 @@
 from oleanderknot import model
 from oleanderknot import wire
 from oleanderknot.tasks import admission
+from oleanderknot.tasks import chain_level
 from oleanderknot.tasks import finished_body
 from oleanderknot.tasks import upstream_client
 
@@ -24,12 +25,6 @@
 
 AdmissionFunction = collections.abc.Callable[..., admission.Admission]
 GateFunction = collections.abc.Callable[[model.Call], model.Refusal | None]
-LevelFunction = collections.abc.Callable[[str, str], float]
-
-
-def assume_top_level(service: str, route: str) -> float:
-    """Return the level of a service about which nothing is known."""
-    return decisions.MAX_LEVEL
 
 
 class Runner:
@@ -41,9 +36,7 @@
         admission: Slots of the upstream.
         chains: Accounts of the chains that the upstream runs.
         build_admission: Builds the admission for an upstream.
-        calls: Services that the upstream's routes call.
-        find_service_level: Returns the admission level of another service
-            for a route, as this node knows it.
+        deeper: Level of the services that the upstream calls.
         leaving: Whether the upstream takes no new work.
         running: Calls that this task works on, until their answer is whole.
         gate: Returns why policy refuses a call, or None.
@@ -57,8 +50,7 @@
     ) -> None:
         self.chains = chains
         self.build_admission = build_admission
-        self.calls = decisions.RouteCalls()
-        self.find_service_level: LevelFunction = assume_top_level
+        self.deeper = chain_level.ChainLevel()
         self.service = ''
         self.client: upstream_client.UpstreamClient | None = None
         self.admission = build_admission(slots=1)
@@ -106,7 +98,7 @@
         Returns:
             The answer, or a refusal that says whether the call may have run.
         """
-        refusal = self.check(call)
+        refusal = self.check(call) or self.deeper.check(call)
         slots = self.admission
         place = refusal or await slots.enter(call)
         if isinstance(place, model.Refusal):
@@ -124,10 +116,7 @@
         Args:
             route: Path prefix of the route.
         """
-        level = self.admission.find_level()
-        for service, inner in self.calls.list_needed(route):
-            level = min(level, self.find_service_level(service, inner))
-        return level
+        return min(self.admission.find_level(), self.deeper.find(route))
 
     def build_report(self, call: model.Call) -> model.LoadReport:
         """Build the load report for a call's route."""
@@ -166,7 +155,7 @@
         def finish() -> int:
             nonlocal unspent
             slots.leave(place)
-            self.calls.count(call.route, account.called)
+            self.deeper.count(call, account.called)
             unspent = self.chains.leave(call)
             self.running -= 1
             return unspent
