--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -8,12 +8,26 @@
 from oleanderknot.decisions.chain_account import open_account
 from oleanderknot.decisions.chain_table import ChainTable
 from oleanderknot.decisions.concurrency_limit import ConcurrencyLimit
+from oleanderknot.decisions.home_key_check import check_home_key
 from oleanderknot.decisions.instance_load import estimate_wait_ms
 from oleanderknot.decisions.instance_load import InstanceLoad
+from oleanderknot.decisions.key_account_table import KeyAccountTable
 from oleanderknot.decisions.load_view import ADMITTING_STATES
 from oleanderknot.decisions.load_view import LoadView
 from oleanderknot.decisions.member_table import is_newer
 from oleanderknot.decisions.member_table import MemberTable
+from oleanderknot.decisions.not_run import may_say_not_run
+from oleanderknot.decisions.order_key_age import is_acceptable
+from oleanderknot.decisions.order_key_age import KEY_RETENTION_S
+from oleanderknot.decisions.order_key_text import CALLER_KEY
+from oleanderknot.decisions.order_key_text import format_order_key
+from oleanderknot.decisions.order_key_text import is_single_attempt
+from oleanderknot.decisions.order_key_text import parse_order_key
+from oleanderknot.decisions.order_key_text import SINGLE_ATTEMPT
+from oleanderknot.decisions.order_query import answer_query
+from oleanderknot.decisions.order_query import QueryAnswer
+from oleanderknot.decisions.order_record import OrderRecord
+from oleanderknot.decisions.order_records import OrderRecords
 from oleanderknot.decisions.policy_changes import describe_changes
 from oleanderknot.decisions.policy_table import match_route
 from oleanderknot.decisions.policy_table import PolicyTable
@@ -39,6 +53,7 @@
     'AdmissionLevel',
     'AdmissionQueue',
     'CallCohort',
+    'CALLER_KEY',
     'group_by_centre',
     'is_in_force',
     'POLL_PERIOD_S',
@@ -55,8 +70,12 @@
     'ConcurrencyLimit',
     'InstanceLoad',
     'LoadView',
+    'KEY_RETENTION_S',
+    'KeyAccountTable',
     'MAX_LEVEL',
     'MemberTable',
+    'OrderRecord',
+    'OrderRecords',
     'PolicyTable',
     'QueuedCall',
     'RetryBudget',
@@ -64,8 +83,17 @@
     'ServiceTimes',
     'choose',
     'estimate_wait_ms',
+    'QueryAnswer',
+    'SINGLE_ATTEMPT',
+    'answer_query',
+    'check_home_key',
+    'format_order_key',
+    'is_acceptable',
     'is_newer',
+    'is_single_attempt',
     'match_route',
+    'may_say_not_run',
     'open_account',
+    'parse_order_key',
     'rank',
 ]
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -14,6 +14,7 @@
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot import platform
+from oleanderknot.node import order_assembly
 from oleanderknot.tasks import admission
 from oleanderknot.tasks import dispatcher
 from oleanderknot.tasks import egress
@@ -138,6 +139,7 @@
         self.peer_listener.close()
         self.tickets.close()
         self.pool.close()
+        await self.orders.close()
         await self.runner.close()
         if self.table is not None:
             await self.table.close()
@@ -154,7 +156,7 @@
         )
         handlers = peer_handlers.PeerHandlers(
             run=self.runner.run,
-            query=self.runner.describe_key,
+            query=lambda key, wait_s: self.orders.describe(key, wait_s),
             gossip=lambda peer, item: self.membership.handle(peer, item),
             policy=lambda peer, item: self.tickets.handle(peer, item),
             opened=self.greet,
@@ -198,6 +200,12 @@
         self.runner.deeper.find_service_level = (
             self.dispatcher.find_service_level
         )
+        self.orders = order_assembly.build_orders(
+            table_client=self.table,
+            runner=self.runner,
+            dispatcher=self.dispatcher,
+            count=self.count,
+        )
         self.callers = http_listener.HttpListener(
             handle=ingress.build_handler(self.dispatcher, self.policy)
         )
@@ -270,11 +278,17 @@
         self.callers.stop_accepting()
         try:
             async with asyncio.timeout(self.settings.drain_timeout_s):
-                while self.callers.active or self.runner.running:
+                while self.is_busy():
                     await asyncio.sleep(0.02)
         except TimeoutError:
             logging.error('requests still in flight when the drain ended')
 
+    def is_busy(self) -> bool:
+        """Return whether a request is in flight."""
+        return bool(
+            self.callers.active or self.runner.running or self.orders.is_busy()
+        )
+
     def greet(self, connection: peer_connection.PeerConnection) -> None:
         """Take a connection whose handshake is done."""
         self.pool.add(connection)
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -12,6 +12,7 @@
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot.tasks import early_refusal
+from oleanderknot.tasks import order_dispatcher
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import runner
 
@@ -43,6 +44,7 @@
         loads: Load of other upstreams.
         budget: Retries of this node as a share of its successes.
         rng: Source of randomness.
+        orders: Sends non-idempotent calls.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         self.loads = decisions.LoadView()
         self.budget = decisions.RetryBudget()
         self.rng = rng or random.Random()
+        self.orders: order_dispatcher.OrderDispatcher | None = None
 
     async def dispatch(
         self,
@@ -84,6 +87,8 @@
         Returns:
             The answer, or the refusal of the last attempt.
         """
+        if not call.idempotent:
+            return await self.orders.dispatch(call, account, content, body)
         tried: set[str] = set()
         while True:
             member = self.choose(call, tried)
--- a/oleanderknot/tasks/plain_dispatcher.py
+++ b/oleanderknot/tasks/plain_dispatcher.py
@@ -1,6 +1,7 @@
 """Dispatcher of a node that only forwards."""
 
 import collections.abc
+import dataclasses
 import time
 
 from expression import Error
@@ -31,6 +32,8 @@
         body: model.Body | None,
     ) -> Result[model.Answer, model.Refusal]:
         """Send a call and retry it up to three times."""
+        # A plain forwarder does not know which requests may run only once.
+        call = dataclasses.replace(call, idempotent=True)
         result: Result[model.Answer, model.Refusal] | None = None
         for _ in range(1 + RETRIES):
             member = self.choose(call, set())
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -10,10 +10,11 @@
 
 from oleanderknot import decisions
 from oleanderknot import model
-from oleanderknot import wire
 from oleanderknot.tasks import admission
 from oleanderknot.tasks import chain_level
 from oleanderknot.tasks import finished_body
+from oleanderknot.tasks import order_claim
+from oleanderknot.tasks import order_runner
 from oleanderknot.tasks import upstream_client
 
 # Answers of an upstream that sheds load.
@@ -39,6 +40,7 @@
         deeper: Level of the services that the upstream calls.
         leaving: Whether the upstream takes no new work.
         running: Calls that this task works on, until their answer is whole.
+        orders: Runs non-idempotent calls at most once.
         gate: Returns why policy refuses a call, or None.
     """
 
@@ -56,6 +58,7 @@
         self.admission = build_admission(slots=1)
         self.leaving = False
         self.running = 0
+        self.orders: order_runner.OrderRunner | None = None
         self.gate: GateFunction = lambda call: None
 
     async def attach(
@@ -95,12 +98,36 @@
             content: First bytes of the request body.
             body: Rest of the request body, if it arrives in parts.
 
+        Returns:
+            The answer, or a refusal that says whether the call may have run.
+        """
+        if not call.idempotent:
+            return await self.orders.run(call, content, body)
+        return await self.admit(call, content, body)
+
+    async def admit(
+        self,
+        call: model.Call,
+        content: bytes,
+        body: model.Body | None,
+        claim: order_claim.ClaimFunction | None = None,
+    ) -> Result[model.Answer, model.Refusal]:
+        """Run a call at the upstream if it may be run now.
+
+        Args:
+            call: The call.
+            content: First bytes of the request body.
+            body: Rest of the request body, if it arrives in parts.
+            claim: Has the last word once the call has a slot.
+
         Returns:
             The answer, or a refusal that says whether the call may have run.
         """
         refusal = self.check(call) or self.deeper.check(call)
         slots = self.admission
         place = refusal or await slots.enter(call)
+        if isinstance(place, admission.Place) and claim is not None:
+            place = await self.take_claim(place, slots, claim)
         if isinstance(place, model.Refusal):
             place.unspent = call.allowance
             place.reports = (self.build_report(call),)
@@ -122,6 +149,22 @@
         """Build the load report for a call's route."""
         return self.admission.build_report(call, self.find_level(call.route))
 
+    async def take_claim(
+        self,
+        place: admission.Place,
+        slots: admission.Admission,
+        claim: order_claim.ClaimFunction,
+    ) -> admission.Place | model.Refusal:
+        """Claim a call's key, and give the place back when that fails."""
+        passed = False
+        try:
+            refusal = await claim()
+            passed = refusal is None
+            return refusal or place
+        finally:
+            if not passed:
+                slots.leave(place)
+
     def check(self, call: model.Call) -> model.Refusal | None:
         """Return why a call cannot run at all, or None."""
         if self.client is None or call.service != self.service:
@@ -223,18 +266,6 @@
                 )
             )
 
-    async def describe_key(self, key: str, wait_s: float) -> wire.KeyState:
-        """Say what became of a key.
-
-        Args:
-            key: The key.
-            wait_s: Seconds to wait for a running call.
-
-        Returns:
-            The state of the key.
-        """
-        return wire.KeyState(state='unknown')
-
     async def close(self) -> None:
         """Close the connections to the upstream."""
         if self.client is not None:
