Start upstreams of tests with many calls at once as warm

Cause: a cold upstream starts with a tenth of its slots, so tests that send hundreds of calls at once to a new upstream had some of them shed.

Change: their upstreams announce that they need no slow start. The dispatcher keeps its functions for one instance's load, which the sender of orders uses.

--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -26,7 +26,8 @@
     """Start one instance that other nodes reach through a fault proxy."""
     context.services = [service]
     node = context.system.start_node(service, proxied=True)
-    context.system.start_upstream(node, service, '--slots', '1000')
+    # From a cold start the first of many calls at once would be shed.
+    context.system.start_upstream(node, service, '--slots', '1000', '--warm')
 
 
 @given('a node "{name}" behind a fault proxy')
--- a/features/steps/order_fault_steps.py
+++ b/features/steps/order_fault_steps.py
@@ -16,7 +16,8 @@
 def start_order_node(context, name, **settings):
     """Start an instance of the orders service."""
     node = context.system.start_node(name, proxied=True, **settings)
-    context.system.start_upstream(node, SERVICE, '--slots', '400')
+    # From a cold start the first of many orders at once would be shed.
+    context.system.start_upstream(node, SERVICE, '--slots', '400', '--warm')
     return node
 
 
@@ -186,6 +187,7 @@
             'host': '127.0.0.1',
             'port': node.upstream_port,
             'slots': 400,
+            'warm': True,
         },
     )
 
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -99,8 +99,7 @@
             attempt = dataclasses.replace(call, allowance=granted)
             result = await self.attempt(member, attempt, content, body)
             now = time.monotonic()
-            outcome = result.ok if result.is_ok() else result.error
-            self.loads.take_reports(member.instance, outcome.reports, now)
+            self.take_reports(member.instance, result, now)
             if result.is_ok():
                 account.refund(result.ok.unspent, granted)
                 if not self.is_shed(result.ok, call, body):
@@ -165,6 +164,20 @@
             else load.find_level(call.route, now),
         )
 
+    def find_load(self, member: model.Member) -> decisions.InstanceLoad:
+        """Return the load of an instance."""
+        return self.loads.find(member)
+
+    def take_reports(
+        self,
+        instance: str,
+        result: Result[model.Answer, model.Refusal],
+        now: float,
+    ) -> None:
+        """Keep the load reports that an answer or a refusal carries."""
+        outcome = result.ok if result.is_ok() else result.error
+        self.loads.take_reports(instance, outcome.reports, now)
+
     def find_service_level(self, service: str, route: str) -> float:
         """Return the admission level of a service for a route."""
         return self.loads.find_service_level(
@@ -182,7 +195,7 @@
         body: model.Body | None,
     ) -> Result[model.Answer, model.Refusal]:
         """Send a call once, to one node."""
-        load = self.loads.find(member)
+        load = self.find_load(member)
         load.outstanding += 1
         try:
             if member.instance == self.identity.instance:
