--- a/oleanderknot/standins/upstream_options.py
+++ b/oleanderknot/standins/upstream_options.py
@@ -22,6 +22,7 @@
         own_retries: Times that it repeats a failed call by itself.
         warm: Whether it announces that it needs no slow start.
         pass_trace: Whether it passes ``traceparent`` on.
+        announce_port: TCP port that it announces; 0 for its own.
     """
 
     service: str
@@ -37,6 +38,7 @@
     own_retries: int = 0
     pass_trace: bool = True
     warm: bool = False
+    announce_port: int = 0
 
 
 def parse_options(arguments: list[str] | None = None) -> UpstreamOptions:
@@ -58,5 +60,6 @@
     parser.add_argument('--calls', nargs='*', default=[])
     parser.add_argument('--parallel', action='store_true')
     parser.add_argument('--warm', action='store_true')
+    parser.add_argument('--announce-port', type=int, default=0)
     values = parser.parse_args(arguments)
     return UpstreamOptions(**vars(values))
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -41,6 +41,8 @@
         leaving: Whether the upstream takes no new work.
         running: Calls that this task works on, until their answer is whole.
         orders: Runs non-idempotent calls at most once.
+        idle: Set while ``running`` is 0.
+        refused_leaving: Calls refused because the upstream is leaving.
         gate: Returns why policy refuses a call, or None.
     """
 
@@ -59,6 +61,9 @@
         self.leaving = False
         self.running = 0
         self.orders: order_runner.OrderRunner | None = None
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self.refused_leaving = 0
         self.gate: GateFunction = lambda call: None
 
     async def attach(
@@ -171,6 +176,7 @@
             rule = model.Rule.NO_UPSTREAM
             detail = 'this node has no upstream of %s' % call.service
         elif self.leaving:
+            self.refused_leaving += 1
             rule = model.Rule.LEAVING
             detail = 'the upstream is leaving'
         elif call.deadline <= time.monotonic():
@@ -193,6 +199,7 @@
         started = time.monotonic()
         waited = account.waited
         self.running += 1
+        self.idle.clear()
         unspent = 0
 
         def finish() -> int:
@@ -201,6 +208,8 @@
             self.deeper.count(call, account.called)
             unspent = self.chains.leave(call)
             self.running -= 1
+            if self.running == 0:
+                self.idle.set()
             return unspent
 
         def measure(failed: bool, answered: bool) -> None:
