--- a/features/support/system.py
+++ b/features/support/system.py
@@ -23,6 +23,7 @@
         postponed: Waits that come later, while processes are started
             together.
         extra_settings: Settings that every node gets besides its own.
+        node_command: Module and arguments that run a node.
     """
 
     def __init__(self) -> None:
@@ -34,6 +35,7 @@
         self.processes: list[process.Process] = []
         self.extra_settings: dict[str, object] = {}
         self.postponed: list | None = None
+        self.node_command = ['oleanderknot', 'node']
         self.networks: dict[str, int] = {}
         self.last_host = 0
         self.platform_port = 0
@@ -172,7 +174,7 @@
         """Start the process of a node with its settings file."""
         path = self.folder / (node.name + '.yaml')
         node.process = self.run(
-            'node-' + node.name, 'oleanderknot', 'node', str(path)
+            'node-' + node.name, *self.node_command, str(path)
         )
         self.wait_for(
             lambda: http.get_json(node.status_url()), node.name + ' starts'
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -15,6 +15,7 @@
 from oleanderknot import model
 from oleanderknot import platform
 from oleanderknot.node import order_assembly
+from oleanderknot.tasks import admission
 from oleanderknot.tasks import control_traffic
 from oleanderknot.tasks import dispatcher
 from oleanderknot.tasks import drain
@@ -24,11 +25,13 @@
 from oleanderknot.tasks import ingress
 from oleanderknot.tasks import leaving
 from oleanderknot.tasks import membership
+from oleanderknot.tasks import open_admission
 from oleanderknot.tasks import operator_listener
 from oleanderknot.tasks import peer_connection
 from oleanderknot.tasks import peer_handlers
 from oleanderknot.tasks import peer_listener
 from oleanderknot.tasks import peer_pool
+from oleanderknot.tasks import plain_dispatcher
 from oleanderknot.tasks import prober
 from oleanderknot.tasks import runner
 from oleanderknot.tasks import ticket_loader
@@ -151,7 +154,13 @@
 
     def build_tasks(self) -> None:
         """Build the tasks and connect them by their message functions."""
-        self.runner = runner.Runner(chains=self.chains)
+        controlled = self.settings.control
+        self.runner = runner.Runner(
+            chains=self.chains,
+            build_admission=admission.Admission
+            if controlled
+            else open_admission.OpenAdmission,
+        )
         self.leaving = leaving.Leaving(on_change=self.change_leaving)
         handlers = peer_handlers.PeerHandlers(
             run=self.runner.run,
@@ -185,7 +194,12 @@
         self.peer_listener = peer_listener.PeerListener(
             identity=self.identity, handlers=handlers
         )
-        self.dispatcher = dispatcher.Dispatcher(
+        build = (
+            dispatcher.Dispatcher
+            if controlled
+            else plain_dispatcher.PlainDispatcher
+        )
+        self.dispatcher = build(
             identity=self.identity,
             members=self.members,
             policy=self.policy,
@@ -193,6 +207,9 @@
             pool=self.pool,
             count=self.count_decision,
         )
+        self.runner.deeper.find_service_level = (
+            self.dispatcher.find_service_level
+        )
         self.orders = order_assembly.build_orders(
             table_client=self.table,
             runner=self.runner,
@@ -266,6 +283,7 @@
             host=str(upstream.host),
             port=upstream.port,
             slots=upstream.slots,
+            warm=upstream.warm,
         )
         self.membership.change_own(
             service=upstream.service,
@@ -327,6 +345,7 @@
             'leaving': self.runner.leaving,
             'running': self.runner.running,
             'orders': self.orders.describe_load(),
+            'load': self.runner.admission.describe(),
             'refused_leaving': self.runner.refused_leaving,
             'egress_port': self.egress_port,
             'caller_port': self.membership.own.caller_port,
--- a/oleanderknot/standins/upstream.py
+++ b/oleanderknot/standins/upstream.py
@@ -67,6 +67,7 @@
             'host': self.options.host,
             'port': self.options.announce_port or self.port,
             'slots': self.options.slots,
+            'warm': self.options.warm,
         }
         url = self.options.node + '/-/announce'
         while True:
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -11,6 +11,7 @@
 
 from oleanderknot import decisions
 from oleanderknot import model
+from oleanderknot.tasks import early_refusal
 from oleanderknot.tasks import order_dispatcher
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import runner
@@ -19,6 +20,14 @@
 # do not arrive together.
 RETRY_PAUSE_S = 0.02
 
+# Every node computes the same priority number, so another node would refuse
+# the call as well; a deadline that cannot be met is not met by waiting.
+FINAL_RULES = (
+    model.Rule.LEVEL,
+    model.Rule.EARLY_REFUSAL,
+    model.Rule.DEADLINE,
+)
+
 CountFunction = collections.abc.Callable[[model.DecisionKey], None]
 
 
@@ -32,7 +41,7 @@
         runner: Runs calls at the own upstream.
         pool: Connections to other nodes.
         count: Counts a decision.
-        loads: Load by instance.
+        loads: Load of other upstreams.
         suspicions: Instances that have just failed a call.
         budget: Retries of this node as a share of its successes.
         rng: Source of randomness.
@@ -56,7 +65,7 @@
         self.runner = runner
         self.pool = pool
         self.count = count
-        self.loads: dict[str, decisions.InstanceLoad] = {}
+        self.loads = decisions.LoadView()
         self.suspicions = decisions.LocalSuspicion()
         self.budget = decisions.RetryBudget()
         self.rng = rng or random.Random()
@@ -124,25 +133,26 @@
     ) -> model.Member | None:
         """Choose the node whose upstream gets the next attempt."""
         own = self.identity.instance
+        priority = decisions.rank(call.request_class, call.trace_id)
         if (
             not tried
             and call.service == self.runner.service
             and not self.runner.leaving
             and self.policy.takes_work(own)
-            and self.runner.admission.has_room()
+            and self.runner.admission.has_room(priority)
+            and priority < self.runner.find_level(call.route)
         ):
             return self.members.members.get(own)
         now = time.monotonic()
         candidates = [
             self.build_candidate(member, call, now)
             for member in self.members.list_service(call.service)
-            if member.state
-            in (model.MemberState.TAKING, model.MemberState.SUSPECT)
+            if member.state in decisions.ADMITTING_STATES
             and self.policy.takes_work(member.instance)
         ]
         choice = decisions.choose(
             candidates,
-            priority=decisions.rank(call.request_class, call.trace_id),
+            priority=priority,
             tried=tried,
             draw=self.rng.randrange,
         )
@@ -154,7 +164,8 @@
         self, member: model.Member, call: model.Call, now: float
     ) -> decisions.Candidate:
         """Describe an upstream as the choice needs it."""
-        load = self.find_load(member)
+        load = self.loads.find(member)
+        own = member.instance == self.identity.instance
         return decisions.Candidate(
             instance=member.instance,
             local=member.data_centre == self.identity.data_centre,
@@ -163,16 +174,33 @@
             outstanding=load.outstanding,
             in_flight=load.in_flight,
             limit=load.limit,
-            level=load.find_level(call.route, now),
+            level=self.runner.find_level(call.route)
+            if own
+            else load.find_level(call.route, now),
         )
 
     def find_load(self, member: model.Member) -> decisions.InstanceLoad:
-        """Return the load of an instance, starting from its slots."""
-        load = self.loads.get(member.instance)
-        if load is None:
-            load = decisions.InstanceLoad(limit=max(1, member.slots))
-            self.loads[member.instance] = load
-        return load
+        """Return the load of an instance."""
+        return self.loads.find(member)
+
+    def take_reports(
+        self,
+        instance: str,
+        result: Result[model.Answer, model.Refusal],
+        now: float,
+    ) -> None:
+        """Keep the load reports that an answer or a refusal carries."""
+        outcome = result.ok if result.is_ok() else result.error
+        self.loads.take_reports(instance, outcome.reports, now)
+
+    def find_service_level(self, service: str, route: str) -> float:
+        """Return the admission level of a service for a route."""
+        return self.loads.find_service_level(
+            service,
+            route,
+            self.members.list_service(service),
+            time.monotonic(),
+        )
 
     async def attempt(
         self,
@@ -204,19 +232,6 @@
         finally:
             load.outstanding -= 1
 
-    def take_reports(
-        self,
-        instance: str,
-        result: Result[model.Answer, model.Refusal],
-        now: float,
-    ) -> None:
-        """Keep the load reports that an answer carries."""
-        reports = (result.ok if result.is_ok() else result.error).reports
-        load = self.loads.get(instance)
-        if load is not None:
-            for report in reports:
-                load.take_report(report, now)
-
     def is_shed(
         self, answer: model.Answer, call: model.Call, body: model.Body | None
     ) -> bool:
@@ -240,6 +255,8 @@
         if body is not None or now + RETRY_PAUSE_S >= call.deadline:
             return False
         if result.is_error():
+            if result.error.rule in FINAL_RULES:
+                return False
             verdict = result.error.verdict
             if verdict is not model.Verdict.NOT_RUN and not call.idempotent:
                 return False
@@ -256,23 +273,12 @@
 
     def refuse_early(self, call: model.Call) -> model.Refusal:
         """Refuse a call that no upstream would admit."""
-        taking = [
-            member
-            for member in self.members.list_service(call.service)
-            if member.state <= model.MemberState.SUSPECT
-        ]
-        stops = [self.policy.find_stop(item.instance) for item in taking]
-        if taking and None not in stops:
-            rule = model.Rule.NOT_TAKING_WORK
-            detail = 'tickets take all upstreams of %s out' % call.service
-            call.ticket = max(stops)
-        elif taking:
-            rule = model.Rule.EARLY_REFUSAL
-            detail = 'no upstream of %s admits this class now' % call.service
-        else:
-            rule = model.Rule.NO_UPSTREAM
-            detail = 'no upstream of %s is known' % call.service
-        return model.build_refusal(call, model.Verdict.NOT_RUN, rule, detail)
+        return early_refusal.build_early_refusal(
+            call,
+            self.members,
+            self.policy,
+            self.find_service_level(call.service, call.route),
+        )
 
     def count_decision(
         self, call: model.Call, rule: model.Rule, verdict: model.Verdict
