Measure how soon a ticket is in force on the last node

Cause: the bound of 7 s had no measurement.

Change: bench/tickets.py files 20 tickets at random moments, joins a cut-off data centre three times and counts table reads of a quiet time, with bounds from the stated targets.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,7 +12,7 @@
 from bench import figure
 
 # Modules of this folder; each has ``measure() -> list[figure.Figure]``.
-MEASUREMENTS = ('latency', 'footprint')
+MEASUREMENTS = ('latency', 'footprint', 'tickets')
 
 
 def report(item: figure.Figure) -> bool:
--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -32,4 +32,16 @@
     'latency.added_p99': Bound(
         at_most=0.35, source='0.35 ms added to a call for 99 in 100'
     ),
+    'tickets.in_force_max': Bound(
+        at_most=7.0,
+        source='a ticket is in force in every data centre within 7 s',
+    ),
+    'tickets.rejoin_max': Bound(
+        at_most=7.0,
+        source='a ticket is in force within 7 s where it can be reached',
+    ),
+    'tickets.reads_per_data_centre': Bound(
+        at_most=2000 / 11,
+        source='the platform takes 2,000 reads a second of 11 data centres',
+    ),
 }
--- /dev/null
+++ b/bench/tickets.py
@@ -0,0 +1,190 @@
+"""Time from the filing of a ticket until it is in force on the last node."""
+
+import asyncio
+import random
+import time
+import uuid
+
+from bench import figure
+from features.support import http
+from features.support import system as systems
+from features.support import ticket_system
+from oleanderknot import model
+from oleanderknot import platform
+
+CENTRES = ('dc1', 'dc2', 'dc3')
+NODES = 4
+TICKETS = 20
+REJOINS = 3
+SEED = 11
+QUIET_S = 20.0
+LIMIT_S = 60.0
+POLL_S = 0.01
+
+NOTE = '%d data centres of %d nodes, one machine' % (len(CENTRES), NODES)
+
+
+def build_ticket(deadline_ms: int) -> model.Ticket:
+    """Build a ticket that sets one service."""
+    route = model.RoutePolicy(
+        method='*',
+        prefix='/',
+        request_class=model.RequestClass.BROWSING,
+        idempotent=True,
+        deadline_ms=deadline_ms,
+        retries=1,
+    )
+    policy = model.ServicePolicy(service='catalogue', routes=(route,))
+    state = model.ScopeState(
+        scope='service/catalogue', number=0, policy=policy
+    )
+    return model.Ticket(
+        number=0,
+        id=uuid.uuid4().hex,
+        author='bench',
+        reason='measurement',
+        filed_at=time.time(),
+        scopes=(state,),
+    )
+
+
+async def file_ticket(url: str, deadline_ms: int) -> tuple[int, float]:
+    """File a ticket.
+
+    Returns:
+        Its number and the monotonic time at which it was sent.
+    """
+    table = platform.TableClient(url=url, timeout_s=5.0)
+    try:
+        draft = build_ticket(deadline_ms)
+        plan = (await platform.ticket_filing.prepare(table, draft)).ok
+        sent = time.monotonic()
+        outcome = await platform.ticket_filing.file_ticket(table, plan)
+    finally:
+        await table.close()
+    if outcome.result is not model.FilingResult.FILED:
+        raise RuntimeError(outcome.detail)
+    return outcome.ticket.number, sent
+
+
+def wait_in_force(nodes: list, number: int) -> None:
+    """Wait until all nodes have a ticket in force.
+
+    Raises:
+        RuntimeError: A node has not after ``LIMIT_S``.
+    """
+    end = time.monotonic() + LIMIT_S
+    left = list(nodes)
+    while left:
+        left = [
+            node
+            for node in left
+            if ticket_system.read_policy(node)['highest'] < number
+        ]
+        if left and time.monotonic() > end:
+            names = [node.name for node in left]
+            raise RuntimeError('ticket %d is not on %s' % (number, names))
+        time.sleep(POLL_S)
+
+
+def wait_for_members(system: systems.System) -> None:
+    """Wait until every node knows every other one."""
+    for node in system.nodes.values():
+        system.wait_for(
+            lambda node=node: (
+                len(http.get_json(node.status_url())['members'])
+                == len(system.nodes)
+            ),
+            '%s knows all nodes' % node.name,
+        )
+
+
+def measure_filings(system: systems.System, rng: random.Random) -> list[float]:
+    """File tickets at random moments.
+
+    Returns:
+        Seconds until each was in force on the last node, sorted.
+    """
+    times = []
+    for index in range(TICKETS):
+        time.sleep(rng.random())
+        number, sent = asyncio.run(
+            file_ticket(system.ticket_table, 1000 + index)
+        )
+        wait_in_force(list(system.nodes.values()), number)
+        times.append(time.monotonic() - sent)
+    return sorted(times)
+
+
+def measure_rejoins(system: systems.System) -> list[float]:
+    """File tickets while a data centre is cut off, and join it again.
+
+    Returns:
+        Seconds from each joining until the ticket was in force, sorted.
+    """
+    times = []
+    name = CENTRES[-1]
+    inside = [
+        node for node in system.nodes.values() if node.data_centre == name
+    ]
+    outside = [
+        node for node in system.nodes.values() if node.data_centre != name
+    ]
+    for index in range(REJOINS):
+        ticket_system.cut(system, name, refuse=True)
+        number, _ = asyncio.run(file_ticket(system.ticket_table, 2000 + index))
+        wait_in_force(outside, number)
+        # Long enough for the back-off of the cut-off nodes to be at its
+        # largest.
+        time.sleep(8)
+        if ticket_system.read_policy(inside[0])['highest'] >= number:
+            raise RuntimeError('%s was not cut off' % name)
+        ticket_system.cut(system, name, refuse=False)
+        joined = time.monotonic()
+        wait_in_force(inside, number)
+        times.append(time.monotonic() - joined)
+    return sorted(times)
+
+
+def measure_reads(system: systems.System) -> float:
+    """Count the table reads of a quiet time.
+
+    Returns:
+        Reads a second of one data centre.
+    """
+    url = system.platform_url('/-/counts')
+    before = http.get_json(url)['reads']
+    started = time.monotonic()
+    time.sleep(QUIET_S)
+    reads = http.get_json(url)['reads'] - before
+    return reads / (time.monotonic() - started) / len(CENTRES)
+
+
+def measure() -> list[figure.Figure]:
+    """Measure filings, rejoins and the reads of a quiet time."""
+    system = systems.System()
+    try:
+        ticket_system.start_platform(system)
+        for centre in CENTRES:
+            for number in range(NODES):
+                system.start_node(
+                    '%s-%d' % (centre, number), centre, proxied=True
+                )
+        wait_for_members(system)
+        filings = measure_filings(system, random.Random(SEED))
+        reads = measure_reads(system)
+        rejoins = measure_rejoins(system)
+    finally:
+        system.stop()
+    values = (
+        ('tickets.in_force_p50', filings[len(filings) // 2], 's'),
+        ('tickets.in_force_max', filings[-1], 's'),
+        ('tickets.rejoin_max', rejoins[-1], 's'),
+        ('tickets.reads_per_data_centre', reads, 'reads a second'),
+    )
+    return [
+        figure.Figure(
+            name=name, value=round(value, 3), unit=unit, seed=SEED, note=NOTE
+        )
+        for name, value, unit in values
+    ]
