--- a/features/tickets.feature
+++ b/features/tickets.feature
@@ -27,7 +27,7 @@
     And the ticket platform holds 0 tickets
     When an operator answers "yes" to the question about the example ticket
     Then the command ends with exit code 0
-    And the question named "all methods below /: deadline 8000 ms instead of deadline 5000 ms, 1 retries instead of 2 retries."
+    And the question named "all methods below /: deadline 8000 ms instead of deadline 5000 ms, 1 retry instead of 2 retries."
     And ticket 1 is listed and shown
 
   Scenario: A data centre that was cut off catches up by itself
--- a/oleanderknot/cli/node_query.py
+++ b/oleanderknot/cli/node_query.py
@@ -34,6 +34,9 @@
             if answer.status != 200:
                 return Error('it answered with status %d' % answer.status)
         return Ok(border.NodeStatus.model_validate(json.loads(content)))
+    except aiohttp.ClientConnectorError as error:
+        reason = error.os_error.strerror or error.os_error
+        return Error('cannot connect to %s: %s' % (address, reason))
     except TimeoutError:
         return Error('no answer within %g s' % ASK_TIMEOUT_S)
     except (aiohttp.ClientError, OSError) as error:
--- a/oleanderknot/decisions/policy_changes.py
+++ b/oleanderknot/decisions/policy_changes.py
@@ -74,7 +74,10 @@
             )
     for key in before:
         if key not in after:
-            lines.append('The route %s is removed.' % show_key(key))
+            lines.append(
+                'The route %s is removed; its requests follow the routes '
+                'that remain.' % show_key(key)
+            )
     kept = [key for key in before if key in after]
     if kept != [key for key in after if key in before]:
         lines.append(
@@ -109,7 +112,9 @@
             'may run twice' if route.idempotent else 'must run at most once'
         ),
         'deadline': 'deadline %d ms' % route.deadline_ms,
-        'retries': '%d retries' % route.retries,
+        'retries': (
+            '1 retry' if route.retries == 1 else '%d retries' % route.retries
+        ),
     }
 
 
--- a/oleanderknot/platform/ticket_filing.py
+++ b/oleanderknot/platform/ticket_filing.py
@@ -121,12 +121,18 @@
 ) -> model.FilingOutcome:
     """Name the ticket that took the number."""
     key = border.ticket_rows.format_ticket_key(ticket.number)
-    winner = (await table.read([key])).bind(parse_ticket)
+    found = (await table.read([key])).bind(parse_ticket)
+    winner = found.ok if found.is_ok() else None
+    if winner is not None and winner.id == ticket.id:
+        # The write came twice; the first one counts.
+        return model.FilingOutcome(
+            result=model.FilingResult.FILED, ticket=ticket
+        )
     return model.FilingOutcome(
         result=model.FilingResult.CONFLICT,
         ticket=ticket,
-        winner=winner.ok if winner.is_ok() else None,
-        detail='another ticket was filed first; ' + NOTHING_CHANGED,
+        winner=winner,
+        detail='another operator was faster; ' + NOTHING_CHANGED,
     )
 
 
@@ -184,7 +190,7 @@
         winner = None
         detail = 'the answer was lost; reading back shows that it is filed'
     elif result is model.FilingResult.CONFLICT:
-        detail = 'another ticket was filed first; ' + NOTHING_CHANGED
+        detail = 'another operator was faster; ' + NOTHING_CHANGED
     else:
         detail = '%s; %s' % (detail, NOTHING_CHANGED)
     return model.FilingOutcome(
--- a/oleanderknot/tasks/ticket_poll.py
+++ b/oleanderknot/tasks/ticket_poll.py
@@ -68,13 +68,15 @@
 
     async def poll(self) -> None:
         """Read the newest ticket's number and load what is lacking."""
+        complete = self.policy.complete
         head = await self.loader.read_head()
         if head.is_error():
             self.note_failure(head.error)
             return
         number = head.ok.number
-        complete = self.policy.complete
-        if number > complete:
+        if number < complete:
+            self.note_lost_tickets(number)
+        elif number > complete:
             states = await self.loader.load(complete, number)
             if states.is_error():
                 self.note_failure(states.error)
@@ -89,6 +91,20 @@
         self.failures = 0
         self.fault = ''
 
+    def note_lost_tickets(self, number: int) -> None:
+        """Report a table that has lost tickets, as after a restore.
+
+        Policy never reverts, so new tickets have no effect until their
+        numbers pass the highest one that nodes hold.
+        """
+        self.loader.count('ticket.table_behind')
+        logging.error(
+            'the table service has lost tickets: its newest is %d, but %d '
+            'is in force',
+            number,
+            self.policy.complete,
+        )
+
     def note_failure(self, fault: model.PlatformFault) -> None:
         """Count a failed poll; the policy in force stays."""
         self.loader.count('ticket.poll_failures')
