--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -10,9 +10,10 @@
 
 from oleanderknot import decisions
 from oleanderknot import model
-from oleanderknot import wire
 from oleanderknot.tasks import admission
 from oleanderknot.tasks import finished_body
+from oleanderknot.tasks import order_claim
+from oleanderknot.tasks import order_runner
 from oleanderknot.tasks import upstream_client
 
 # Answers of an upstream that sheds load.
@@ -31,6 +32,7 @@
         chains: Accounts of the chains that the upstream runs.
         leaving: Whether the upstream takes no new work.
         running: Calls that this task works on, until their answer is whole.
+        orders: Runs non-idempotent calls at most once.
         gate: Returns why policy refuses a call, or None.
     """
 
@@ -41,6 +43,7 @@
         self.admission = admission.Admission(slots=1)
         self.leaving = False
         self.running = 0
+        self.orders: order_runner.OrderRunner | None = None
         self.gate: GateFunction = lambda call: None
 
     async def attach(
@@ -73,6 +76,28 @@
             content: First bytes of the request body.
             body: Rest of the request body, if it arrives in parts.
 
+        Returns:
+            The answer, or a refusal that says whether the call may have run.
+        """
+        if not call.idempotent:
+            return await self.orders.run(call, content, body)
+        return await self.admit(call, content, body)
+
+    async def admit(
+        self,
+        call: model.Call,
+        content: bytes,
+        body: model.Body | None,
+        claim: order_claim.ClaimFunction | None = None,
+    ) -> Result[model.Answer, model.Refusal]:
+        """Run a call at the upstream if it may be run now.
+
+        Args:
+            call: The call.
+            content: First bytes of the request body.
+            body: Rest of the request body, if it arrives in parts.
+            claim: Has the last word once the call has a slot.
+
         Returns:
             The answer, or a refusal that says whether the call may have run.
         """
@@ -80,12 +105,30 @@
         if refusal is None:
             slots = self.admission
             refusal = await slots.enter(call)
+            if refusal is None and claim is not None:
+                refusal = await self.take_claim(call, slots, claim)
         if refusal is not None:
             refusal.unspent = call.allowance
             refusal.reports = (self.admission.build_report(call),)
             return Error(refusal)
         return await self.execute(call, content, body, slots)
 
+    async def take_claim(
+        self,
+        call: model.Call,
+        slots: admission.Admission,
+        claim: order_claim.ClaimFunction,
+    ) -> model.Refusal | None:
+        """Claim a call's key, and free the slot when that fails."""
+        passed = False
+        try:
+            refusal = await claim()
+            passed = refusal is None
+            return refusal
+        finally:
+            if not passed:
+                slots.leave(call, own_time_s=0.0, failed=False)
+
     def check(self, call: model.Call) -> model.Refusal | None:
         """Return why a call cannot run at all, or None."""
         if self.client is None or call.service != self.service:
@@ -173,18 +216,6 @@
                 )
             )
 
-    async def describe_key(self, key: str, wait_s: float) -> wire.KeyState:
-        """Say what became of a key.
-
-        Args:
-            key: The key.
-            wait_s: Seconds to wait for a running call.
-
-        Returns:
-            The state of the key.
-        """
-        return wire.KeyState(state='unknown')
-
     async def close(self) -> None:
         """Close the connections to the upstream."""
         if self.client is not None:
