--- a/features/support/raw_peer.py
+++ b/features/support/raw_peer.py
@@ -20,7 +20,7 @@
         self.socket = socket.create_connection(
             (node.host, node.peer_port), timeout=TIMEOUT_S
         )
-        self.reader = wire.FrameReader()
+        self.reader = wire.FrameReader(codec=wire.Codec())
         self.frames: list[wire.Frame] = []
         self.send(
             0,
