Let nodes wait for a slow table as long as operators do

Cause: with a table that took 2 s to answer the command accepted a ticket, while nodes gave up after 1 s and never got it.

Change: nodes poll and operators file with the same timeout of 3 s.

--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -40,6 +40,10 @@
         at_most=7.0,
         source='a ticket is in force within 7 s where it can be reached',
     ),
+    'tickets.slow_table_max': Bound(
+        at_most=7.0,
+        source='a ticket is in force in every data centre within 7 s',
+    ),
     'tickets.reads_per_data_centre': Bound(
         at_most=2000 / 11,
         source='the platform takes 2,000 reads a second of 11 data centres',
--- a/bench/tickets.py
+++ b/bench/tickets.py
@@ -16,6 +16,8 @@
 NODES = 4
 TICKETS = 20
 REJOINS = 3
+SLOW_TICKETS = 3
+SLOW_MS = 2000
 SEED = 11
 QUIET_S = 20.0
 LIMIT_S = 60.0
@@ -54,7 +56,9 @@
     Returns:
         Its number and the monotonic time at which it was sent.
     """
-    table = platform.TableClient(url=url, timeout_s=5.0)
+    table = platform.TableClient(
+        url=url, timeout_s=platform.ticket_filing.TIMEOUT_S
+    )
     try:
         draft = build_ticket(deadline_ms)
         plan = (await platform.ticket_filing.prepare(table, draft)).ok
@@ -99,14 +103,21 @@
         )
 
 
-def measure_filings(system: systems.System, rng: random.Random) -> list[float]:
+def measure_filings(
+    system: systems.System, rng: random.Random, count: int
+) -> list[float]:
     """File tickets at random moments.
 
+    Args:
+        system: The nodes.
+        rng: Source of randomness.
+        count: Number of tickets.
+
     Returns:
         Seconds until each was in force on the last node, sorted.
     """
     times = []
-    for index in range(TICKETS):
+    for index in range(count):
         time.sleep(rng.random())
         number, sent = asyncio.run(
             file_ticket(system.ticket_table, 1000 + index)
@@ -171,15 +182,20 @@
                     '%s-%d' % (centre, number), centre, proxied=True
                 )
         wait_for_members(system)
-        filings = measure_filings(system, random.Random(SEED))
+        rng = random.Random(SEED)
+        filings = measure_filings(system, rng, TICKETS)
         reads = measure_reads(system)
         rejoins = measure_rejoins(system)
+        url = system.platform_url('/-/faults')
+        http.post_json(url, {'delay_ms': SLOW_MS})
+        slow = measure_filings(system, rng, SLOW_TICKETS)
     finally:
         system.stop()
     values = (
         ('tickets.in_force_p50', filings[len(filings) // 2], 's'),
         ('tickets.in_force_max', filings[-1], 's'),
         ('tickets.rejoin_max', rejoins[-1], 's'),
+        ('tickets.slow_table_max', slow[-1], 's'),
         ('tickets.reads_per_data_centre', reads, 'reads a second'),
     )
     return [
--- a/features/steps/ticket_spread_steps.py
+++ b/features/steps/ticket_spread_steps.py
@@ -165,6 +165,13 @@
     http.post_json(url, {'down': state == 'down'})
 
 
+@when('the ticket platform answers after {delay:d} ms')
+def slow_platform(context, delay):
+    """Let the platform answer late."""
+    url = context.system.platform_url('/-/faults')
+    http.post_json(url, {'delay_ms': delay})
+
+
 @when('node "{name}" is killed and started again')
 def restart_node(context, name):
     """Kill a node and start it with the same settings."""
--- a/features/tickets.feature
+++ b/features/tickets.feature
@@ -40,6 +40,13 @@
     Then the ticket is in force on all nodes
     And requests for "orders" carry the ticket on every node
 
+  Scenario: A ticket that a slow table accepts comes into force
+    Guards against nodes that give up sooner than the operator's command.
+    Given 1 ticket nodes in each of the data centres "dc1, dc2"
+    When the ticket platform answers after 2000 ms
+    And an operator files a ticket on service "orders" with 7000 ms
+    Then the ticket is in force on all nodes
+
   Scenario: Nodes that cannot be asked are named
     Given 1 ticket nodes in each of the data centres "dc1, dc2"
     When an operator files a ticket on service "orders" with 7000 ms
--- a/oleanderknot/cli/ticket_options.py
+++ b/oleanderknot/cli/ticket_options.py
@@ -13,8 +13,6 @@
 from oleanderknot import model
 from oleanderknot import platform
 
-TABLE_TIMEOUT_S = 5.0
-
 TABLE = option('table', description='Address of the table service', flag=False)
 OUTPUT = option(
     'output', description='text or json', flag=False, default='text'
@@ -100,7 +98,9 @@
     """Run a function with a client of the table service."""
 
     async def run() -> T:
-        table = platform.TableClient(url=url, timeout_s=TABLE_TIMEOUT_S)
+        table = platform.TableClient(
+            url=url, timeout_s=platform.ticket_filing.TIMEOUT_S
+        )
         try:
             return await function(table)
         finally:
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -138,8 +138,9 @@
         self.pool.close()
         await self.orders.close()
         await self.runner.close()
-        if self.table is not None:
-            await self.table.close()
+        for table in (self.table, self.ticket_table):
+            if table is not None:
+                await table.close()
         logging.info('node %s stopped', self.identity.instance)
 
     def build_tasks(self) -> None:
@@ -172,6 +173,9 @@
             self.policy, self.identity.instance
         )
         self.table = self.build_table_client()
+        self.ticket_table = self.build_table_client(
+            platform.ticket_filing.TIMEOUT_S
+        )
         self.peer_listener = peer_listener.PeerListener(
             identity=self.identity, handlers=handlers
         )
@@ -205,26 +209,32 @@
             handle=operator_listener.build_handler(self.describe)
         )
 
-    def build_table_client(self) -> platform.TableClient | None:
-        """Build the client of the table service, if settings name one."""
+    def build_table_client(
+        self, timeout_s: float = 0.0
+    ) -> platform.TableClient | None:
+        """Build a client of the table service, if settings name one.
+
+        Args:
+            timeout_s: Least timeout in seconds, whatever the settings say.
+        """
         settings = self.settings.platform
         host = self.settings.listen.host
         if not settings.table_url:
             return None
         return platform.TableClient(
             url=settings.table_url,
-            timeout_s=settings.timeout_ms / 1000,
+            timeout_s=max(timeout_s, settings.timeout_ms / 1000),
             local_host=None if host.is_unspecified else str(host),
         )
 
     def start_tickets(self) -> None:
         """Start to exchange policy with peers and to poll the table."""
         self.background.append(asyncio.create_task(self.tickets.run()))
-        if self.table is None:
+        if self.ticket_table is None:
             return
         poll = ticket_poll.TicketPoll(
             loader=ticket_loader.TicketLoader(
-                table=self.table, count=self.count
+                table=self.ticket_table, count=self.count
             ),
             policy=self.policy,
             count_nodes=self.tickets.count_nodes,
--- a/oleanderknot/platform/ticket_filing.py
+++ b/oleanderknot/platform/ticket_filing.py
@@ -18,6 +18,12 @@
 SETTLE_ATTEMPTS = 5
 SETTLE_PAUSE_S = 0.3
 
+# Longest wait for an answer of the table that concerns tickets. Operators and
+# nodes wait equally long, so that a table slow enough to keep a ticket from
+# nodes does not accept one. A node needs two answers to load a ticket, which
+# leaves 1 s of the 7 s in which it must be in force.
+TIMEOUT_S = 3.0
+
 NOTHING_CHANGED = 'nothing was changed'
 
 
