--- a/oleanderknot/border/settings.py
+++ b/oleanderknot/border/settings.py
@@ -60,12 +60,15 @@
         host: IP address of the upstream.
         port: TCP port of the upstream.
         slots: Calls that it can run at once.
+        warm: Whether it can take its full load at once; otherwise the load
+            rises slowly after the announcement.
     """
 
     service: base.Name
     host: base.Host
     port: typing.Annotated[int, pydantic.Field(ge=1, le=65535)]
     slots: typing.Annotated[int, pydantic.Field(ge=1, le=100000)]
+    warm: bool = False
 
 
 class PlatformSettings(base.Model):
@@ -102,6 +105,8 @@
         tls: Mutual TLS between nodes; needed beyond loopback.
         operator_token: Secret that operators send as ``Authorization:
             Bearer``; needed beyond loopback, empty for none.
+        control: Whether the node controls load; a node that does not only
+            forwards, which serves to measure what control is worth.
     """
 
     instance: base.Name
@@ -128,3 +133,4 @@
             description='16 to 200 visible ASCII characters',
         ),
     ] = ''
+    control: bool = True
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -4,18 +4,26 @@
 from oleanderknot.decisions.account_report import count_served
 from oleanderknot.decisions.account_sum import add_up
 from oleanderknot.decisions.account_words import format_time
+from oleanderknot.decisions.admission_level import AdmissionLevel
+from oleanderknot.decisions.admission_level import MAX_LEVEL
+from oleanderknot.decisions.admission_queue import AdmissionQueue
 from oleanderknot.decisions.alert_texts import ALERT_TEXTS
 from oleanderknot.decisions.alert_texts import summarise
+from oleanderknot.decisions.call_cohort import CallCohort
+from oleanderknot.decisions.call_numbers import CallNumbers
 from oleanderknot.decisions.chain_account import ChainAccount
 from oleanderknot.decisions.chain_account import open_account
 from oleanderknot.decisions.chain_table import ChainTable
 from oleanderknot.decisions.change_spread import CHANGES_PER_PING
 from oleanderknot.decisions.change_spread import ChangeSpread
 from oleanderknot.decisions.change_spread import limit_rides
+from oleanderknot.decisions.concurrency_limit import ConcurrencyLimit
 from oleanderknot.decisions.home_key_check import check_home_key
+from oleanderknot.decisions.instance_load import estimate_wait_ms
 from oleanderknot.decisions.instance_load import InstanceLoad
-from oleanderknot.decisions.instance_load import MAX_LEVEL
 from oleanderknot.decisions.key_account_table import KeyAccountTable
+from oleanderknot.decisions.load_view import ADMITTING_STATES
+from oleanderknot.decisions.load_view import LoadView
 from oleanderknot.decisions.local_suspicion import LocalSuspicion
 from oleanderknot.decisions.local_suspicion import SUSPICION_S
 from oleanderknot.decisions.log_sampler import LogSampler
@@ -48,6 +56,7 @@
 from oleanderknot.decisions.probe_schedule import ProbeSchedule
 from oleanderknot.decisions.probe_step import ProbeAction
 from oleanderknot.decisions.probe_step import ProbeStep
+from oleanderknot.decisions.queued_call import QueuedCall
 from oleanderknot.decisions.record_exchange import compare
 from oleanderknot.decisions.record_exchange import describe
 from oleanderknot.decisions.record_exchange import ExchangePace
@@ -57,6 +66,8 @@
 from oleanderknot.decisions.reporters import find_dark
 from oleanderknot.decisions.reporters import is_reporter
 from oleanderknot.decisions.retry_budget import RetryBudget
+from oleanderknot.decisions.route_calls import RouteCalls
+from oleanderknot.decisions.service_time import ServiceTimes
 from oleanderknot.decisions.ticket_filing import number_ticket
 from oleanderknot.decisions.ticket_filing import settle
 from oleanderknot.decisions.ticket_force import group_by_centre
@@ -75,6 +86,10 @@
     'count_served',
     'format_time',
     'ALERT_TEXTS',
+    'ADMITTING_STATES',
+    'AdmissionLevel',
+    'AdmissionQueue',
+    'CallCohort',
     'CALLER_KEY',
     'group_by_centre',
     'is_in_force',
@@ -86,32 +101,39 @@
     'describe_changes',
     'number_ticket',
     'settle',
+    'CallNumbers',
     'CHANGES_PER_PING',
     'Candidate',
     'ChainAccount',
     'ChainTable',
+    'ConcurrencyLimit',
     'ChangeSpread',
     'ENDED',
     'ExchangePace',
     'FORGET_S',
     'InstanceLoad',
     'LogSampler',
+    'LoadView',
+    'KEY_RETENTION_S',
+    'KeyAccountTable',
     'MAX_LEVEL',
     'MemberTable',
     'MemberWatch',
     'OrderWatch',
     'OutageWatch',
-    'KEY_RETENTION_S',
-    'KeyAccountTable',
     'OrderRecord',
     'OrderRecords',
     'PolicyTable',
-    'QueryAnswer',
+    'QueuedCall',
     'RetryBudget',
+    'RouteCalls',
+    'ServiceTimes',
+    'choose',
+    'estimate_wait_ms',
+    'QueryAnswer',
     'SINGLE_ATTEMPT',
     'answer_query',
     'check_home_key',
-    'choose',
     'find_dark',
     'is_newer',
     'is_reporter',
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -15,6 +15,7 @@
 from oleanderknot import platform
 from oleanderknot.node import operations
 from oleanderknot.node import order_assembly
+from oleanderknot.tasks import admission
 from oleanderknot.tasks import control_traffic
 from oleanderknot.tasks import dispatcher
 from oleanderknot.tasks import drain
@@ -24,12 +25,14 @@
 from oleanderknot.tasks import ingress
 from oleanderknot.tasks import leaving
 from oleanderknot.tasks import membership
+from oleanderknot.tasks import open_admission
 from oleanderknot.tasks import operator_listener
 from oleanderknot.tasks import peer_connection
 from oleanderknot.tasks import peer_handlers
 from oleanderknot.tasks import peer_listener
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import peer_tls
+from oleanderknot.tasks import plain_dispatcher
 from oleanderknot.tasks import prober
 from oleanderknot.tasks import runner
 from oleanderknot.tasks import ticket_loader
@@ -84,17 +87,13 @@
         self.build_tasks()
         listen = self.settings.listen
         host = str(listen.host)
-        self.egress_port = await self.egress.start(
+        self.egress_port = await self.egress.bind(
             str(listen.egress_host), listen.egress_port
         )
-        # The operators' port is last: its answers need all that is above, and
-        # nothing below waits before the record of this node exists.
         ports = {
-            'peer_port': await self.peer_listener.start(
-                host, listen.peer_port
-            ),
-            'caller_port': await self.callers.start(host, listen.caller_port),
-            'operator_port': await self.operators.start(
+            'peer_port': await self.peer_listener.bind(host, listen.peer_port),
+            'caller_port': await self.callers.bind(host, listen.caller_port),
+            'operator_port': await self.operators.bind(
                 str(listen.operator_host), listen.operator_port
             ),
         }
@@ -127,6 +126,14 @@
         self.background.extend(self.operations.start())
         self.start_membership()
         self.start_tickets()
+        # All parts are in place before the first message arrives.
+        for listener in (
+            self.peer_listener,
+            self.egress,
+            self.callers,
+            self.operators,
+        ):
+            await listener.start()
         if self.settings.upstream is not None:
             await self.announce(self.settings.upstream)
         logging.info('node %s started: %s', self.identity.instance, ports)
@@ -140,8 +147,9 @@
             await self.stop_serving()
         finally:
             await self.operations.close()
-        if self.table is not None:
-            await self.table.close()
+        for table in (self.table, self.ticket_table):
+            if table is not None:
+                await table.close()
         logging.info('node %s stopped', self.identity.instance)
 
     async def stop_serving(self) -> None:
@@ -163,6 +171,9 @@
     def build_tasks(self) -> None:
         """Build the tasks and connect them by their message functions."""
         self.table = self.build_table_client()
+        self.ticket_table = self.build_table_client(
+            platform.ticket_filing.TIMEOUT_S
+        )
         self.operations = operations.Operations(
             settings=self.settings,
             table=self.table,
@@ -170,7 +181,13 @@
             members=self.members,
             policy=self.policy,
         )
-        self.runner = runner.Runner(chains=self.chains)
+        controlled = self.settings.control
+        self.runner = runner.Runner(
+            chains=self.chains,
+            build_admission=admission.Admission
+            if controlled
+            else open_admission.OpenAdmission,
+        )
         self.leaving = leaving.Leaving(on_change=self.change_leaving)
         handlers = peer_handlers.PeerHandlers(
             run=self.operations.tracing.wrap(self.runner.run),
@@ -206,7 +223,12 @@
             handlers=handlers,
             tls=self.tls.incoming,
         )
-        self.dispatcher = dispatcher.Dispatcher(
+        build = (
+            dispatcher.Dispatcher
+            if controlled
+            else plain_dispatcher.PlainDispatcher
+        )
+        self.dispatcher = build(
             identity=self.identity,
             members=self.members,
             policy=self.policy,
@@ -215,6 +237,9 @@
             record=self.operations.recorder.record,
             begin=self.operations.tracing.begin,
         )
+        self.runner.deeper.find_service_level = (
+            self.dispatcher.find_service_level
+        )
         self.orders = order_assembly.build_orders(
             table_client=self.table,
             runner=self.runner,
@@ -257,26 +282,32 @@
         for task in (self.prober, finder, self.pool):
             self.background.append(asyncio.create_task(task.run()))
 
-    def build_table_client(self) -> platform.TableClient | None:
-        """Build the client of the table service, if settings name one."""
+    def build_table_client(
+        self, timeout_s: float = 0.0
+    ) -> platform.TableClient | None:
+        """Build a client of the table service, if settings name one.
+
+        Args:
+            timeout_s: Least timeout in seconds, whatever the settings say.
+        """
         settings = self.settings.platform
         host = self.settings.listen.host
         if not settings.table_url:
             return None
         return platform.TableClient(
             url=settings.table_url,
-            timeout_s=settings.timeout_ms / 1000,
+            timeout_s=max(timeout_s, settings.timeout_ms / 1000),
             local_host=None if host.is_unspecified else str(host),
         )
 
     def start_tickets(self) -> None:
         """Start to exchange policy with peers and to poll the table."""
         self.background.append(asyncio.create_task(self.tickets.run()))
-        if self.table is None:
+        if self.ticket_table is None:
             return
         poll = ticket_poll.TicketPoll(
             loader=ticket_loader.TicketLoader(
-                table=self.table, count=self.count
+                table=self.ticket_table, count=self.count
             ),
             policy=self.policy,
             count_nodes=self.tickets.count_nodes,
@@ -292,6 +323,7 @@
             host=str(upstream.host),
             port=upstream.port,
             slots=upstream.slots,
+            warm=upstream.warm,
         )
         self.membership.change_own(
             service=upstream.service,
@@ -353,6 +385,8 @@
             'service': self.runner.service,
             'leaving': self.runner.leaving,
             'running': self.runner.running,
+            'orders': self.orders.describe_load(),
+            'load': self.runner.admission.describe(),
             'refused_leaving': self.runner.refused_leaving,
             'egress_port': self.egress_port,
             'caller_port': self.membership.own.caller_port,
--- a/oleanderknot/node/serve.py
+++ b/oleanderknot/node/serve.py
@@ -10,11 +10,15 @@
 from oleanderknot.tasks import json_formatter
 
 
-def serve(settings: border.NodeSettings) -> None:
+def serve(
+    settings: border.NodeSettings,
+    node: application.NodeApplication | None = None,
+) -> None:
     """Run a node until SIGTERM or SIGINT, then drain and stop it.
 
     Args:
         settings: Settings of the node.
+        node: The node, when it is not to be built from the settings alone.
 
     Raises:
         OSError: A listening address cannot be used.
@@ -22,7 +26,7 @@
     json_formatter.set_up_log(
         instance=settings.instance, level=settings.log.level
     )
-    node = application.NodeApplication(settings=settings)
+    node = node or application.NodeApplication(settings=settings)
     with aiomisc.entrypoint(
         node,
         log_config=False,
--- a/oleanderknot/standins/upstream.py
+++ b/oleanderknot/standins/upstream.py
@@ -67,6 +67,7 @@
             'host': self.options.host,
             'port': self.options.announce_port or self.port,
             'slots': self.options.slots,
+            'warm': self.options.warm,
         }
         url = self.options.node + '/-/announce'
         while True:
@@ -101,6 +102,10 @@
 
     async def run(self, request: web.BaseRequest) -> web.StreamResponse:
         """Work on a request in a slot."""
+        if self.options.refuses:
+            return web.Response(
+                status=503, headers={'Oleanderknot-Verdict': 'not-run'}
+            )
         await self.enter()
         self.runs.append(
             {
--- a/oleanderknot/tasks/metric_list.py
+++ b/oleanderknot/tasks/metric_list.py
@@ -134,6 +134,11 @@
         'messages',
         'Policy messages sent to other nodes.',
     ),
+    (
+        'ticket.table_behind',
+        'reads',
+        'Reads that showed an older ticket than one already in force.',
+    ),
 )
 
 # Name, unit and what it tells.
--- /dev/null
+++ b/oleanderknot/tasks/open_admission.py
@@ -0,0 +1,21 @@
+"""Admission of a node that only forwards."""
+
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.tasks import admission
+
+
+class OpenAdmission(admission.Admission):
+    """Admits every call at once; used to measure what control is worth."""
+
+    def has_room(self, priority: float) -> bool:
+        """Return whether a call would start at once."""
+        return True
+
+    def find_level(self) -> float:
+        """Return the level that admits everything."""
+        return decisions.MAX_LEVEL
+
+    async def enter(self, call: model.Call) -> admission.Place | model.Refusal:
+        """Give a place to any call."""
+        return self.start(self.loop.time())
