--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -51,4 +51,7 @@
         at_most=2000 / 11,
         source='the platform takes 2,000 reads a second of 11 data centres',
     ),
+    'tracing.unsampled': Bound(
+        at_most=5.0, source='a few microseconds for a call without a span'
+    ),
 }
--- a/oleanderknot/cli/node.py
+++ b/oleanderknot/cli/node.py
@@ -1,12 +1,14 @@
 """The command that runs a node."""
 
 import pathlib
+import sys
 
 from cleo.commands import command
 from cleo.helpers import argument
 
 from oleanderknot import border
 from oleanderknot.node import serve
+from oleanderknot.tasks import peer_tls
 
 
 class NodeCommand(command.Command):
@@ -22,8 +24,12 @@
             settings = border.load_settings(
                 pathlib.Path(self.argument('settings'))
             )
-        except border.SettingsError as error:
-            self.line_error(str(error))
+        except border.MistakesError as error:
+            print(error, file=sys.stderr)
+            return 2
+        try:
+            serve.serve(settings)
+        except peer_tls.TlsError as error:
+            print(error, file=sys.stderr)
             return 2
-        serve.serve(settings)
         return 0
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -28,7 +28,10 @@
     model.Rule.DEADLINE,
 )
 
-CountFunction = collections.abc.Callable[[model.DecisionKey], None]
+# Takes call, rule, verdict and one sentence of detail.
+RecordFunction = collections.abc.Callable[
+    [model.Call, model.Rule, model.Verdict, str], None
+]
 
 
 class Dispatcher:
@@ -40,7 +43,8 @@
         policy: Policy in force.
         runner: Runs calls at the own upstream.
         pool: Connections to other nodes.
-        count: Counts a decision.
+        record: Counts and logs a decision.
+        begin: Told each call that enters the system here.
         loads: Load of other upstreams.
         suspicions: Instances that have just failed a call.
         budget: Retries of this node as a share of its successes.
@@ -56,7 +60,8 @@
         policy: decisions.PolicyTable,
         runner: runner.Runner,
         pool: peer_pool.PeerPool,
-        count: CountFunction,
+        record: RecordFunction,
+        begin: collections.abc.Callable[[model.Call], None],
         rng: random.Random | None = None,
     ) -> None:
         self.identity = identity
@@ -64,7 +69,8 @@
         self.policy = policy
         self.runner = runner
         self.pool = pool
-        self.count = count
+        self.record = record
+        self.begin = begin
         self.loads = decisions.LoadView()
         self.suspicions = decisions.LocalSuspicion()
         self.budget = decisions.RetryBudget()
@@ -97,6 +103,8 @@
             member = self.choose(call, tried)
             if member is None:
                 return Error(self.refuse_early(call))
+            if tried:
+                self.count_retry(call)
             tried.add(member.instance)
             granted = account.grant()
             attempt = dataclasses.replace(call, allowance=granted)
@@ -123,9 +131,6 @@
                     heard_since = started
             if not self.may_retry(call, account, result, body, now):
                 return result
-            self.count_decision(
-                call, model.Rule.RETRIED, model.Verdict.NOT_RUN
-            )
             await self.pause()
 
     def choose(
@@ -280,17 +285,16 @@
             self.find_service_level(call.service, call.route),
         )
 
+    def count_retry(self, call: model.Call) -> None:
+        """Record that a call is sent once more."""
+        self.count_decision(call, model.Rule.RETRIED, model.Verdict.NOT_RUN)
+
     def count_decision(
-        self, call: model.Call, rule: model.Rule, verdict: model.Verdict
+        self,
+        call: model.Call,
+        rule: model.Rule,
+        verdict: model.Verdict,
+        detail: str = '',
     ) -> None:
-        """Count a decision about a call."""
-        self.count(
-            model.DecisionKey(
-                ticket=call.ticket,
-                rule=rule,
-                request_class=call.request_class,
-                service=call.service,
-                verdict=verdict,
-                root=call.depth == 0,
-            )
-        )
+        """Record a decision about a call."""
+        self.record(call, rule, verdict, detail)
