--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -32,9 +32,6 @@
     'latency.added_p99': Bound(
         at_most=0.35, source='0.35 ms added to a call for 99 in 100'
     ),
-    'tracing.unsampled': Bound(
-        at_most=5.0, source='a few microseconds for a call without a span'
-    ),
     'orders.full_mb': Bound(
         at_most=256, source='256 MB of a node for control'
     ),
@@ -54,4 +51,7 @@
         at_most=2000 / 11,
         source='the platform takes 2,000 reads a second of 11 data centres',
     ),
+    'tracing.unsampled': Bound(
+        at_most=5.0, source='a few microseconds for a call without a span'
+    ),
 }
--- a/oleanderknot/border/settings.py
+++ b/oleanderknot/border/settings.py
@@ -97,6 +97,8 @@
         seeds: Peer addresses ``ip:port`` of a few other nodes, tried first.
         drain_timeout_s: Seconds that a planned stop waits for requests in
             flight.
+        control: Whether the node controls load; a node that does not only
+            forwards, which serves to measure what control is worth.
         log: The log.
         statsd: Where metrics go.
         account: How the account of decisions is written.
@@ -105,8 +107,6 @@
         tls: Mutual TLS between nodes; needed beyond loopback.
         operator_token: Secret that operators send as ``Authorization:
             Bearer``; needed beyond loopback, empty for none.
-        control: Whether the node controls load; a node that does not only
-            forwards, which serves to measure what control is worth.
     """
 
     instance: base.Name
@@ -116,6 +116,7 @@
     upstream: UpstreamSettings | None = None
     seeds: tuple[base.Address, ...] = ()
     drain_timeout_s: typing.Annotated[float, pydantic.Field(gt=0)] = 900.0
+    control: bool = True
     log: log_settings.LogSettings = log_settings.LogSettings()
     statsd: statsd_settings.StatsdSettings = statsd_settings.StatsdSettings()
     account: account_settings.AccountSettings = (
@@ -133,4 +134,3 @@
             description='16 to 200 visible ASCII characters',
         ),
     ] = ''
-    control: bool = True
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -20,10 +20,6 @@
 # do not arrive together.
 RETRY_PAUSE_S = 0.02
 
-# Takes call, rule, verdict and one sentence of detail.
-RecordFunction = collections.abc.Callable[
-    [model.Call, model.Rule, model.Verdict, str], None
-]
 # Every node computes the same priority number, so another node would refuse
 # the call as well; a deadline that cannot be met is not met by waiting.
 FINAL_RULES = (
@@ -32,6 +28,11 @@
     model.Rule.DEADLINE,
 )
 
+# Takes call, rule, verdict and one sentence of detail.
+RecordFunction = collections.abc.Callable[
+    [model.Call, model.Rule, model.Verdict, str], None
+]
+
 
 class Dispatcher:
     """Owns the view of other upstreams' load and the retries of this node.
