--- a/features/account.feature
+++ b/features/account.feature
@@ -45,10 +45,18 @@
   Scenario: A node that dies leaves a sentence about what is not known
     Given a system that reports every 0.3 s
     When 20 customers browse, 5 order and 3 ask for an unknown service
+    And node "front" has written a report
     And node "front" is killed
     And an operator asks for the account until it says "did not say that it stopped"
     Then the account's section "unknown" says "Node front sent its last report"
 
+  Scenario: A node that dies before its first report is named
+    Given a system that reports every 60 s
+    When node "front" is killed
+    And all nodes are stopped as planned once they know that "front" is dead
+    And an operator asks for the account of the last "10m"
+    Then the account's section "unknown" says "Node front went silent and no report of it was found"
+
   Scenario: The account of one ticket covers its own decisions only
     Given a system that reports every 0.3 s
     When 20 customers browse, 5 order and 3 ask for an unknown service
--- a/oleanderknot/border/__init__.py
+++ b/oleanderknot/border/__init__.py
@@ -39,19 +39,19 @@
 from oleanderknot.border.yaml_lines import YamlText
 
 __all__ = [
-    'Announcement',
-    'ClaimRow',
-    'ListenSettings',
-    'MemberStatus',
     'ACCOUNT_PREFIX',
     'ALERT_PREFIX',
     'AccountSettings',
     'AlertSettings',
+    'MemberStatus',
     'NodeStatus',
     'ticket_rows',
     'dump_policy',
     'parse_policy',
     'load_ticket',
+    'Announcement',
+    'ClaimRow',
+    'ListenSettings',
     'LogSettings',
     'Mistake',
     'MistakesError',
@@ -72,8 +72,8 @@
     'headers',
     'load_settings',
     'load_yaml',
-    'parse_peer_row',
     'parse_alert',
     'parse_batch',
+    'parse_peer_row',
     'parse_yaml',
 ]
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -114,9 +114,8 @@
             table=self.members,
             own=own,
             pool=self.pool,
-            count=self.operations.metrics.count,
+            count=self.count,
         )
-        self.start_membership()
         self.operations.metrics.gauges.update(
             {
                 'runner.running': lambda: self.runner.running,
@@ -125,6 +124,7 @@
             }
         )
         self.background.extend(self.operations.start())
+        self.start_membership()
         self.start_tickets()
         # All parts are in place before the first message arrives.
         for listener in (
@@ -139,7 +139,21 @@
         logging.info('node %s started: %s', self.identity.instance, ports)
 
     async def stop(self, error: Exception | None = None) -> None:
-        """Drain and stop all tasks; called by aiomisc."""
+        """Drain and stop all tasks; called by aiomisc.
+
+        The last report is written also when a part fails to stop.
+        """
+        try:
+            await self.stop_serving()
+        finally:
+            await self.operations.close()
+        for table in (self.table, self.ticket_table):
+            if table is not None:
+                await table.close()
+        logging.info('node %s stopped', self.identity.instance)
+
+    async def stop_serving(self) -> None:
+        """Drain and end all connections."""
         await self.drain()
         self.membership.change_own(state=model.MemberState.LEFT)
         self.peer_listener.close()
@@ -153,11 +167,6 @@
         self.pool.close()
         await self.orders.close()
         await self.runner.close()
-        await self.operations.close()
-        for table in (self.table, self.ticket_table):
-            if table is not None:
-                await table.close()
-        logging.info('node %s stopped', self.identity.instance)
 
     def build_tasks(self) -> None:
         """Build the tasks and connect them by their message functions."""
@@ -187,7 +196,7 @@
             policy=lambda peer, item: self.tickets.handle(peer, item),
             opened=self.greet,
             closed=self.part,
-            count=self.operations.metrics.count,
+            count=self.count,
             parting=lambda peer: self.pool.part(peer),
             traffic=self.traffic,
         )
@@ -203,7 +212,7 @@
             policy=self.policy,
             members=self.members,
             pool=self.pool,
-            count=self.operations.metrics.count,
+            count=self.count,
             rng=random.Random(),
         )
         self.runner.gate = work_gate.build_gate(
@@ -235,7 +244,7 @@
             table_client=self.table,
             runner=self.runner,
             dispatcher=self.dispatcher,
-            count=self.operations.metrics.count,
+            count=self.count,
         )
         self.callers = http_listener.HttpListener(
             handle=ingress.build_handler(self.dispatcher, self.policy)
@@ -253,7 +262,7 @@
             handle=operator_listener.build_handler(
                 self.describe,
                 token=self.settings.operator_token,
-                count=self.operations.metrics.count,
+                count=self.count,
             )
         )
 
@@ -298,8 +307,7 @@
             return
         poll = ticket_poll.TicketPoll(
             loader=ticket_loader.TicketLoader(
-                table=self.ticket_table,
-                count=self.operations.metrics.count,
+                table=self.ticket_table, count=self.count
             ),
             policy=self.policy,
             count_nodes=self.tickets.count_nodes,
@@ -359,6 +367,10 @@
         self.membership.greet(connection)
         self.tickets.greet(connection)
 
+    def count(self, name: str) -> None:
+        """Count an event."""
+        self.operations.metrics.count(name)
+
     def part(self, connection: peer_connection.PeerConnection) -> None:
         """Forget a connection that has ended."""
         self.pool.remove(connection)
@@ -394,9 +406,9 @@
             ],
             'policy': self.tickets.describe(),
             'connections': sorted(self.pool.connections),
+            **self.operations.describe(),
             'control': {
                 'sent_bytes': self.traffic.sent,
                 'received_bytes': self.traffic.received,
             },
-            **self.operations.describe(),
         }
--- a/oleanderknot/node/operations.py
+++ b/oleanderknot/node/operations.py
@@ -17,8 +17,6 @@
 from oleanderknot.tasks import task_log
 from oleanderknot.tasks import tracing
 
-SILENT = 'silent'
-
 
 def build_object_client(
     settings: border.NodeSettings,
@@ -128,7 +126,7 @@
 
     def note_closed(self, connection: peer_connection.PeerConnection) -> None:
         """Take a connection to another node that has ended."""
-        if connection.why == SILENT:
+        if connection.silent:
             self.watch.note_silent(connection.describe())
 
     def describe(self) -> dict[str, object]:
--- a/oleanderknot/tasks/metric_list.py
+++ b/oleanderknot/tasks/metric_list.py
@@ -29,6 +29,21 @@
         'lines',
         'Log lines about refusals that were left out by sampling.',
     ),
+    (
+        'member.asked_others',
+        'probes',
+        'Nodes that did not answer, so that others were asked to try.',
+    ),
+    (
+        'member.refuted',
+        'claims',
+        'Wrong claims that this node had left or died, which it corrected.',
+    ),
+    (
+        'member.replaced',
+        'claims',
+        'Claims of a newer life of this instance elsewhere.',
+    ),
     (
         'operators.refused',
         'requests',
@@ -119,6 +134,11 @@
         'messages',
         'Policy messages sent to other nodes.',
     ),
+    (
+        'ticket.table_behind',
+        'reads',
+        'Reads that showed an older ticket than one already in force.',
+    ),
 )
 
 # Name, unit and what it tells.
--- a/oleanderknot/tasks/peer_connection.py
+++ b/oleanderknot/tasks/peer_connection.py
@@ -35,7 +35,6 @@
         silent: Whether it ended because it had gone silent.
         finished: Whether this node has ended its direction.
         closed: Whether the connection has ended.
-        why: Why it has ended.
     """
 
     def __init__(
@@ -60,7 +59,6 @@
         self.silent = False
         self.finished = False
         self.closed = False
-        self.why = ''
         outlet = body_sender.Outlet(
             send=self.send, wait_writable=self.wait_writable
         )
@@ -281,7 +279,6 @@
         if self.closed:
             return
         self.closed = True
-        self.why = why
         self.watch.stop()
         self.parting.stop()
         self.resume_writing()
