--- a/oleanderknot/tasks/ingress.py
+++ b/oleanderknot/tasks/ingress.py
@@ -1,15 +1,12 @@
 """Takes requests of callers, the roots of call chains."""
 
 import asyncio
-import random
-import time
 
 from absl import logging
 from aiohttp import web
 from expression import Error
 from expression import Result
 
-from oleanderknot import border
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot.tasks import dispatcher
@@ -19,32 +16,12 @@
 from oleanderknot.tasks import order_keys
 from oleanderknot.tasks import outcome
 from oleanderknot.tasks import request_refusal
+from oleanderknot.tasks import root_call
 
 # From this status on, a client may take an answer for worth repeating.
 FIRST_FAILURE_STATUS = 500
 
 
-def split_path(raw_path: str) -> tuple[str, str]:
-    """Split ``/<service>/<path>`` into service and path.
-
-    Args:
-        raw_path: Path and query of the request as received.
-
-    Returns:
-        The service and the path and query for the upstream.
-
-    Raises:
-        ValueError: The path names no service.
-    """
-    service, slash, rest = raw_path[1:].partition('/')
-    if not slash:
-        service, mark, query = service.partition('?')
-        rest = mark + query
-    if not service or not raw_path.startswith('/'):
-        raise ValueError('the path must start with /<service>/')
-    return service, '/' + rest
-
-
 def build_call(
     request: web.BaseRequest, policy: decisions.PolicyTable
 ) -> model.Call:
@@ -60,36 +37,13 @@
     Raises:
         ValueError: The path or a header is malformed.
     """
-    service, path = split_path(request.raw_path)
-    headers = request.headers
-    deadline_ms = border.headers.parse_deadline(
-        headers.get(border.headers.DEADLINE)
-    )
-    key = border.headers.parse_key(headers.get(border.headers.IDEMPOTENCY_KEY))
-    trace = border.headers.parse_traceparent(
-        headers.get(border.headers.TRACEPARENT)
-    )
-    if trace is None:
-        trace = ('%032x' % random.getrandbits(128), '0' * 16, False)
-    service_policy, number = policy.find_service(service)
-    route = decisions.match_route(service_policy, request.method, path)
-    allowed_ms = min(deadline_ms or route.deadline_ms, route.deadline_ms)
-    return model.Call(
-        service=service,
+    return root_call.build_root_call(
         method=request.method,
-        path=path,
-        headers=border.headers.keep_end_to_end(request.raw_headers),
-        request_class=route.request_class,
-        deadline=time.monotonic() + allowed_ms / 1000,
-        allowance=route.retries,
-        key=key,
-        idempotent=route.idempotent,
-        trace_id=trace[0],
-        span_id=trace[1],
-        sampled=trace[2],
-        route=route.prefix,
-        ticket=number,
+        raw_path=request.raw_path,
+        headers=request.headers,
+        raw_headers=request.raw_headers,
         has_body=request.body_exists,
+        policy=policy,
     )
 
 
--- /dev/null
+++ b/oleanderknot/tasks/root_call.py
@@ -0,0 +1,87 @@
+"""Builds the calls that start call chains."""
+
+import collections.abc
+import random
+import time
+
+from oleanderknot import border
+from oleanderknot import decisions
+from oleanderknot import model
+
+
+def split_path(raw_path: str) -> tuple[str, str]:
+    """Split ``/<service>/<path>`` into service and path.
+
+    Args:
+        raw_path: Path and query of the request as received.
+
+    Returns:
+        The service and the path and query for the upstream.
+
+    Raises:
+        ValueError: The path names no service.
+    """
+    service, slash, rest = raw_path[1:].partition('/')
+    if not slash:
+        service, mark, query = service.partition('?')
+        rest = mark + query
+    if not service or not raw_path.startswith('/'):
+        raise ValueError('the path must start with /<service>/')
+    return service, '/' + rest
+
+
+def build_root_call(
+    *,
+    method: str,
+    raw_path: str,
+    headers: collections.abc.Mapping[str, str],
+    raw_headers: collections.abc.Iterable[tuple[bytes, bytes]],
+    has_body: bool,
+    policy: decisions.PolicyTable,
+) -> model.Call:
+    """Build the root call of a chain.
+
+    Args:
+        method: HTTP method in upper case.
+        raw_path: ``/<service>/<path>`` with the query.
+        headers: Headers by name, whatever the case.
+        raw_headers: The same headers as they came.
+        has_body: Whether the request carries a body.
+        policy: Policy in force.
+
+    Returns:
+        The call, with the whole allowance of its route.
+
+    Raises:
+        ValueError: The path or a header is malformed.
+    """
+    service, path = split_path(raw_path)
+    deadline_ms = border.headers.parse_deadline(
+        headers.get(border.headers.DEADLINE)
+    )
+    key = border.headers.parse_key(headers.get(border.headers.IDEMPOTENCY_KEY))
+    trace = border.headers.parse_traceparent(
+        headers.get(border.headers.TRACEPARENT)
+    )
+    if trace is None:
+        trace = ('%032x' % random.getrandbits(128), '0' * 16, False)
+    service_policy, number = policy.find_service(service)
+    route = decisions.match_route(service_policy, method, path)
+    allowed_ms = min(deadline_ms or route.deadline_ms, route.deadline_ms)
+    return model.Call(
+        service=service,
+        method=method,
+        path=path,
+        headers=border.headers.keep_end_to_end(raw_headers),
+        request_class=route.request_class,
+        deadline=time.monotonic() + allowed_ms / 1000,
+        allowance=route.retries,
+        key=key,
+        idempotent=route.idempotent,
+        trace_id=trace[0],
+        span_id=trace[1],
+        sampled=trace[2],
+        route=route.prefix,
+        ticket=number,
+        has_body=has_body,
+    )
