--- a/oleanderknot/border/__init__.py
+++ b/oleanderknot/border/__init__.py
@@ -8,6 +8,9 @@
 from oleanderknot.border.model_mistakes import collect
 from oleanderknot.border.node_status import MemberStatus
 from oleanderknot.border.node_status import NodeStatus
+from oleanderknot.border.peer_row import parse_peer_row
+from oleanderknot.border.peer_row import PEER_ROW_PREFIX
+from oleanderknot.border.peer_row import PeerRow
 from oleanderknot.border.scopes import dump_policy
 from oleanderknot.border.scopes import parse_policy
 from oleanderknot.border.settings import ListenSettings
@@ -23,25 +26,28 @@
 from oleanderknot.border.yaml_lines import YamlText
 
 __all__ = [
-    'MemberStatus',
-    'NodeStatus',
-    'ticket_rows',
-    'dump_policy',
-    'parse_policy',
-    'load_ticket',
     'Announcement',
     'ClaimRow',
     'ListenSettings',
+    'MemberStatus',
     'Mistake',
     'MistakesError',
     'NodeSettings',
+    'NodeStatus',
+    'PEER_ROW_PREFIX',
+    'PeerRow',
     'PlatformSettings',
     'SettingsError',
     'UpstreamSettings',
     'YamlText',
     'collect',
+    'dump_policy',
     'headers',
     'load_settings',
+    'load_ticket',
     'load_yaml',
+    'parse_peer_row',
+    'parse_policy',
     'parse_yaml',
+    'ticket_rows',
 ]
--- a/oleanderknot/tasks/ticket_sync.py
+++ b/oleanderknot/tasks/ticket_sync.py
@@ -20,8 +20,6 @@
 REPLY = 3
 REST = 4
 
-DIGEST_PERIOD_S = 1.0
-
 # Time in which a peer sends all scopes; before it ends no other is asked.
 REQUEST_PAUSE_S = 1.0
 
@@ -62,14 +60,6 @@
         self.pushes: set[asyncio.Task] = set()
         self.asked_at = -REQUEST_PAUSE_S
 
-    async def run(self) -> None:
-        """Send a digest to a random connected peer each second."""
-        while True:
-            await asyncio.sleep(DIGEST_PERIOD_S * (0.5 + self.rng.random()))
-            connections = list(self.pool.connections.values())
-            if connections:
-                self.send(self.rng.choice(connections), DIGEST)
-
     def count_nodes(self) -> int:
         """Return the nodes alive in the own data centre, with this one."""
         others = decisions.list_alive(
@@ -79,8 +69,13 @@
         return 1 + sum(member.data_centre == own for member in others)
 
     def greet(self, connection: peer_connection.PeerConnection) -> None:
-        """Ask a node that has just connected for all scopes, when cold."""
-        if not self.policy.highest:
+        """Compare policy with a node that has just connected.
+
+        A cold node asks for all scopes.
+        """
+        if self.policy.highest:
+            self.send(connection, DIGEST)
+        else:
             self.request(connection)
 
     def request(self, connection: peer_connection.PeerConnection) -> None:
@@ -105,10 +100,10 @@
             return
         if message.kind not in (NEWS, DIGEST, REPLY, REST):
             raise wire.BadFrame('policy message of an unknown kind')
-        digest = wire.model_digest(message.digest)
         if message.kind == DIGEST:
-            self.answer_digest(connection, digest)
+            self.take_digest(connection, message.digest)
             return
+        digest = wire.model_digest(message.digest)
         if message.scopes is None:
             raise wire.BadFrame('policy message without scopes')
         states = [wire.model_scope(item) for item in message.scopes]
@@ -122,12 +117,21 @@
         if changed:
             self.spread(changed, connection.peer.instance)
 
-    def answer_digest(
+    def build_digest(self) -> wire.PolicyDigest:
+        """Build the digest that rides on probes of membership."""
+        return wire.wire_digest(self.policy.build_digest())
+
+    def take_digest(
         self,
         connection: peer_connection.PeerConnection,
-        digest: model.PolicyDigest,
+        message: wire.PolicyDigest | None,
     ) -> None:
-        """Send what a peer with another policy may lack."""
+        """Send what a peer with another policy may lack.
+
+        Raises:
+            BadFrame: The digest is malformed.
+        """
+        digest = wire.model_digest(message)
         if not self.policy.take_digest(digest):
             self.count('ticket.digest_mismatches')
             states = self.policy.list_after(digest.complete)
@@ -209,7 +213,7 @@
             policy_sync=wire.PolicySync(
                 kind=kind,
                 scopes=list(scopes),
-                digest=wire.wire_digest(self.policy.build_digest()),
+                digest=self.build_digest(),
             ),
         )
 
