--- a/oleanderknot/cli/node_query.py
+++ b/oleanderknot/cli/node_query.py
@@ -10,6 +10,7 @@
 
 from oleanderknot import border
 from oleanderknot import model
+from oleanderknot.cli import operator_access
 
 ASK_TIMEOUT_S = 3.0
 ASK_AT_ONCE = 100
@@ -31,6 +32,11 @@
     try:
         async with session.get('http://%s/status' % address) as answer:
             content = await answer.read()
+            if answer.status in (401, 403):
+                return Error(
+                    'it wants the token of the operators: set %s'
+                    % operator_access.TOKEN_VARIABLE
+                )
             if answer.status != 200:
                 return Error('it answered with status %d' % answer.status)
         return Ok(border.NodeStatus.model_validate(json.loads(content)))
@@ -76,6 +82,7 @@
     """
     async with aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=ASK_AT_ONCE),
+        headers=operator_access.build_headers(),
         timeout=aiohttp.ClientTimeout(
             sock_connect=ASK_TIMEOUT_S, sock_read=ASK_TIMEOUT_S
         ),
