--- a/oleanderknot/border/settings.py
+++ b/oleanderknot/border/settings.py
@@ -58,12 +58,15 @@
         host: IP address of the upstream.
         port: TCP port of the upstream.
         slots: Calls that it can run at once.
+        warm: Whether it can take its full load at once; otherwise the load
+            rises slowly after the announcement.
     """
 
     service: Name
     host: pydantic.IPvAnyAddress
     port: typing.Annotated[int, pydantic.Field(ge=1, le=65535)]
     slots: typing.Annotated[int, pydantic.Field(ge=1, le=100000)]
+    warm: bool = False
 
 
 class PlatformSettings(Model):
@@ -92,6 +95,8 @@
         seeds: Peer addresses ``ip:port`` of a few other nodes, tried first.
         drain_timeout_s: Seconds that a planned stop waits for requests in
             flight.
+        control: Whether the node controls load; a node that does not only
+            forwards, which serves to measure what control is worth.
     """
 
     instance: Name
@@ -101,3 +106,4 @@
     upstream: UpstreamSettings | None = None
     seeds: tuple[str, ...] = ()
     drain_timeout_s: typing.Annotated[float, pydantic.Field(gt=0)] = 900.0
+    control: bool = True
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -1,15 +1,23 @@
 """Pure decisions: no input or output, no clock, no random source."""
 
+from oleanderknot.decisions.admission_level import AdmissionLevel
+from oleanderknot.decisions.admission_level import MAX_LEVEL
+from oleanderknot.decisions.admission_queue import AdmissionQueue
+from oleanderknot.decisions.call_cohort import CallCohort
+from oleanderknot.decisions.call_numbers import CallNumbers
 from oleanderknot.decisions.chain_account import ChainAccount
 from oleanderknot.decisions.chain_account import open_account
 from oleanderknot.decisions.chain_table import ChainTable
 from oleanderknot.decisions.change_spread import CHANGES_PER_PING
 from oleanderknot.decisions.change_spread import ChangeSpread
 from oleanderknot.decisions.change_spread import limit_rides
+from oleanderknot.decisions.concurrency_limit import ConcurrencyLimit
 from oleanderknot.decisions.home_key_check import check_home_key
+from oleanderknot.decisions.instance_load import estimate_wait_ms
 from oleanderknot.decisions.instance_load import InstanceLoad
-from oleanderknot.decisions.instance_load import MAX_LEVEL
 from oleanderknot.decisions.key_account_table import KeyAccountTable
+from oleanderknot.decisions.load_view import ADMITTING_STATES
+from oleanderknot.decisions.load_view import LoadView
 from oleanderknot.decisions.local_suspicion import LocalSuspicion
 from oleanderknot.decisions.local_suspicion import SUSPICION_S
 from oleanderknot.decisions.member_table import ENDED
@@ -38,6 +46,7 @@
 from oleanderknot.decisions.probe_schedule import ProbeSchedule
 from oleanderknot.decisions.probe_step import ProbeAction
 from oleanderknot.decisions.probe_step import ProbeStep
+from oleanderknot.decisions.queued_call import QueuedCall
 from oleanderknot.decisions.record_exchange import compare
 from oleanderknot.decisions.record_exchange import describe
 from oleanderknot.decisions.record_exchange import ExchangePace
@@ -45,6 +54,8 @@
 from oleanderknot.decisions.refutation import refute
 from oleanderknot.decisions.refutation import split_claims
 from oleanderknot.decisions.retry_budget import RetryBudget
+from oleanderknot.decisions.route_calls import RouteCalls
+from oleanderknot.decisions.service_time import ServiceTimes
 from oleanderknot.decisions.ticket_filing import number_ticket
 from oleanderknot.decisions.ticket_filing import settle
 from oleanderknot.decisions.ticket_force import group_by_centre
@@ -58,6 +69,10 @@
 from oleanderknot.decisions.upstream_choice import choose
 
 __all__ = [
+    'ADMITTING_STATES',
+    'AdmissionLevel',
+    'AdmissionQueue',
+    'CallCohort',
     'CALLER_KEY',
     'group_by_centre',
     'is_in_force',
@@ -69,15 +84,18 @@
     'describe_changes',
     'number_ticket',
     'settle',
+    'CallNumbers',
     'CHANGES_PER_PING',
     'Candidate',
     'ChainAccount',
     'ChainTable',
+    'ConcurrencyLimit',
     'ChangeSpread',
     'ENDED',
     'ExchangePace',
     'FORGET_S',
     'InstanceLoad',
+    'LoadView',
     'KEY_RETENTION_S',
     'KeyAccountTable',
     'MAX_LEVEL',
@@ -85,12 +103,16 @@
     'OrderRecord',
     'OrderRecords',
     'PolicyTable',
-    'QueryAnswer',
+    'QueuedCall',
     'RetryBudget',
+    'RouteCalls',
+    'ServiceTimes',
+    'choose',
+    'estimate_wait_ms',
+    'QueryAnswer',
     'SINGLE_ATTEMPT',
     'answer_query',
     'check_home_key',
-    'choose',
     'format_order_key',
     'is_acceptable',
     'is_newer',
--- /dev/null
+++ b/oleanderknot/decisions/admission_level.py
@@ -0,0 +1,199 @@
+"""Admission level of one upstream, after DAGOR (SoCC 2018)."""
+
+MAX_LEVEL = 4.0
+BINS = 256
+BINS_PER_CLASS = 64
+WINDOW_S = 0.1
+
+# Calls may wait as long as they take themselves, within these bounds. With
+# few slots and long calls, a mean wait of 20 ms would leave a fifth of the
+# slots' time unused, since the next slot frees later than that.
+TARGET_DELAY_S = 0.02
+LONGEST_TARGET_S = 0.1
+
+# Shares by which the expected admissions change each window.
+FALL = 0.05
+RISE = 0.02
+
+# The fall is larger while the queue refuses calls in window after window:
+# half of their share, but at most this. At 5 % a window a load of three times
+# what the upstream can do would waste work above it for more than 2 s.
+MAX_FALL = 0.3
+
+# Largest rise in one window. It is the pace at which other nodes raise a
+# reported level, so faster rises would not bring more calls.
+MAX_RISE = 0.1
+
+# Windows in a row without a wait after which the rise stops to double.
+MAX_CALM = 6
+
+# A queue that is at most this part of what it was is getting shorter.
+SHRINKING = 0.95
+
+# Weight of older windows in the histogram: one window of 100 ms holds too
+# few calls for 256 bins.
+MEMORY = 0.8
+
+# Bins below the level whose mean stands for those above it. Other nodes
+# refuse calls above the level, so the runner does not see their number.
+BAND = 16
+
+
+class AdmissionLevel:
+    """Moves the level so that admitted calls wait about the target delay.
+
+    The delay is that of a call that would be queued now. The delay of calls
+    that have started tells the same later, when the queue has already
+    changed; a level moved by it swung between too many calls and too few.
+
+    Attributes:
+        level: Calls with a priority number below it are admitted; 0 to 4.
+        window_start: Monotonic time in seconds at which the window started.
+        arrivals: Calls of this window by priority number.
+        density: Calls a window by priority number, smoothed.
+        delay_s: Seconds that a call would wait now.
+        last_delay_s: The same at the end of the last window.
+        target_s: Seconds that it may wait.
+        waited: Whether a call was queued in this window.
+        admitted: Calls admitted in this window.
+        refused: Calls that the queue refused in this window.
+        overloads: Windows in a row in which the level fell.
+        calm: Windows in a row in which no call waited.
+    """
+
+    def __init__(self, *, now: float) -> None:
+        self.level = MAX_LEVEL
+        self.window_start = now
+        self.arrivals = [0] * BINS
+        self.density = [0.0] * BINS
+        self.delay_s = 0.0
+        self.last_delay_s = 0.0
+        self.target_s = TARGET_DELAY_S
+        self.waited = False
+        self.admitted = 0
+        self.refused = 0
+        self.overloads = 0
+        self.calm = 0
+
+    def admit(self, priority: float, now: float) -> bool:
+        """Count an arrival.
+
+        Args:
+            priority: Priority number of the call.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Whether the call is admitted.
+        """
+        self.advance(now)
+        self.arrivals[int(priority * BINS_PER_CLASS)] += 1
+        if priority >= self.level:
+            return False
+        self.admitted += 1
+        return True
+
+    def note_queue(self, delay_s: float, expected_s: float) -> None:
+        """Take the state of the queue whenever it changes.
+
+        Args:
+            delay_s: Seconds that a call queued now would wait.
+            expected_s: Seconds that calls are expected to take.
+        """
+        self.delay_s = delay_s
+        self.target_s = min(LONGEST_TARGET_S, max(TARGET_DELAY_S, expected_s))
+        if delay_s > 0:
+            self.waited = True
+
+    def count_refusal(self) -> None:
+        """Count a call that the full queue refused."""
+        self.refused += 1
+
+    def advance(self, now: float) -> None:
+        """Close the windows that have ended."""
+        passed = int((now - self.window_start) / WINDOW_S)
+        if passed <= 0:
+            return
+        self.window_start += passed * WINDOW_S
+        self.close_window()
+        if passed > 1:
+            self.pass_idle(passed - 1)
+
+    def close_window(self) -> None:
+        """Adjust the level after one window."""
+        self.density = [
+            MEMORY * old + (1 - MEMORY) * new
+            for old, new in zip(self.density, self.arrivals, strict=True)
+        ]
+        self.calm = 0 if self.waited else self.calm + 1
+        over = self.delay_s > self.target_s
+        growing = self.delay_s > SHRINKING * self.last_delay_s
+        if self.refused or (over and growing):
+            self.lower(self.find_fall())
+            self.overloads += 1
+        elif not over:
+            self.overloads = 0
+            self.rise()
+        self.arrivals = [0] * BINS
+        self.last_delay_s = self.delay_s
+        self.waited = self.delay_s > 0
+        self.admitted = 0
+        self.refused = 0
+
+    def find_fall(self) -> float:
+        """Return the share by which expected admissions are to shrink."""
+        fall = FALL * self.delay_s / self.target_s
+        if self.overloads:
+            # One window may be a burst that the next calls make up for.
+            fall = max(fall, self.refused / max(1, self.admitted) / 2)
+        return min(MAX_FALL, max(FALL, fall))
+
+    def pass_idle(self, windows: int) -> None:
+        """Let windows without any call pass."""
+        self.level = min(MAX_LEVEL, self.level + windows * MAX_RISE)
+        share = MEMORY**windows
+        self.density = [value * share for value in self.density]
+
+    def lower(self, fall: float) -> None:
+        """Lower the level until expected admissions shrink by a share."""
+        whole, part = divmod(self.level * BINS_PER_CLASS, 1)
+        index = int(whole)
+        admitted = sum(self.density[:index])
+        if part:
+            admitted += part * self.density[index]
+        left = fall * admitted
+        if not left:
+            return
+        position = self.level * BINS_PER_CLASS
+        while position > 0:
+            index = int(-(-position // 1)) - 1
+            width = position - index
+            calls = self.density[index] * width
+            if calls >= left:
+                position -= width * left / calls
+                break
+            left -= calls
+            position = index
+        self.level = position / BINS_PER_CLASS
+
+    def rise(self) -> None:
+        """Raise the level until ``RISE`` of the arrivals are added.
+
+        The share doubles with each window in which no call waited: at 2 % a
+        window alone a level of 1.3 would need more than 5 s to the top.
+        """
+        left = RISE * 2 ** min(self.calm, MAX_CALM) * sum(self.density)
+        end = min(MAX_LEVEL, self.level + MAX_RISE) * BINS_PER_CLASS
+        position = self.level * BINS_PER_CLASS
+        index = int(position)
+        below = self.density[max(0, index - BAND) : index]
+        hidden = sum(below) / len(below) if below else 0.0
+        while position < end:
+            index = int(position)
+            width = min(index + 1, end) - position
+            calls = max(self.density[index], hidden) * width
+            if calls > left:
+                position += width * left / calls
+                break
+            left -= calls
+            position += width
+        self.level = min(MAX_LEVEL, position / BINS_PER_CLASS)
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -16,6 +16,7 @@
 from oleanderknot import platform
 from oleanderknot import wire
 from oleanderknot.node import order_assembly
+from oleanderknot.tasks import admission
 from oleanderknot.tasks import control_traffic
 from oleanderknot.tasks import dispatcher
 from oleanderknot.tasks import drain
@@ -25,11 +26,13 @@
 from oleanderknot.tasks import ingress
 from oleanderknot.tasks import leaving
 from oleanderknot.tasks import membership
+from oleanderknot.tasks import open_admission
 from oleanderknot.tasks import operator_listener
 from oleanderknot.tasks import peer_connection
 from oleanderknot.tasks import peer_handlers
 from oleanderknot.tasks import peer_listener
 from oleanderknot.tasks import peer_pool
+from oleanderknot.tasks import plain_dispatcher
 from oleanderknot.tasks import prober
 from oleanderknot.tasks import runner
 from oleanderknot.tasks import ticket_loader
@@ -88,15 +91,13 @@
         self.build_tasks()
         listen = self.settings.listen
         host = str(listen.host)
-        self.egress_port = await self.egress.start(
+        self.egress_port = await self.egress.bind(
             str(listen.egress_host), listen.egress_port
         )
         ports = {
-            'peer_port': await self.peer_listener.start(
-                host, listen.peer_port
-            ),
-            'caller_port': await self.callers.start(host, listen.caller_port),
-            'operator_port': await self.operators.start(
+            'peer_port': await self.peer_listener.bind(host, listen.peer_port),
+            'caller_port': await self.callers.bind(host, listen.caller_port),
+            'operator_port': await self.operators.bind(
                 str(listen.operator_host), listen.operator_port
             ),
         }
@@ -121,6 +122,14 @@
         )
         self.start_membership()
         self.start_tickets()
+        # All parts are in place before the first message arrives.
+        for listener in (
+            self.peer_listener,
+            self.egress,
+            self.callers,
+            self.operators,
+        ):
+            await listener.start()
         if self.settings.upstream is not None:
             await self.announce(self.settings.upstream)
         logging.info('node %s started: %s', self.identity.instance, ports)
@@ -147,7 +156,13 @@
 
     def build_tasks(self) -> None:
         """Build the tasks and connect them by their message functions."""
-        self.runner = runner.Runner(chains=self.chains)
+        controlled = self.settings.control
+        self.runner = runner.Runner(
+            chains=self.chains,
+            build_admission=admission.Admission
+            if controlled
+            else open_admission.OpenAdmission,
+        )
         self.leaving = leaving.Leaving(on_change=self.change_leaving)
         handlers = peer_handlers.PeerHandlers(
             run=self.runner.run,
@@ -184,7 +199,12 @@
         self.peer_listener = peer_listener.PeerListener(
             identity=self.identity, handlers=handlers
         )
-        self.dispatcher = dispatcher.Dispatcher(
+        build = (
+            dispatcher.Dispatcher
+            if controlled
+            else plain_dispatcher.PlainDispatcher
+        )
+        self.dispatcher = build(
             identity=self.identity,
             members=self.members,
             policy=self.policy,
@@ -192,6 +212,9 @@
             pool=self.pool,
             count=self.count_decision,
         )
+        self.runner.deeper.find_service_level = (
+            self.dispatcher.find_service_level
+        )
         self.orders = order_assembly.build_orders(
             table_client=self.table,
             runner=self.runner,
@@ -273,6 +296,7 @@
             host=str(upstream.host),
             port=upstream.port,
             slots=upstream.slots,
+            warm=upstream.warm,
         )
         self.membership.change_own(
             service=upstream.service,
@@ -345,6 +369,8 @@
             'service': self.runner.service,
             'leaving': self.runner.leaving,
             'running': self.runner.running,
+            'orders': self.orders.describe_load(),
+            'load': self.runner.admission.describe(),
             'refused_leaving': self.runner.refused_leaving,
             'egress_port': self.egress_port,
             'caller_port': self.membership.own.caller_port,
--- a/oleanderknot/standins/upstream_options.py
+++ b/oleanderknot/standins/upstream_options.py
@@ -19,7 +19,9 @@
         parallel: Whether it makes these calls at the same time.
         fail_status: Status that it answers instead of 200; 0 for none.
         drop_answers: Whether it ends the connection after its work.
+        refuses: Whether it sheds all requests and says that none ran.
         own_retries: Times that it repeats a failed call by itself.
+        warm: Whether it announces that it needs no slow start.
         pass_trace: Whether it passes ``traceparent`` on.
         announce_port: TCP port that it announces; 0 for its own.
     """
@@ -34,8 +36,10 @@
     parallel: bool = False
     fail_status: int = 0
     drop_answers: bool = False
+    refuses: bool = False
     own_retries: int = 0
     pass_trace: bool = True
+    warm: bool = False
     announce_port: int = 0
 
 
@@ -57,6 +61,7 @@
     parser.add_argument('--delay-ms', type=float, default=0.0)
     parser.add_argument('--calls', nargs='*', default=[])
     parser.add_argument('--parallel', action='store_true')
+    parser.add_argument('--warm', action='store_true')
     parser.add_argument('--announce-port', type=int, default=0)
     values = parser.parse_args(arguments)
     return UpstreamOptions(**vars(values))
--- /dev/null
+++ b/oleanderknot/tasks/plain_dispatcher.py
@@ -0,0 +1,63 @@
+"""Dispatcher of a node that only forwards."""
+
+import collections.abc
+import dataclasses
+import time
+
+from expression import Error
+from expression import Result
+
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.tasks import dispatcher
+
+# Usual setting of plain forwarders; each layer of a chain multiplies it.
+RETRIES = 3
+
+FIRST_FAILURE_STATUS = 500
+
+
+class PlainDispatcher(dispatcher.Dispatcher):
+    """Sends calls to random upstreams and retries every failure.
+
+    It keeps no bound across the chain and looks at no load. It is used only
+    to measure what control is worth.
+    """
+
+    async def dispatch(
+        self,
+        call: model.Call,
+        account: decisions.ChainAccount,
+        content: bytes,
+        body: model.Body | None,
+    ) -> Result[model.Answer, model.Refusal]:
+        """Send a call and retry it up to three times."""
+        # A plain forwarder does not know which requests may run only once.
+        call = dataclasses.replace(call, idempotent=True)
+        result: Result[model.Answer, model.Refusal] | None = None
+        for _ in range(1 + RETRIES):
+            member = self.choose(call, set())
+            if member is None:
+                return Error(self.refuse_early(call))
+            result = await self.attempt(member, call, content, body)
+            failed = (
+                result.is_error() or result.ok.status >= FIRST_FAILURE_STATUS
+            )
+            if (
+                not failed
+                or body is not None
+                or time.monotonic() >= call.deadline
+            ):
+                break
+        return result
+
+    def choose(
+        self, call: model.Call, tried: collections.abc.Set[str]
+    ) -> model.Member | None:
+        """Choose any node whose upstream takes work."""
+        members = [
+            member
+            for member in self.members.list_service(call.service)
+            if member.state in decisions.ADMITTING_STATES
+        ]
+        return self.rng.choice(members) if members else None
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -11,14 +11,19 @@
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot.tasks import admission
+from oleanderknot.tasks import chain_level
 from oleanderknot.tasks import finished_body
-from oleanderknot.tasks import order_claim
 from oleanderknot.tasks import order_runner
 from oleanderknot.tasks import upstream_client
 
 # Answers of an upstream that sheds load.
 SHED_STATUSES = (429, 503)
 
+# Refusals that say that the upstream has too much work.
+FAILURE_RULES = (model.Rule.UPSTREAM_REFUSED, model.Rule.UPSTREAM_TIMEOUT)
+
+
+AdmissionFunction = collections.abc.Callable[..., admission.Admission]
 GateFunction = collections.abc.Callable[[model.Call], model.Refusal | None]
 
 
@@ -30,6 +35,8 @@
         client: HTTP connections to the upstream.
         admission: Slots of the upstream.
         chains: Accounts of the chains that the upstream runs.
+        build_admission: Builds the admission for an upstream.
+        deeper: Level of the services that the upstream calls.
         leaving: Whether the upstream takes no new work.
         running: Calls that this task works on, until their answer is whole.
         orders: Runs non-idempotent calls at most once.
@@ -38,11 +45,18 @@
         gate: Returns why policy refuses a call, or None.
     """
 
-    def __init__(self, *, chains: decisions.ChainTable) -> None:
+    def __init__(
+        self,
+        *,
+        chains: decisions.ChainTable,
+        build_admission: AdmissionFunction = admission.Admission,
+    ) -> None:
         self.chains = chains
+        self.build_admission = build_admission
+        self.deeper = chain_level.ChainLevel()
         self.service = ''
         self.client: upstream_client.UpstreamClient | None = None
-        self.admission = admission.Admission(slots=1)
+        self.admission = build_admission(slots=1)
         self.leaving = False
         self.running = 0
         self.orders: order_runner.OrderRunner | None = None
@@ -52,7 +66,13 @@
         self.gate: GateFunction = lambda call: None
 
     async def attach(
-        self, *, service: str, host: str, port: int, slots: int
+        self,
+        *,
+        service: str,
+        host: str,
+        port: int,
+        slots: int,
+        warm: bool = False,
     ) -> None:
         """Take the upstream that calls run at.
 
@@ -61,12 +81,13 @@
             host: IP address of the upstream.
             port: TCP port of the upstream.
             slots: Calls that it can run at once.
+            warm: Whether it needs no slow start.
         """
         old = self.client
         self.client = upstream_client.UpstreamClient(
             host=host, port=port, slots=slots
         )
-        self.admission = admission.Admission(slots=slots)
+        self.admission = self.build_admission(slots=slots, warm=warm)
         self.service = service
         if old is not None:
             await old.close()
@@ -89,50 +110,32 @@
         return await self.admit(call, content, body)
 
     async def admit(
-        self,
-        call: model.Call,
-        content: bytes,
-        body: model.Body | None,
-        claim: order_claim.ClaimFunction | None = None,
+        self, call: model.Call, content: bytes, body: model.Body | None
     ) -> Result[model.Answer, model.Refusal]:
-        """Run a call at the upstream if it may be run now.
+        """Run a call at the upstream if it may run now; see ``run``."""
+        refusal = self.check(call) or self.deeper.check(call)
+        slots = self.admission
+        place = refusal or await slots.enter(call)
+        if isinstance(place, model.Refusal):
+            place.unspent = call.allowance
+            place.reports = (self.build_report(call),)
+            return Error(place)
+        return await self.execute(call, content, body, slots, place)
+
+    def find_level(self, route: str) -> float:
+        """Return the level at which a route's whole chain admits calls.
+
+        It is the lowest of the own level and those of the services that the
+        route calls in at least half of its requests.
 
         Args:
-            call: The call.
-            content: First bytes of the request body.
-            body: Rest of the request body, if it arrives in parts.
-            claim: Has the last word once the call has a slot.
-
-        Returns:
-            The answer, or a refusal that says whether the call may have run.
+            route: Path prefix of the route.
         """
-        refusal = self.check(call)
-        if refusal is None:
-            slots = self.admission
-            refusal = await slots.enter(call)
-            if refusal is None and claim is not None:
-                refusal = await self.take_claim(call, slots, claim)
-        if refusal is not None:
-            refusal.unspent = call.allowance
-            refusal.reports = (self.admission.build_report(call),)
-            return Error(refusal)
-        return await self.execute(call, content, body, slots)
-
-    async def take_claim(
-        self,
-        call: model.Call,
-        slots: admission.Admission,
-        claim: order_claim.ClaimFunction,
-    ) -> model.Refusal | None:
-        """Claim a call's key, and free the slot when that fails."""
-        passed = False
-        try:
-            refusal = await claim()
-            passed = refusal is None
-            return refusal
-        finally:
-            if not passed:
-                slots.leave(call, own_time_s=0.0, failed=False)
+        return min(self.admission.find_level(), self.deeper.find(route))
+
+    def build_report(self, call: model.Call) -> model.LoadReport:
+        """Build the load report for a call's route."""
+        return self.admission.build_report(call, self.find_level(call.route))
 
     def check(self, call: model.Call) -> model.Refusal | None:
         """Return why a call cannot run at all, or None."""
@@ -156,6 +159,7 @@
         content: bytes,
         body: model.Body | None,
         slots: admission.Admission,
+        place: admission.Place,
     ) -> Result[model.Answer, model.Refusal]:
         """Send an admitted call to the upstream."""
         account = self.chains.enter(call)
@@ -165,36 +169,49 @@
         self.idle.clear()
         unspent = 0
 
-        def finish(failed: bool) -> int:
+        def finish() -> int:
             nonlocal unspent
-            own_time = time.monotonic() - started - (account.waited - waited)
-            slots.leave(call, own_time_s=max(0.0, own_time), failed=failed)
+            slots.leave(place)
+            self.deeper.count(call, account.called)
             unspent = self.chains.leave(call)
             self.running -= 1
             if self.running == 0:
                 self.idle.set()
             return unspent
 
+        def measure(failed: bool, answered: bool) -> None:
+            own_time = time.monotonic() - started - (account.waited - waited)
+            # An upstream that made calls may only pass on that a deeper
+            # service refused or was late; this must not lower its limit.
+            slots.answer(
+                call,
+                place,
+                own_time_s=max(0.0, own_time) if answered else None,
+                failed=failed and not account.called,
+            )
+
         try:
             result = await self.request(call, content, body, started)
         except BaseException:
-            finish(True)
+            finish()
             raise
         if result.is_error():
-            result.error.unspent = finish(True)
-            result.error.reports = (slots.build_report(call),)
+            measure(result.error.rule in FAILURE_RULES, False)
+            result.error.unspent = finish()
+            result.error.reports = (self.build_report(call),)
             return result
         answer = result.ok
-        failed = answer.status in SHED_STATUSES
+        # The time of a streamed request is that of its sender.
+        measure(answer.status in SHED_STATUSES, body is None)
         if answer.body is None:
-            answer.unspent = finish(failed)
+            answer.unspent = finish()
         else:
             # Retries of a streamed answer are not given back: its head has
             # left before the upstream has stopped to make calls.
             answer.body = finished_body.FinishedBody(
-                body=answer.body, on_done=lambda: finish(failed)
+                body=answer.body, on_done=finish
             )
-        answer.reports = (slots.build_report(call),)
+        answer.reports = (self.build_report(call),)
         return Ok(answer)
 
     async def request(
