--- a/oleanderknot/tasks/prober.py
+++ b/oleanderknot/tasks/prober.py
@@ -30,6 +30,7 @@
         schedule: Decides whom to probe and what follows.
         waiting: What to do with the answer to a probe, by its number.
         tasks: Steps that run.
+        build_policy: Returns the digest of policy that rides on probes.
     """
 
     def __init__(
@@ -38,7 +39,9 @@
         members: membership.Membership,
         pool: peer_pool.PeerPool,
         rng: random.Random,
+        build_policy: collections.abc.Callable[[], wire.PolicyDigest | None],
     ) -> None:
+        self.build_policy = build_policy
         self.members = members
         self.pool = pool
         self.rng = rng
@@ -209,6 +212,8 @@
         **fields: object,
     ) -> None:
         """Send a message that carries changes and hashes."""
+        if kind == gossip_kind.GossipKind.PROBE:
+            fields['policy'] = self.build_policy()
         self.members.send(
             connection,
             kind,
