Measure the time of each decision

Cause: the share of the decisions in the added latency was not known.

Change: bench/decisions.py times each decision and its slope against the number of upstreams; the bounds of the surge stand in bench/bounds.py.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,7 +12,12 @@
 from bench import figure
 
 # Modules of this folder; each has ``measure() -> list[figure.Figure]``.
-MEASUREMENTS = ('latency', 'footprint')
+MEASUREMENTS = (
+    'latency',
+    'footprint',
+    'surge',
+    'decisions',
+)
 
 
 def report(item: figure.Figure) -> bool:
--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -32,4 +32,12 @@
     'latency.added_p99': Bound(
         at_most=0.35, source='0.35 ms added to a call for 99 in 100'
     ),
+    'surge.on_goodput': Bound(
+        at_least=0.9,
+        source='goodput in the surge of at least 90 % of what the slowest'
+        ' service can do',
+    ),
+    'surge.on_recovery': Bound(
+        at_most=5.0, source='recovery within 5 s of the end of the surge'
+    ),
 }
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -64,9 +64,7 @@
     draw = random.Random(1).randrange
 
     def choose(number: int) -> object:
-        return decisions.choose(
-            candidates, priority=1.5, tried=(), draw=draw
-        )
+        return decisions.choose(candidates, priority=1.5, tried=(), draw=draw)
 
     return time_calls(choose, CALLS // count)
 
@@ -167,9 +165,7 @@
 
     def find(number: int) -> float:
         # As often as a node with 600 calls a second looks.
-        return view.find_service_level(
-            'inventory', '/', members, number / 600
-        )
+        return view.find_service_level('inventory', '/', members, number / 600)
 
     return time_calls(find, CALLS // 10)
 
