--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import functools
+import itertools
 import random
 import time
 
@@ -163,9 +164,11 @@
         view.find(member)
         view.take_reports(member.instance, [report], 0.0)
 
+    clock = (number / 600 for number in itertools.count())
+
     def find(number: int) -> float:
         # As often as a node with 600 calls a second looks.
-        return view.find_service_level('inventory', '/', members, number / 600)
+        return view.find_service_level('inventory', '/', members, next(clock))
 
     return time_calls(find, CALLS // 10)
 
