--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,8 @@
 MEASUREMENTS = (
     'latency',
     'footprint',
+    'orders',
+    'tickets',
     'surge',
     'decisions',
 )
--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -40,4 +40,23 @@
     'surge.on_recovery': Bound(
         at_most=5.0, source='recovery within 5 s of the end of the surge'
     ),
+    'orders.full_mb': Bound(
+        at_most=256, source='256 MB of a node for control'
+    ),
+    'tickets.in_force_max': Bound(
+        at_most=7.0,
+        source='a ticket is in force in every data centre within 7 s',
+    ),
+    'tickets.rejoin_max': Bound(
+        at_most=7.0,
+        source='a ticket is in force within 7 s where it can be reached',
+    ),
+    'tickets.slow_table_max': Bound(
+        at_most=7.0,
+        source='a ticket is in force in every data centre within 7 s',
+    ),
+    'tickets.reads_per_data_centre': Bound(
+        at_most=2000 / 11,
+        source='the platform takes 2,000 reads a second of 11 data centres',
+    ),
 }
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -4,6 +4,7 @@
 from oleanderknot.decisions.admission_level import MAX_LEVEL
 from oleanderknot.decisions.admission_queue import AdmissionQueue
 from oleanderknot.decisions.call_cohort import CallCohort
+from oleanderknot.decisions.call_numbers import CallNumbers
 from oleanderknot.decisions.chain_account import ChainAccount
 from oleanderknot.decisions.chain_account import open_account
 from oleanderknot.decisions.chain_table import ChainTable
@@ -83,6 +84,7 @@
     'describe_changes',
     'number_ticket',
     'settle',
+    'CallNumbers',
     'CHANGES_PER_PING',
     'Candidate',
     'ChainAccount',
--- a/oleanderknot/tasks/incoming_calls.py
+++ b/oleanderknot/tasks/incoming_calls.py
@@ -6,6 +6,7 @@
 
 from absl import logging
 
+from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot import wire
 from oleanderknot.tasks import body_pipe
@@ -26,6 +27,7 @@
         outlet: Way to the other node.
         handlers: What the node does with calls and questions.
         entries: Calls whose answer is not sent, by number.
+        numbers: Call numbers that the other node has used.
         on_done: Called when a call has ended.
     """
 
@@ -38,6 +40,7 @@
         self.outlet = outlet
         self.handlers = handlers
         self.entries: dict[int, incoming_call.IncomingCall] = {}
+        self.numbers = decisions.CallNumbers()
         self.on_done: collections.abc.Callable[[], None] = lambda: None
         self.loop = asyncio.get_running_loop()
 
@@ -47,8 +50,8 @@
         Raises:
             BadFrame: The call is malformed or its number is in use.
         """
-        if number in self.entries:
-            raise wire.BadFrame('call number %d is in use' % number)
+        if not self.numbers.take(number):
+            raise wire.BadFrame('call number %d was used before' % number)
         call = wire.call_from_open(
             message,
             now=self.loop.time(),
@@ -120,7 +123,13 @@
         self.outlet.send(number, key_state=state)
 
     def handle_key_query(self, number: int, query: wire.KeyQuery) -> None:
-        """Start to answer a question about a key."""
+        """Start to answer a question about a key.
+
+        Raises:
+            BadFrame: The number was used before.
+        """
+        if not self.numbers.take(number):
+            raise wire.BadFrame('call number %d was used before' % number)
         task = self.loop.create_task(self.answer_query(number, query))
         task.add_done_callback(task_log.log_failure)
 
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -13,7 +13,6 @@
 from oleanderknot.tasks import admission
 from oleanderknot.tasks import chain_level
 from oleanderknot.tasks import finished_body
-from oleanderknot.tasks import order_claim
 from oleanderknot.tasks import order_runner
 from oleanderknot.tasks import upstream_client
 
@@ -111,28 +110,12 @@
         return await self.admit(call, content, body)
 
     async def admit(
-        self,
-        call: model.Call,
-        content: bytes,
-        body: model.Body | None,
-        claim: order_claim.ClaimFunction | None = None,
+        self, call: model.Call, content: bytes, body: model.Body | None
     ) -> Result[model.Answer, model.Refusal]:
-        """Run a call at the upstream if it may be run now.
-
-        Args:
-            call: The call.
-            content: First bytes of the request body.
-            body: Rest of the request body, if it arrives in parts.
-            claim: Has the last word once the call has a slot.
-
-        Returns:
-            The answer, or a refusal that says whether the call may have run.
-        """
+        """Run a call at the upstream if it may run now; see ``run``."""
         refusal = self.check(call) or self.deeper.check(call)
         slots = self.admission
         place = refusal or await slots.enter(call)
-        if isinstance(place, admission.Place) and claim is not None:
-            place = await self.take_claim(place, slots, claim)
         if isinstance(place, model.Refusal):
             place.unspent = call.allowance
             place.reports = (self.build_report(call),)
@@ -154,22 +137,6 @@
         """Build the load report for a call's route."""
         return self.admission.build_report(call, self.find_level(call.route))
 
-    async def take_claim(
-        self,
-        place: admission.Place,
-        slots: admission.Admission,
-        claim: order_claim.ClaimFunction,
-    ) -> admission.Place | model.Refusal:
-        """Claim a call's key, and give the place back when that fails."""
-        passed = False
-        try:
-            refusal = await claim()
-            passed = refusal is None
-            return refusal or place
-        finally:
-            if not passed:
-                slots.leave(place)
-
     def check(self, call: model.Call) -> model.Refusal | None:
         """Return why a call cannot run at all, or None."""
         if self.client is None or call.service != self.service:
