Let old load reports count for less when an upstream is chosen

Cause: the calls in flight that an upstream reported last counted until its next report, so an upstream that was last heard of in a busy moment was avoided while it was idle.

Change: the number halves in 0.5 s without a report. The choice and the view of load stand in a file of their own.

--- a/features/decisions_overload.feature
+++ b/features/decisions_overload.feature
@@ -110,3 +110,8 @@
       | moment                              |
       | before the place is free            |
       | in the turn in which it got a place |
+
+  Scenario: An upstream that was busy once is asked again
+    Guards against an old report that keeps an idle upstream without work.
+    Given the load of an upstream that reported level 1.5 at time 0
+    Then it is thought to have 8 calls at time 0 and 2 calls at time 1
--- a/features/steps/overload_decision_steps.py
+++ b/features/steps/overload_decision_steps.py
@@ -237,7 +237,7 @@
     """Take one report."""
     context.load = decisions.InstanceLoad(limit=10)
     report = model.LoadReport(
-        service='s', route='/', level=level, in_flight=1, limit=10
+        service='s', route='/', level=level, in_flight=8, limit=10
     )
     context.load.take_report(report, 0.0)
 
@@ -246,3 +246,13 @@
 def check_load_level(context, now, level):
     """Check the level that another node assumes."""
     assert context.load.find_level('/', now) == level
+
+
+@then(
+    'it is thought to have {first:d} calls at time 0 and {later:d} calls at'
+    ' time 1'
+)
+def check_in_flight(context, first, later):
+    """Check that an old report counts for less."""
+    assert context.load.find_in_flight(0.0) == first
+    assert context.load.find_in_flight(1.0) == later
--- a/oleanderknot/decisions/instance_load.py
+++ b/oleanderknot/decisions/instance_load.py
@@ -15,6 +15,11 @@
 # first moment sent about 3 % of a class above the level between two answers.
 FRESH_S = 0.1
 
+# The reported number of calls halves in this time without a new report. An
+# upstream whose last report came from a busy moment would otherwise be avoided
+# for as long as it is not asked again.
+IN_FLIGHT_HALF_LIFE_S = 0.5
+
 # Shortest wait that a refused caller is told: one window of the level.
 RETRY_AFTER_S = 0.1
 
@@ -27,12 +32,14 @@
         limit: Concurrency limit, reported or the upstream's slots.
         outstanding: Calls of this node that the upstream has not answered.
         in_flight: Calls that the upstream's node reported last.
+        reported_at: Monotonic time in seconds of the last report.
         levels: Admission level and time of its report in seconds, by route.
     """
 
     limit: int
     outstanding: int = 0
     in_flight: int = 0
+    reported_at: float = 0.0
     levels: dict[str, tuple[float, float]] = dataclasses.field(
         default_factory=dict
     )
@@ -45,12 +52,22 @@
             now: Monotonic time in seconds.
         """
         self.in_flight = report.in_flight
+        self.reported_at = now
         self.limit = max(1, report.limit)
         if report.level >= MAX_LEVEL:
             self.levels.pop(report.route, None)
         else:
             self.levels[report.route] = (report.level, now)
 
+    def find_in_flight(self, now: float) -> float:
+        """Return how many calls the upstream is thought to have.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        age = max(0.0, now - self.reported_at)
+        return self.in_flight * 0.5 ** (age / IN_FLIGHT_HALF_LIFE_S)
+
     def find_level(self, route: str, now: float) -> float:
         """Return the admission level that the upstream is thought to have.
 
--- a/oleanderknot/decisions/upstream_choice.py
+++ b/oleanderknot/decisions/upstream_choice.py
@@ -13,7 +13,7 @@
         local: Whether it is in the data centre of the choosing node.
         suspect: Whether it may have failed.
         outstanding: Calls of this node that it has not answered.
-        in_flight: Calls that it reported last.
+        in_flight: Calls that it is thought to have, by its last report.
         limit: Concurrency limit that it reported last; its slots at first.
         level: Admission level that it is thought to have, from 0 to 4.
     """
@@ -22,7 +22,7 @@
     local: bool
     suspect: bool
     outstanding: int
-    in_flight: int
+    in_flight: float
     limit: int
     level: float
 
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -212,7 +212,7 @@
             count=self.count_decision,
         )
         self.runner.deeper.find_service_level = (
-            self.dispatcher.find_service_level
+            self.dispatcher.chooser.find_service_level
         )
         self.orders = order_assembly.build_orders(
             table_client=self.table,
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -15,6 +15,7 @@
 from oleanderknot.tasks import order_dispatcher
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import runner
+from oleanderknot.tasks import upstream_chooser
 
 # Pause before a retry: full jitter below this, so that retries of many calls
 # do not arrive together.
@@ -32,7 +33,7 @@
 
 
 class Dispatcher:
-    """Owns the view of other upstreams' load and the retries of this node.
+    """Owns the attempts of calls and the retries of this node.
 
     Attributes:
         identity: Identity of this node.
@@ -41,8 +42,7 @@
         runner: Runs calls at the own upstream.
         pool: Connections to other nodes.
         count: Counts a decision.
-        loads: Load of other upstreams.
-        suspicions: Instances that have just failed a call.
+        chooser: Knows the load of other upstreams.
         budget: Retries of this node as a share of its successes.
         rng: Source of randomness.
         orders: Sends non-idempotent calls.
@@ -65,10 +65,15 @@
         self.runner = runner
         self.pool = pool
         self.count = count
-        self.loads = decisions.LoadView()
-        self.suspicions = decisions.LocalSuspicion()
         self.budget = decisions.RetryBudget()
         self.rng = rng or random.Random()
+        self.chooser = upstream_chooser.UpstreamChooser(
+            identity=identity,
+            members=members,
+            policy=policy,
+            runner=runner,
+            rng=self.rng,
+        )
         self.orders: order_dispatcher.OrderDispatcher | None = None
 
     async def dispatch(
@@ -108,13 +113,13 @@
             self.take_reports(member.instance, result, now)
             if result.is_ok():
                 account.refund(result.ok.unspent, granted)
-                self.suspicions.note_answer(member.instance)
+                self.chooser.suspicions.note_answer(member.instance)
                 if not self.is_shed(result.ok, call, body):
                     self.budget.count_success(now)
                     return result
             else:
                 account.refund(result.error.unspent, granted)
-                self.suspicions.note_failure(
+                self.chooser.suspicions.note_failure(
                     member.instance, result.error, now
                 )
                 if result.error.rule is model.Rule.CONNECTION_LOST:
@@ -132,56 +137,11 @@
         self, call: model.Call, tried: collections.abc.Set[str]
     ) -> model.Member | None:
         """Choose the node whose upstream gets the next attempt."""
-        own = self.identity.instance
-        priority = decisions.rank(call.request_class, call.trace_id)
-        if (
-            not tried
-            and call.service == self.runner.service
-            and not self.runner.leaving
-            and self.policy.takes_work(own)
-            and self.runner.admission.has_room(priority)
-            and priority < self.runner.find_level(call.route)
-        ):
-            return self.members.members.get(own)
-        now = time.monotonic()
-        candidates = [
-            self.build_candidate(member, call, now)
-            for member in self.members.list_service(call.service)
-            if member.state in decisions.ADMITTING_STATES
-            and self.policy.takes_work(member.instance)
-        ]
-        choice = decisions.choose(
-            candidates,
-            priority=priority,
-            tried=tried,
-            draw=self.rng.randrange,
-        )
-        return (
-            None if choice is None else self.members.members[choice.instance]
-        )
-
-    def build_candidate(
-        self, member: model.Member, call: model.Call, now: float
-    ) -> decisions.Candidate:
-        """Describe an upstream as the choice needs it."""
-        load = self.loads.find(member)
-        own = member.instance == self.identity.instance
-        return decisions.Candidate(
-            instance=member.instance,
-            local=member.data_centre == self.identity.data_centre,
-            suspect=member.state is model.MemberState.SUSPECT
-            or self.suspicions.holds(member.instance, now),
-            outstanding=load.outstanding,
-            in_flight=load.in_flight,
-            limit=load.limit,
-            level=self.runner.find_level(call.route)
-            if own
-            else load.find_level(call.route, now),
-        )
+        return self.chooser.choose(call, tried)
 
     def find_load(self, member: model.Member) -> decisions.InstanceLoad:
         """Return the load of an instance."""
-        return self.loads.find(member)
+        return self.chooser.loads.find(member)
 
     def take_reports(
         self,
@@ -191,16 +151,7 @@
     ) -> None:
         """Keep the load reports that an answer or a refusal carries."""
         outcome = result.ok if result.is_ok() else result.error
-        self.loads.take_reports(instance, outcome.reports, now)
-
-    def find_service_level(self, service: str, route: str) -> float:
-        """Return the admission level of a service for a route."""
-        return self.loads.find_service_level(
-            service,
-            route,
-            self.members.list_service(service),
-            time.monotonic(),
-        )
+        self.chooser.loads.take_reports(instance, outcome.reports, now)
 
     async def attempt(
         self,
@@ -277,7 +228,7 @@
             call,
             self.members,
             self.policy,
-            self.find_service_level(call.service, call.route),
+            self.chooser.find_service_level(call.service, call.route),
         )
 
     def count_decision(
--- /dev/null
+++ b/oleanderknot/tasks/upstream_chooser.py
@@ -0,0 +1,110 @@
+"""Chooses the upstream of a call by what this node knows of its load."""
+
+import collections.abc
+import random
+import time
+
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.tasks import runner
+
+
+class UpstreamChooser:
+    """Owns this node's view of other upstreams' load.
+
+    Attributes:
+        identity: Identity of this node.
+        members: Nodes and upstreams that are known.
+        policy: Policy in force.
+        runner: Runs calls at the own upstream.
+        rng: Source of randomness.
+        loads: Load of other upstreams.
+        suspicions: Instances that have just failed a call.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: model.NodeIdentity,
+        members: decisions.MemberTable,
+        policy: decisions.PolicyTable,
+        runner: runner.Runner,
+        rng: random.Random,
+    ) -> None:
+        self.identity = identity
+        self.members = members
+        self.policy = policy
+        self.runner = runner
+        self.rng = rng
+        self.loads = decisions.LoadView()
+        self.suspicions = decisions.LocalSuspicion()
+
+    def choose(
+        self, call: model.Call, tried: collections.abc.Set[str]
+    ) -> model.Member | None:
+        """Choose the node whose upstream gets the next attempt.
+
+        Args:
+            call: The call.
+            tried: Instances that earlier attempts went to.
+
+        Returns:
+            The node, or None when no upstream admits the call.
+        """
+        priority = decisions.rank(call.request_class, call.trace_id)
+        if not tried and self.has_own_room(call, priority):
+            return self.members.members.get(self.identity.instance)
+        now = time.monotonic()
+        candidates = [
+            self.build_candidate(member, call, now)
+            for member in self.members.list_service(call.service)
+            if member.state in decisions.ADMITTING_STATES
+            and self.policy.takes_work(member.instance)
+        ]
+        choice = decisions.choose(
+            candidates,
+            priority=priority,
+            tried=tried,
+            draw=self.rng.randrange,
+        )
+        return (
+            None if choice is None else self.members.members[choice.instance]
+        )
+
+    def has_own_room(self, call: model.Call, priority: float) -> bool:
+        """Return whether the own upstream would start a call at once."""
+        return (
+            call.service == self.runner.service
+            and not self.runner.leaving
+            and self.policy.takes_work(self.identity.instance)
+            and self.runner.admission.has_room(priority)
+            and priority < self.runner.find_level(call.route)
+        )
+
+    def build_candidate(
+        self, member: model.Member, call: model.Call, now: float
+    ) -> decisions.Candidate:
+        """Describe an upstream as the choice needs it."""
+        load = self.loads.find(member)
+        own = member.instance == self.identity.instance
+        return decisions.Candidate(
+            instance=member.instance,
+            local=member.data_centre == self.identity.data_centre,
+            suspect=member.state is model.MemberState.SUSPECT
+            or self.suspicions.holds(member.instance, now),
+            outstanding=load.outstanding,
+            in_flight=load.find_in_flight(now),
+            limit=load.limit,
+            level=self.runner.find_level(call.route)
+            if own
+            else load.find_level(call.route, now),
+        )
+
+    def find_service_level(self, service: str, route: str) -> float:
+        """Return the admission level of a service for a route."""
+        return self.loads.find_service_level(
+            service,
+            route,
+            self.members.list_service(service),
+            time.monotonic(),
+        )
