--- a/oleanderknot/cli/node_query.py
+++ b/oleanderknot/cli/node_query.py
@@ -86,7 +86,6 @@
         timeout=aiohttp.ClientTimeout(
             sock_connect=ASK_TIMEOUT_S, sock_read=ASK_TIMEOUT_S
         ),
-        headers=operator_access.build_headers(),
     ) as session:
         first = await ask(session, address)
         if first.is_error():
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -239,7 +239,7 @@
             begin=self.operations.tracing.begin,
         )
         self.runner.deeper.find_service_level = (
-            self.dispatcher.find_service_level
+            self.dispatcher.chooser.find_service_level
         )
         self.orders = order_assembly.build_orders(
             table_client=self.table,
