--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,7 +12,7 @@
 from bench import figure
 
 # Modules of this folder; each has ``measure() -> list[figure.Figure]``.
-MEASUREMENTS = ('latency', 'footprint', 'orders', 'tickets')
+MEASUREMENTS = ('latency', 'footprint', 'orders', 'tickets', 'membership')
 
 
 def report(item: figure.Figure) -> bool:
--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -51,4 +51,13 @@
         at_most=2000 / 11,
         source='the platform takes 2,000 reads a second of 11 data centres',
     ),
+    'membership.bytes_1200': Bound(
+        at_most=7000, source='7 KB a second of a node for control'
+    ),
+    'membership.core_1200': Bound(
+        at_most=2.3, source='2.3 % of a core of a node for control'
+    ),
+    'membership.memory_1200': Bound(
+        at_most=256, source='256 MB of a node for control'
+    ),
 }
--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,245 @@
+"""Cost of control for a node at rest, and at the size to design for."""
+
+import statistics
+import time
+import tracemalloc
+
+from bench import figure
+from bench import latency
+from features.support import http
+from features.support import memory
+from features.support import system as systems
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot import wire
+
+SIZES = (4, 8, 16, 32)
+DATA_CENTRES = 4
+SETTLE_S = 4.0
+REST_S = 20.0
+
+# The size to design for.
+NODES = 1200
+ALL_DATA_CENTRES = 11
+RESTARTS_PER_DAY = 100
+
+# Leaving, left, and of the new life joining and taking; a node that is
+# killed instead has suspect and dead.
+CHANGES_PER_RESTART = 4
+
+# Time in which a change reaches all nodes: two nodes meet each node a
+# second, so about log2(1200) s, and as much again for the last ones.
+SPREAD_S = 22.0
+
+# Probes and answers that a node sends and receives in a second: its own
+# probe and that of another node.
+MESSAGES_PER_S = 4
+
+
+def build_records(nodes: int, data_centres: int) -> list[model.Member]:
+    """Build records with names of usual length."""
+    return [
+        model.Member(
+            instance='catalogue-qld-south-%04d' % number,
+            incarnation=(1_800_000_000_000 << 20) + number,
+            version=7,
+            state=model.MemberState.TAKING,
+            data_centre='qld-south-%d' % (number % data_centres),
+            host='10.20.%d.%d' % (number // 250, number % 250),
+            peer_port=7100,
+            caller_port=7101,
+            operator_port=7102,
+            service='service-%03d' % (number % 220),
+            slots=100,
+        )
+        for number in range(nodes)
+    ]
+
+
+def encode_probe(hashes: dict[str, int], records: list[model.Member]) -> int:
+    """Return the bytes of a probe."""
+    gossip = wire.Gossip(
+        kind=0,
+        number=1000,
+        changes=[wire.wire_member(record) for record in records],
+        hashes=wire.wire_hashes(hashes),
+    )
+    frame = wire.Frame(session=1 << 62, call=0, gossip=gossip)
+    return len(wire.Codec().encode(frame))
+
+
+def read_control(system: systems.System) -> tuple[int, float, int]:
+    """Return control bytes, processor seconds and memory of all nodes."""
+    total = 0
+    seconds = 0.0
+    resident = 0
+    for node in system.nodes.values():
+        control = http.get_json(node.status_url())['control']
+        total += control['sent_bytes'] + control['received_bytes']
+        pid = node.process.popen.pid
+        seconds += latency.read_cpu_seconds(pid)
+        resident = max(resident, memory.read_resident_bytes(pid))
+    return total, seconds, resident
+
+
+def measure_rest() -> list[tuple[int, float, float, float]]:
+    """Measure nodes at rest, more of them each time.
+
+    Returns:
+        For each size: nodes, control bytes a second and node, share of a
+        core in percent, and the largest memory in MB.
+    """
+    system = systems.System()
+    rows = []
+    try:
+        for size in SIZES:
+            while len(system.nodes) < size:
+                number = len(system.nodes)
+                seeds = [
+                    node.peer_address()
+                    for node in list(system.nodes.values())[:2]
+                ]
+                system.start_node(
+                    'n%d' % number,
+                    'dc%d' % (number % DATA_CENTRES),
+                    seeds=seeds,
+                )
+            system.wait_for(
+                lambda: all(
+                    len(http.get_json(node.status_url())['members']) == size
+                    for node in system.nodes.values()
+                ),
+                'all nodes know each other',
+            )
+            time.sleep(SETTLE_S)
+            started = time.monotonic()
+            before = read_control(system)
+            time.sleep(REST_S)
+            after = read_control(system)
+            passed = (time.monotonic() - started) * size
+            rows.append(
+                (
+                    size,
+                    (after[0] - before[0]) / passed,
+                    (after[1] - before[1]) / passed * 100,
+                    after[2] / (1 << 20),
+                )
+            )
+    finally:
+        system.stop()
+    return rows
+
+
+def measure_decisions() -> dict[str, float]:
+    """Measure the decisions of one node that knows 1,200 others.
+
+    Returns:
+        Microseconds a second for probes, microseconds for one exchange of
+        versions, and MB of the table.
+    """
+    tracemalloc.start()
+    table = decisions.MemberTable()
+    table.merge(build_records(NODES, ALL_DATA_CENTRES))
+    table_mb = tracemalloc.get_traced_memory()[0] / (1 << 20)
+    tracemalloc.stop()
+    own = next(iter(table.members.values()))
+    schedule = decisions.ProbeSchedule(
+        own=own.instance, data_centre=own.data_centre, draw=lambda n: n // 2
+    )
+    spread = decisions.ChangeSpread()
+    rounds = 500
+    started = time.process_time()
+    for second in range(1, rounds + 1):
+        for step in schedule.advance(table, float(second)):
+            schedule.note_answer(step.instance)
+        for _ in range(MESSAGES_PER_S // 2):
+            spread.take(NODES)
+            encode_probe(table.hashes, [])
+    probe_us = (time.process_time() - started) / rounds * 1e6
+    name = own.data_centre
+    versions = [
+        decisions.describe(record) for record in table.list_data_centre(name)
+    ]
+    started = time.process_time()
+    for _ in range(100):
+        decisions.compare(table, name, versions, whole=True)
+    exchange_us = (time.process_time() - started) / 100 * 1e6
+    return {
+        'probe_us': probe_us,
+        'exchange_us': exchange_us,
+        'table_mb': table_mb,
+    }
+
+
+def find_slope(points: list[tuple[float, float]]) -> tuple[float, float]:
+    """Return slope and intercept of the line of least squares."""
+    fit = statistics.linear_regression(
+        [point[0] for point in points], [point[1] for point in points]
+    )
+    return fit.slope, fit.intercept
+
+
+def extend_bytes(
+    rows: list[tuple[int, float, float, float]],
+) -> dict[str, float]:
+    """Work out control bytes a second at the size to design for."""
+    records = build_records(NODES, ALL_DATA_CENTRES)
+    hashes = {
+        record.data_centre: decisions.hash_record(record)
+        for record in records[:ALL_DATA_CENTRES]
+    }
+    few = dict(list(hashes.items())[:DATA_CENTRES])
+    more = encode_probe(hashes, []) - encode_probe(few, [])
+    record = encode_probe(hashes, records[:1]) - encode_probe(hashes, [])
+    changes = RESTARTS_PER_DAY * CHANGES_PER_RESTART / 86400
+    rides = decisions.limit_rides(NODES)
+    # Each change is sent so often by a node, and received as often.
+    churn = changes * rides * record * 2
+    # While a change spreads, lists go both ways at their full pace.
+    share = min(1.0, changes * SPREAD_S)
+    lists = share * 2 * 2 * decisions.LIST_BYTES_PER_S
+    slope, intercept = find_slope([(row[0], row[1]) for row in rows])
+    rest = max(intercept + slope * NODES, rows[-1][1])
+    return {
+        'bytes_slope': slope,
+        'bytes_hashes': more * MESSAGES_PER_S,
+        'bytes_churn': churn + lists,
+        'bytes_1200': rest + more * MESSAGES_PER_S + churn + lists,
+    }
+
+
+def measure() -> list[figure.Figure]:
+    """Measure control of nodes at rest and work out the target size."""
+    cost = measure_decisions()
+    rows = measure_rest()
+    note = '%d data centres, %.0f s at rest, no calls' % (
+        DATA_CENTRES,
+        REST_S,
+    )
+    figures = []
+
+    def add(name: str, value: float, unit: str, note: str) -> None:
+        figures.append(
+            figure.Figure(
+                name='membership.' + name,
+                value=round(value, 4),
+                unit=unit,
+                note=note,
+            )
+        )
+
+    for size, rate, core, resident in rows:
+        add('bytes_%d' % size, rate, 'B/s a node', note)
+        add('core_%d' % size, core, '% of a core a node', note)
+        add('memory_%d' % size, resident, 'MB', note + ', largest node')
+    for name, value in extend_bytes(rows).items():
+        add(name, value, 'B/s a node', 'worked out, sent and received')
+    add('probe_cpu_1200', cost['probe_us'], 'us a second', 'one process')
+    add('exchange_cpu_1200', cost['exchange_us'], 'us', 'one process')
+    add('table_memory_1200', cost['table_mb'], 'MB', 'one process')
+    extra = (cost['probe_us'] + cost['exchange_us']) / 1e6 * 100
+    add('core_1200', rows[-1][2] + extra, '% of a core a node', 'worked out')
+    slope, intercept = find_slope([(row[0], row[3]) for row in rows])
+    grown = max(rows[-1][3], intercept + slope * NODES)
+    add('memory_1200', grown + cost['table_mb'], 'MB', 'worked out')
+    return figures
--- a/oleanderknot/decisions/local_suspicion.py
+++ b/oleanderknot/decisions/local_suspicion.py
@@ -37,7 +37,16 @@
             now: Monotonic time in seconds.
         """
         if refusal.rule in EVIDENCE:
-            self.until[instance] = now + SUSPICION_S
+            self.note_unreachable(instance, now)
+
+    def note_unreachable(self, instance: str, now: float) -> None:
+        """Note that an instance could not be reached.
+
+        Args:
+            instance: The instance.
+            now: Monotonic time in seconds.
+        """
+        self.until[instance] = now + SUSPICION_S
 
     def note_answer(self, instance: str) -> None:
         """Take an answer as a sign of life."""
--- a/oleanderknot/tasks/order_sender.py
+++ b/oleanderknot/tasks/order_sender.py
@@ -79,6 +79,11 @@
             return await self.send(
                 connection, home, call, key, account, content, body
             )
+        except ConnectionError:
+            self.calls.suspicions.note_unreachable(
+                member.instance, time.monotonic()
+            )
+            raise
         finally:
             load.outstanding -= 1
 
@@ -110,6 +115,9 @@
             and result.is_error()
             and result.error.rule is model.Rule.CONNECTION_LOST
         ):
+            self.calls.suspicions.note_unreachable(
+                home.instance, time.monotonic()
+            )
             result = await self.inquiry.ask(
                 home.instance, home.incarnation, attempt
             )
