--- a/oleanderknot/wire/__init__.py
+++ b/oleanderknot/wire/__init__.py
@@ -35,11 +35,11 @@
 from oleanderknot.wire.translate import failure_from_refusal
 from oleanderknot.wire.translate import flatten
 from oleanderknot.wire.translate import head_from_answer
-from oleanderknot.wire.translate import model_member
 from oleanderknot.wire.translate import open_from_call
 from oleanderknot.wire.translate import pair
 from oleanderknot.wire.translate import refusal_from_failure
-from oleanderknot.wire.translate import wire_member
+from oleanderknot.wire.translate_member import model_member
+from oleanderknot.wire.translate_member import wire_member
 from oleanderknot.wire.translate_policy import model_digest
 from oleanderknot.wire.translate_policy import model_scope
 from oleanderknot.wire.translate_policy import wire_digest
--- a/oleanderknot/wire/gossip.py
+++ b/oleanderknot/wire/gossip.py
@@ -5,7 +5,8 @@
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot.wire import bad_frame
-from oleanderknot.wire import translate
+from oleanderknot.wire import field_check
+from oleanderknot.wire import translate_member
 from oleanderknot.wire.gen.peer import ttypes
 
 SIGN = 1 << 63
@@ -44,10 +45,10 @@
         BadFrame: A field is missing or out of range.
     """
     for name in message.__slots__:
-        translate.check(
+        field_check.check(
             getattr(message, name) is not None, 'version without ' + name
         )
-    if message.state not in range(len(translate.MEMBER_STATES)):
+    if message.state not in range(len(translate_member.MEMBER_STATES)):
         raise bad_frame.BadFrame('version with a wrong member state')
     return decisions.RecordVersion(
         instance=message.instance,
--- a/oleanderknot/wire/translate.py
+++ b/oleanderknot/wire/translate.py
@@ -2,18 +2,13 @@
 
 from oleanderknot import model
 from oleanderknot.wire import bad_frame
+from oleanderknot.wire import field_check
+from oleanderknot.wire import translate_report
 from oleanderknot.wire.gen.peer import ttypes
 
 CLASSES = tuple(model.RequestClass)
 VERDICTS = (model.Verdict.NOT_RUN, model.Verdict.MAY_HAVE_RUN)
 RULES = {rule.value: rule for rule in model.Rule}
-MEMBER_STATES = tuple(model.MemberState)
-
-
-def check(condition: object, what: str) -> None:
-    """Raise BadFrame with a text unless the condition holds."""
-    if not condition:
-        raise bad_frame.BadFrame(what)
 
 
 def flatten(headers: model.Headers) -> list[bytes]:
@@ -96,7 +91,7 @@
     Raises:
         BadFrame: A field is missing or out of range.
     """
-    check(
+    field_check.check(
         None
         not in (
             message.service_name,
@@ -118,11 +113,19 @@
         ),
         'incomplete open',
     )
-    check(message.path.startswith('/'), 'open with a relative path')
-    check(message.request_class in (0, 1, 2, 3), 'open with a wrong class')
-    check(0 <= message.depth < 1000, 'open with a wrong depth')
-    check(0 <= message.allowance < 1000, 'open with a wrong allowance')
-    check(message.deadline_ms >= 0, 'open with a negative deadline')
+    field_check.check(
+        message.path.startswith('/'), 'open with a relative path'
+    )
+    field_check.check(
+        message.request_class in (0, 1, 2, 3), 'open with a wrong class'
+    )
+    field_check.check(0 <= message.depth < 1000, 'open with a wrong depth')
+    field_check.check(
+        0 <= message.allowance < 1000, 'open with a wrong allowance'
+    )
+    field_check.check(
+        message.deadline_ms >= 0, 'open with a negative deadline'
+    )
     remaining = min(
         message.deadline_ms / 1000,
         message.deadline_epoch_ms / 1000 + skew - epoch,
@@ -147,56 +150,6 @@
     )
 
 
-def wire_reports(
-    reports: tuple[model.LoadReport, ...],
-) -> list[ttypes.LoadReport]:
-    """Make wire structs of load reports."""
-    return [
-        ttypes.LoadReport(
-            service_name=report.service,
-            route=report.route,
-            level=report.level,
-            in_flight=report.in_flight,
-            limit=report.limit,
-        )
-        for report in reports
-    ]
-
-
-def model_reports(
-    reports: list[ttypes.LoadReport] | None,
-) -> tuple[model.LoadReport, ...]:
-    """Make load reports of wire structs.
-
-    Raises:
-        BadFrame: A field is missing.
-    """
-    if not reports:
-        return ()
-    for report in reports:
-        check(
-            None
-            not in (
-                report.service_name,
-                report.route,
-                report.level,
-                report.in_flight,
-                report.limit,
-            ),
-            'incomplete load report',
-        )
-    return tuple(
-        model.LoadReport(
-            service=report.service_name,
-            route=report.route,
-            level=report.level,
-            in_flight=report.in_flight,
-            limit=report.limit,
-        )
-        for report in reports
-    )
-
-
 def head_from_answer(answer: model.Answer) -> ttypes.Head:
     """Make the message that starts an answer."""
     return ttypes.Head(
@@ -205,7 +158,7 @@
         body=answer.content,
         body_complete=answer.body is None,
         unspent=answer.unspent,
-        reports=wire_reports(answer.reports),
+        reports=translate_report.wire_reports(answer.reports),
     )
 
 
@@ -224,17 +177,19 @@
     Raises:
         BadFrame: A field is missing or out of range.
     """
-    check(message.status is not None, 'head without status')
-    check(200 <= message.status <= 599, 'head with a wrong status')
-    check(message.body is not None, 'head without body')
-    check((message.unspent or 0) >= 0, 'head with a wrong allowance')
+    field_check.check(message.status is not None, 'head without status')
+    field_check.check(200 <= message.status <= 599, 'head with a wrong status')
+    field_check.check(message.body is not None, 'head without body')
+    field_check.check(
+        (message.unspent or 0) >= 0, 'head with a wrong allowance'
+    )
     return model.Answer(
         status=message.status,
         headers=pair(message.headers),
         content=message.body,
         body=body,
         unspent=message.unspent or 0,
-        reports=model_reports(message.reports),
+        reports=translate_report.model_reports(message.reports),
     )
 
 
@@ -248,7 +203,7 @@
         detail=refusal.detail,
         retry_after_ms=refusal.retry_after_ms,
         unspent=refusal.unspent,
-        reports=wire_reports(refusal.reports),
+        reports=translate_report.wire_reports(refusal.reports),
     )
 
 
@@ -258,8 +213,10 @@
     Raises:
         BadFrame: A field is missing or out of range.
     """
-    check(message.verdict in (0, 1), 'failure with a wrong verdict')
-    check(message.rule in RULES, 'failure with an unknown rule')
+    field_check.check(
+        message.verdict in (0, 1), 'failure with a wrong verdict'
+    )
+    field_check.check(message.rule in RULES, 'failure with an unknown rule')
     return model.Refusal(
         verdict=VERDICTS[message.verdict],
         rule=RULES[message.rule],
@@ -268,47 +225,5 @@
         ticket=message.ticket or 0,
         retry_after_ms=message.retry_after_ms or 0,
         unspent=max(0, message.unspent or 0),
-        reports=model_reports(message.reports),
-    )
-
-
-def wire_member(member: model.Member) -> ttypes.Member:
-    """Make the wire struct of a member."""
-    return ttypes.Member(
-        instance=member.instance,
-        incarnation=member.incarnation,
-        version=member.version,
-        state=member.state,
-        data_centre=member.data_centre,
-        host=member.host,
-        peer_port=member.peer_port,
-        caller_port=member.caller_port,
-        operator_port=member.operator_port,
-        service_name=member.service,
-        slots=member.slots,
-    )
-
-
-def model_member(message: ttypes.Member) -> model.Member:
-    """Make a member of its wire struct.
-
-    Raises:
-        BadFrame: A field is missing or out of range.
-    """
-    for name in message.__slots__:
-        check(getattr(message, name) is not None, 'member without ' + name)
-    check(message.state in range(len(MEMBER_STATES)), 'wrong member state')
-    check(0 < message.peer_port < 65536, 'member with a wrong port')
-    return model.Member(
-        instance=message.instance,
-        incarnation=message.incarnation,
-        version=message.version,
-        state=MEMBER_STATES[message.state],
-        data_centre=message.data_centre,
-        host=message.host,
-        peer_port=message.peer_port,
-        caller_port=message.caller_port,
-        operator_port=message.operator_port,
-        service=message.service_name,
-        slots=message.slots,
+        reports=translate_report.model_reports(message.reports),
     )
--- /dev/null
+++ b/oleanderknot/wire/translate_member.py
@@ -0,0 +1,55 @@
+"""Translates members and validates them."""
+
+from oleanderknot import model
+from oleanderknot.wire import field_check
+from oleanderknot.wire.gen.peer import ttypes
+
+MEMBER_STATES = tuple(model.MemberState)
+
+
+def wire_member(member: model.Member) -> ttypes.Member:
+    """Make the wire struct of a member."""
+    return ttypes.Member(
+        instance=member.instance,
+        incarnation=member.incarnation,
+        version=member.version,
+        state=member.state,
+        data_centre=member.data_centre,
+        host=member.host,
+        peer_port=member.peer_port,
+        caller_port=member.caller_port,
+        operator_port=member.operator_port,
+        service_name=member.service,
+        slots=member.slots,
+    )
+
+
+def model_member(message: ttypes.Member) -> model.Member:
+    """Make a member of its wire struct.
+
+    Raises:
+        BadFrame: A field is missing or out of range.
+    """
+    for name in message.__slots__:
+        field_check.check(
+            getattr(message, name) is not None, 'member without ' + name
+        )
+    field_check.check(
+        message.state in range(len(MEMBER_STATES)), 'wrong member state'
+    )
+    field_check.check(
+        0 < message.peer_port < 65536, 'member with a wrong port'
+    )
+    return model.Member(
+        instance=message.instance,
+        incarnation=message.incarnation,
+        version=message.version,
+        state=MEMBER_STATES[message.state],
+        data_centre=message.data_centre,
+        host=message.host,
+        peer_port=message.peer_port,
+        caller_port=message.caller_port,
+        operator_port=message.operator_port,
+        service=message.service_name,
+        slots=message.slots,
+    )
--- /dev/null
+++ b/oleanderknot/wire/translate_report.py
@@ -0,0 +1,55 @@
+"""Translates load reports and validates them."""
+
+from oleanderknot import model
+from oleanderknot.wire import field_check
+from oleanderknot.wire.gen.peer import ttypes
+
+
+def wire_reports(
+    reports: tuple[model.LoadReport, ...],
+) -> list[ttypes.LoadReport]:
+    """Make wire structs of load reports."""
+    return [
+        ttypes.LoadReport(
+            service_name=report.service,
+            route=report.route,
+            level=report.level,
+            in_flight=report.in_flight,
+            limit=report.limit,
+        )
+        for report in reports
+    ]
+
+
+def model_reports(
+    reports: list[ttypes.LoadReport] | None,
+) -> tuple[model.LoadReport, ...]:
+    """Make load reports of wire structs.
+
+    Raises:
+        BadFrame: A field is missing.
+    """
+    if not reports:
+        return ()
+    for report in reports:
+        field_check.check(
+            None
+            not in (
+                report.service_name,
+                report.route,
+                report.level,
+                report.in_flight,
+                report.limit,
+            ),
+            'incomplete load report',
+        )
+    return tuple(
+        model.LoadReport(
+            service=report.service_name,
+            route=report.route,
+            level=report.level,
+            in_flight=report.in_flight,
+            limit=report.limit,
+        )
+        for report in reports
+    )
