--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,7 +12,16 @@
 from bench import figure
 
 # Modules of this folder; each has ``measure() -> list[figure.Figure]``.
-MEASUREMENTS = ('latency', 'footprint', 'orders', 'tickets')
+MEASUREMENTS = (
+    'latency',
+    'footprint',
+    'decisions',
+    'orders',
+    'membership',
+    'tickets',
+    'tracing',
+    'surge',
+)
 
 
 def report(item: figure.Figure) -> bool:
--- a/oleanderknot/border/__init__.py
+++ b/oleanderknot/border/__init__.py
@@ -2,8 +2,19 @@
 
 from oleanderknot.border import headers
 from oleanderknot.border import ticket_rows
+from oleanderknot.border.account_object import build_key
+from oleanderknot.border.account_object import dump_batch
+from oleanderknot.border.account_object import format_day
+from oleanderknot.border.account_object import parse_batch
+from oleanderknot.border.account_object import PREFIX as ACCOUNT_PREFIX
+from oleanderknot.border.account_settings import AccountSettings
+from oleanderknot.border.alert_row import dump_alert
+from oleanderknot.border.alert_row import parse_alert
+from oleanderknot.border.alert_row import PREFIX as ALERT_PREFIX
+from oleanderknot.border.alert_settings import AlertSettings
 from oleanderknot.border.announcement import Announcement
 from oleanderknot.border.claim_row import ClaimRow
+from oleanderknot.border.log_settings import LogSettings
 from oleanderknot.border.mistake import Mistake
 from oleanderknot.border.model_mistakes import collect
 from oleanderknot.border.node_status import MemberStatus
@@ -18,36 +29,51 @@
 from oleanderknot.border.settings import PlatformSettings
 from oleanderknot.border.settings import UpstreamSettings
 from oleanderknot.border.settings_file import load_settings
-from oleanderknot.border.settings_file import SettingsError
+from oleanderknot.border.statsd_settings import StatsdSettings
 from oleanderknot.border.ticket_file import load_ticket
+from oleanderknot.border.tls_settings import TlsSettings
+from oleanderknot.border.tracing_settings import TracingSettings
 from oleanderknot.border.yaml_lines import load_yaml
 from oleanderknot.border.yaml_lines import MistakesError
 from oleanderknot.border.yaml_lines import parse_yaml
 from oleanderknot.border.yaml_lines import YamlText
 
 __all__ = [
+    'ACCOUNT_PREFIX',
+    'ALERT_PREFIX',
+    'AccountSettings',
+    'AlertSettings',
+    'MemberStatus',
+    'NodeStatus',
+    'ticket_rows',
+    'dump_policy',
+    'parse_policy',
+    'load_ticket',
     'Announcement',
     'ClaimRow',
     'ListenSettings',
-    'MemberStatus',
+    'LogSettings',
     'Mistake',
     'MistakesError',
     'NodeSettings',
-    'NodeStatus',
     'PEER_ROW_PREFIX',
     'PeerRow',
     'PlatformSettings',
-    'SettingsError',
+    'StatsdSettings',
+    'TlsSettings',
+    'TracingSettings',
     'UpstreamSettings',
     'YamlText',
+    'build_key',
     'collect',
-    'dump_policy',
+    'dump_alert',
+    'dump_batch',
+    'format_day',
     'headers',
     'load_settings',
-    'load_ticket',
     'load_yaml',
+    'parse_alert',
+    'parse_batch',
     'parse_peer_row',
-    'parse_policy',
     'parse_yaml',
-    'ticket_rows',
 ]
--- a/oleanderknot/border/settings.py
+++ b/oleanderknot/border/settings.py
@@ -4,19 +4,21 @@
 
 import pydantic
 
-Port = typing.Annotated[int, pydantic.Field(ge=0, le=65535)]
-Name = typing.Annotated[
-    str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')
-]
+from oleanderknot.border import account_settings
+from oleanderknot.border import alert_settings
+from oleanderknot.border import base
+from oleanderknot.border import log_settings
+from oleanderknot.border import statsd_settings
+from oleanderknot.border import tls_settings
+from oleanderknot.border import tracing_settings
 
+# Other border modules build on the same base.
+Model = base.Model
+Name = base.Name
+Port = base.Port
 
-class Model(pydantic.BaseModel):
-    """Base of all validated models: unknown fields are errors."""
 
-    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
-
-
-class ListenSettings(Model):
+class ListenSettings(base.Model):
     """Addresses that a node listens on; port 0 takes a free one.
 
     Attributes:
@@ -33,24 +35,24 @@
         operator_port: TCP port for operators.
     """
 
-    host: pydantic.IPvAnyAddress = pydantic.Field(
+    host: base.Host = pydantic.Field(
         default='127.0.0.1', validate_default=True
     )
-    caller_port: Port = 0
-    peer_port: Port = 0
-    advertised_host: pydantic.IPvAnyAddress | None = None
-    advertised_peer_port: Port = 0
-    egress_host: pydantic.IPvAnyAddress = pydantic.Field(
+    caller_port: base.Port = 0
+    peer_port: base.Port = 0
+    advertised_host: base.Host | None = None
+    advertised_peer_port: base.Port = 0
+    egress_host: base.Host = pydantic.Field(
         default='127.0.0.1', validate_default=True
     )
-    egress_port: Port = 0
-    operator_host: pydantic.IPvAnyAddress = pydantic.Field(
+    egress_port: base.Port = 0
+    operator_host: base.Host = pydantic.Field(
         default='127.0.0.1', validate_default=True
     )
-    operator_port: Port = 0
+    operator_port: base.Port = 0
 
 
-class UpstreamSettings(Model):
+class UpstreamSettings(base.Model):
     """An upstream that cannot announce itself.
 
     Attributes:
@@ -62,14 +64,14 @@
             rises slowly after the announcement.
     """
 
-    service: Name
-    host: pydantic.IPvAnyAddress
+    service: base.Name
+    host: base.Host
     port: typing.Annotated[int, pydantic.Field(ge=1, le=65535)]
     slots: typing.Annotated[int, pydantic.Field(ge=1, le=100000)]
     warm: bool = False
 
 
-class PlatformSettings(Model):
+class PlatformSettings(base.Model):
     """Addresses of the platform's services.
 
     Attributes:
@@ -78,12 +80,12 @@
         timeout_ms: Milliseconds to wait for an answer.
     """
 
-    table_url: str = ''
-    object_url: str = ''
+    table_url: base.Url = ''
+    object_url: base.Url = ''
     timeout_ms: typing.Annotated[int, pydantic.Field(ge=1, le=60000)] = 1000
 
 
-class NodeSettings(Model):
+class NodeSettings(base.Model):
     """Settings of one node.
 
     Attributes:
@@ -97,13 +99,38 @@
             flight.
         control: Whether the node controls load; a node that does not only
             forwards, which serves to measure what control is worth.
+        log: The log.
+        statsd: Where metrics go.
+        account: How the account of decisions is written.
+        alerts: Where alerts go.
+        tracing: Where spans go.
+        tls: Mutual TLS between nodes; needed beyond loopback.
+        operator_token: Secret that operators send as ``Authorization:
+            Bearer``; needed beyond loopback, empty for none.
     """
 
-    instance: Name
-    data_centre: Name
+    instance: base.Name
+    data_centre: base.Name
     listen: ListenSettings = ListenSettings()
     platform: PlatformSettings = PlatformSettings()
     upstream: UpstreamSettings | None = None
-    seeds: tuple[str, ...] = ()
+    seeds: tuple[base.Address, ...] = ()
     drain_timeout_s: typing.Annotated[float, pydantic.Field(gt=0)] = 900.0
     control: bool = True
+    log: log_settings.LogSettings = log_settings.LogSettings()
+    statsd: statsd_settings.StatsdSettings = statsd_settings.StatsdSettings()
+    account: account_settings.AccountSettings = (
+        account_settings.AccountSettings()
+    )
+    alerts: alert_settings.AlertSettings = alert_settings.AlertSettings()
+    tracing: tracing_settings.TracingSettings = (
+        tracing_settings.TracingSettings()
+    )
+    tls: tls_settings.TlsSettings | None = None
+    operator_token: typing.Annotated[
+        str,
+        pydantic.Field(
+            pattern=r'^([!-~]{16,200})?$',
+            description='16 to 200 visible ASCII characters',
+        ),
+    ] = ''
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -1,8 +1,14 @@
 """Pure decisions: no input or output, no clock, no random source."""
 
+from oleanderknot.decisions.account_report import build_report
+from oleanderknot.decisions.account_report import count_served
+from oleanderknot.decisions.account_sum import add_up
+from oleanderknot.decisions.account_words import format_time
 from oleanderknot.decisions.admission_level import AdmissionLevel
 from oleanderknot.decisions.admission_level import MAX_LEVEL
 from oleanderknot.decisions.admission_queue import AdmissionQueue
+from oleanderknot.decisions.alert_texts import ALERT_TEXTS
+from oleanderknot.decisions.alert_texts import summarise
 from oleanderknot.decisions.call_cohort import CallCohort
 from oleanderknot.decisions.call_numbers import CallNumbers
 from oleanderknot.decisions.chain_account import ChainAccount
@@ -20,10 +26,13 @@
 from oleanderknot.decisions.load_view import LoadView
 from oleanderknot.decisions.local_suspicion import LocalSuspicion
 from oleanderknot.decisions.local_suspicion import SUSPICION_S
+from oleanderknot.decisions.log_sampler import LogSampler
 from oleanderknot.decisions.member_table import ENDED
 from oleanderknot.decisions.member_table import FORGET_S
+from oleanderknot.decisions.member_table import hash_record
 from oleanderknot.decisions.member_table import is_newer
 from oleanderknot.decisions.member_table import MemberTable
+from oleanderknot.decisions.member_watch import MemberWatch
 from oleanderknot.decisions.not_run import may_say_not_run
 from oleanderknot.decisions.order_key_age import is_acceptable
 from oleanderknot.decisions.order_key_age import KEY_RETENTION_S
@@ -36,6 +45,8 @@
 from oleanderknot.decisions.order_query import QueryAnswer
 from oleanderknot.decisions.order_record import OrderRecord
 from oleanderknot.decisions.order_records import OrderRecords
+from oleanderknot.decisions.order_watch import OrderWatch
+from oleanderknot.decisions.outage_watch import OutageWatch
 from oleanderknot.decisions.peer_row import format_address
 from oleanderknot.decisions.peer_row import MAX_ADDRESSES
 from oleanderknot.decisions.peer_row import plan_row
@@ -50,9 +61,12 @@
 from oleanderknot.decisions.record_exchange import compare
 from oleanderknot.decisions.record_exchange import describe
 from oleanderknot.decisions.record_exchange import ExchangePace
+from oleanderknot.decisions.record_exchange import LIST_BYTES_PER_S
 from oleanderknot.decisions.record_exchange import RecordVersion
 from oleanderknot.decisions.refutation import refute
 from oleanderknot.decisions.refutation import split_claims
+from oleanderknot.decisions.reporters import find_dark
+from oleanderknot.decisions.reporters import is_reporter
 from oleanderknot.decisions.retry_budget import RetryBudget
 from oleanderknot.decisions.route_calls import RouteCalls
 from oleanderknot.decisions.service_time import ServiceTimes
@@ -69,39 +83,42 @@
 from oleanderknot.decisions.upstream_choice import choose
 
 __all__ = [
+    'add_up',
+    'build_report',
+    'count_served',
+    'format_time',
+    'ALERT_TEXTS',
     'ADMITTING_STATES',
     'AdmissionLevel',
     'AdmissionQueue',
-    'CallCohort',
     'CALLER_KEY',
-    'group_by_centre',
-    'is_in_force',
-    'POLL_PERIOD_S',
-    'choose_targets',
-    'find_poll_delay',
-    'list_alive',
-    'split_batches',
-    'describe_changes',
-    'number_ticket',
-    'settle',
-    'CallNumbers',
     'CHANGES_PER_PING',
+    'CallCohort',
+    'CallNumbers',
     'Candidate',
     'ChainAccount',
     'ChainTable',
-    'ConcurrencyLimit',
     'ChangeSpread',
+    'ConcurrencyLimit',
     'ENDED',
     'ExchangePace',
     'FORGET_S',
     'InstanceLoad',
+    'LogSampler',
     'LoadView',
     'KEY_RETENTION_S',
     'KeyAccountTable',
+    'LIST_BYTES_PER_S',
+    'LocalSuspicion',
+    'MAX_ADDRESSES',
     'MAX_LEVEL',
     'MemberTable',
+    'MemberWatch',
+    'OrderWatch',
+    'OutageWatch',
     'OrderRecord',
     'OrderRecords',
+    'POLL_PERIOD_S',
     'PolicyTable',
     'QueuedCall',
     'RetryBudget',
@@ -113,27 +130,38 @@
     'SINGLE_ATTEMPT',
     'answer_query',
     'check_home_key',
+    'find_dark',
+    'is_newer',
+    'is_reporter',
     'format_order_key',
     'is_acceptable',
-    'is_newer',
     'is_single_attempt',
     'match_route',
     'may_say_not_run',
     'open_account',
     'parse_order_key',
-    'LocalSuspicion',
-    'MAX_ADDRESSES',
     'ProbeAction',
     'ProbeSchedule',
     'ProbeStep',
     'RecordVersion',
     'SUSPICION_S',
+    'choose_targets',
     'compare',
     'describe',
+    'describe_changes',
+    'find_poll_delay',
     'format_address',
+    'group_by_centre',
+    'hash_record',
+    'is_in_force',
     'limit_rides',
+    'list_alive',
+    'number_ticket',
     'plan_row',
     'rank',
+    'summarise',
     'refute',
+    'settle',
+    'split_batches',
     'split_claims',
 ]
--- a/oleanderknot/model/__init__.py
+++ b/oleanderknot/model/__init__.py
@@ -1,5 +1,9 @@
 """Data classes, enums and the verdict type that the other folders speak."""
 
+from oleanderknot.model.account_batch import AccountBatch
+from oleanderknot.model.account_totals import AccountTotals
+from oleanderknot.model.alert import Alert
+from oleanderknot.model.alert_kind import AlertKind
 from oleanderknot.model.answer import Answer
 from oleanderknot.model.answer import Body
 from oleanderknot.model.body_cut import BodyCut
@@ -8,6 +12,8 @@
 from oleanderknot.model.claim import Claim
 from oleanderknot.model.claim import ClaimState
 from oleanderknot.model.decision_key import DecisionKey
+from oleanderknot.model.event import Event
+from oleanderknot.model.event_kind import EventKind
 from oleanderknot.model.filing_outcome import FilingOutcome
 from oleanderknot.model.filing_outcome import FilingResult
 from oleanderknot.model.global_policy import GlobalPolicy
@@ -15,8 +21,10 @@
 from oleanderknot.model.load_report import LoadReport
 from oleanderknot.model.member import Member
 from oleanderknot.model.member_state import MemberState
+from oleanderknot.model.metric import Metric
 from oleanderknot.model.node_identity import NodeIdentity
 from oleanderknot.model.node_policy import NodePolicy
+from oleanderknot.model.node_record import NodeRecord
 from oleanderknot.model.order_key import OrderKey
 from oleanderknot.model.order_state import OrderState
 from oleanderknot.model.platform_fault import FaultKind
@@ -29,6 +37,7 @@
 from oleanderknot.model.rule import Rule
 from oleanderknot.model.scope_state import Policy
 from oleanderknot.model.scope_state import ScopeState
+from oleanderknot.model.section import Section
 from oleanderknot.model.service_policy import ServicePolicy
 from oleanderknot.model.table_row import TableRow
 from oleanderknot.model.ticket import Ticket
@@ -38,6 +47,12 @@
 from oleanderknot.model.verdict import Verdict
 
 __all__ = [
+    'AccountTotals',
+    'NodeRecord',
+    'Section',
+    'AccountBatch',
+    'Alert',
+    'AlertKind',
     'NodePolicy',
     'CentreStatus',
     'PolicyDigest',
@@ -51,12 +66,15 @@
     'Claim',
     'ClaimState',
     'DecisionKey',
+    'Event',
+    'EventKind',
     'GlobalPolicy',
     'Headers',
     'KeyDecision',
     'LoadReport',
     'Member',
     'MemberState',
+    'Metric',
     'NodeIdentity',
     'OrderKey',
     'OrderState',
--- a/oleanderknot/tasks/ingress.py
+++ b/oleanderknot/tasks/ingress.py
@@ -1,12 +1,12 @@
 """Takes requests of callers, the roots of call chains."""
 
 import asyncio
-import random
-import time
 
+from absl import logging
 from aiohttp import web
+from expression import Error
+from expression import Result
 
-from oleanderknot import border
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot.tasks import dispatcher
@@ -14,32 +14,14 @@
 from oleanderknot.tasks import http_exchange
 from oleanderknot.tasks import http_listener
 from oleanderknot.tasks import order_keys
+from oleanderknot.tasks import outcome
+from oleanderknot.tasks import request_refusal
+from oleanderknot.tasks import root_call
 
 # From this status on, a client may take an answer for worth repeating.
 FIRST_FAILURE_STATUS = 500
 
 
-def split_path(raw_path: str) -> tuple[str, str]:
-    """Split ``/<service>/<path>`` into service and path.
-
-    Args:
-        raw_path: Path and query of the request as received.
-
-    Returns:
-        The service and the path and query for the upstream.
-
-    Raises:
-        ValueError: The path names no service.
-    """
-    service, slash, rest = raw_path[1:].partition('/')
-    if not slash:
-        service, mark, query = service.partition('?')
-        rest = mark + query
-    if not service or not raw_path.startswith('/'):
-        raise ValueError('the path must start with /<service>/')
-    return service, '/' + rest
-
-
 def build_call(
     request: web.BaseRequest, policy: decisions.PolicyTable
 ) -> model.Call:
@@ -55,36 +37,13 @@
     Raises:
         ValueError: The path or a header is malformed.
     """
-    service, path = split_path(request.raw_path)
-    headers = request.headers
-    deadline_ms = border.headers.parse_deadline(
-        headers.get(border.headers.DEADLINE)
-    )
-    key = border.headers.parse_key(headers.get(border.headers.IDEMPOTENCY_KEY))
-    trace = border.headers.parse_traceparent(
-        headers.get(border.headers.TRACEPARENT)
-    )
-    if trace is None:
-        trace = ('%032x' % random.getrandbits(128), '0' * 16, False)
-    service_policy, number = policy.find_service(service)
-    route = decisions.match_route(service_policy, request.method, path)
-    allowed_ms = min(deadline_ms or route.deadline_ms, route.deadline_ms)
-    return model.Call(
-        service=service,
+    return root_call.build_root_call(
         method=request.method,
-        path=path,
-        headers=border.headers.keep_end_to_end(request.raw_headers),
-        request_class=route.request_class,
-        deadline=time.monotonic() + allowed_ms / 1000,
-        allowance=route.retries,
-        key=key,
-        idempotent=route.idempotent,
-        trace_id=trace[0],
-        span_id=trace[1],
-        sampled=trace[2],
-        route=route.prefix,
-        ticket=number,
+        raw_path=request.raw_path,
+        headers=request.headers,
+        raw_headers=request.raw_headers,
         has_body=request.body_exists,
+        policy=policy,
     )
 
 
@@ -107,7 +66,7 @@
         try:
             call = build_call(request, policy)
         except ValueError as error:
-            return refuse_request(request, str(error))
+            return request_refusal.refuse(calls, request, str(error), depth=0)
         return await exchange(
             request, call, decisions.open_account(call), calls
         )
@@ -115,23 +74,6 @@
     return handle
 
 
-def refuse_request(
-    request: web.BaseRequest,
-    detail: str,
-    rule: model.Rule = model.Rule.BAD_REQUEST,
-) -> web.Response:
-    """Build the response to a request that cannot be understood.
-
-    An earlier request with the same key may have run.
-    """
-    verdict = model.Verdict.NOT_RUN
-    if border.headers.IDEMPOTENCY_KEY in request.headers:
-        verdict = model.Verdict.MAY_HAVE_RUN
-    return http_answer.build_refusal(
-        model.Refusal(verdict=verdict, rule=rule, service='', detail=detail)
-    )
-
-
 async def exchange(
     request: web.BaseRequest,
     call: model.Call,
@@ -149,28 +91,72 @@
     Returns:
         The response.
     """
+    calls.begin(call)
     try:
         content, body = await http_exchange.read_body(request)
     except model.BodyCut as error:
-        return refuse_request(request, str(error), error.rule)
-    if not account.admit_repeat(call):
-        return refuse(call, calls, build_spent_refusal(call))
-    try:
-        result = await calls.dispatch(call, account, content, body)
+        refusal = request_refusal.build(request, str(error), error.rule)
+        return refuse(call, calls, refusal)
     except asyncio.CancelledError:
-        calls.count_decision(
-            call, model.Rule.CALLER_LEFT, model.Verdict.MAY_HAVE_RUN
-        )
+        note_left(call, calls, model.Verdict.NOT_RUN)
         raise
+    if not account.admit_repeat(call):
+        return refuse(call, calls, build_spent_refusal(call))
+    result = await dispatch_safely(call, account, content, body, calls)
     if result.is_error():
         account.note_failure(call)
         return refuse(call, calls, result.error)
     answer = result.ok
     if answer.status >= FIRST_FAILURE_STATUS:
         account.note_failure(call)
-    calls.count_decision(call, model.Rule.ADMITTED, model.Verdict.ANSWERED)
-    return await http_exchange.send_answer(
-        request, answer, lambda: account.note_failure(call)
+    cut: model.Rule | None = model.Rule.CALLER_LEFT
+    try:
+        response, cut = await http_exchange.send_answer(request, answer)
+    finally:
+        if cut is not None:
+            account.note_failure(call)
+        calls.count_decision(call, *outcome.judge(answer.status, cut))
+    return response
+
+
+async def dispatch_safely(
+    call: model.Call,
+    account: decisions.ChainAccount,
+    content: bytes,
+    body: model.Body | None,
+    calls: dispatcher.Dispatcher,
+) -> Result[model.Answer, model.Refusal]:
+    """Dispatch a call; an error of the node becomes a refusal.
+
+    Without it the caller would get an answer that names no verdict, and the
+    account would miss the call.
+    """
+    try:
+        return await calls.dispatch(call, account, content, body)
+    except asyncio.CancelledError:
+        note_left(call, calls, model.Verdict.MAY_HAVE_RUN)
+        raise
+    except Exception:
+        logging.exception('dispatching a call to %s failed', call.service)
+        return Error(
+            model.build_refusal(
+                call,
+                model.Verdict.MAY_HAVE_RUN,
+                model.Rule.INTERNAL_ERROR,
+                'this node failed while it worked on the request',
+            )
+        )
+
+
+def note_left(
+    call: model.Call, calls: dispatcher.Dispatcher, verdict: model.Verdict
+) -> None:
+    """Count a call whose caller left before there was an answer."""
+    calls.count_decision(
+        call,
+        model.Rule.CALLER_LEFT,
+        verdict,
+        'the caller left before there was an answer',
     )
 
 
@@ -178,7 +164,7 @@
     call: model.Call, calls: dispatcher.Dispatcher, refusal: model.Refusal
 ) -> web.Response:
     """Count a refusal and build its response."""
-    calls.count_decision(call, refusal.rule, refusal.verdict)
+    calls.count_decision(call, refusal.rule, refusal.verdict, refusal.detail)
     return http_answer.build_refusal(refusal)
 
 
