--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -62,4 +62,13 @@
     'tracing.unsampled': Bound(
         at_most=5.0, source='a few microseconds for a call without a span'
     ),
+    'membership.bytes_1200': Bound(
+        at_most=7000, source='7 KB a second of a node for control'
+    ),
+    'membership.core_1200': Bound(
+        at_most=2.3, source='2.3 % of a core of a node for control'
+    ),
+    'membership.memory_1200': Bound(
+        at_most=256, source='256 MB of a node for control'
+    ),
 }
