--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -121,21 +121,11 @@
             self.take_reports(member.instance, result, now)
             if result.is_ok():
                 account.refund(result.ok.unspent, granted)
-<<<<<<< HEAD
-                self.chooser.suspicions.note_answer(member.instance)
-=======
->>>>>>> members
                 if not self.is_shed(result.ok, call, body):
                     self.budget.count_success(now)
                     return result
             else:
                 account.refund(result.error.unspent, granted)
-<<<<<<< HEAD
-                self.chooser.suspicions.note_failure(
-                    member.instance, result.error, now
-                )
-=======
->>>>>>> members
                 if result.error.rule is model.Rule.CONNECTION_LOST:
                     # The connection that a retry finds may have gone silent
                     # together with this one; a new one costs 1 ms.
@@ -162,9 +152,9 @@
     ) -> None:
         """Keep what an answer or a refusal says about an instance."""
         if result.is_ok():
-            self.suspicions.note_answer(instance)
+            self.chooser.suspicions.note_answer(instance)
         else:
-            self.suspicions.note_failure(instance, result.error, now)
+            self.chooser.suspicions.note_failure(instance, result.error, now)
         outcome = result.ok if result.is_ok() else result.error
         self.chooser.loads.take_reports(instance, outcome.reports, now)
 
