--- a/oleanderknot/tasks/ingress.py
+++ b/oleanderknot/tasks/ingress.py
@@ -4,7 +4,10 @@
 import random
 import time
 
+from absl import logging
 from aiohttp import web
+from expression import Error
+from expression import Result
 
 from oleanderknot import border
 from oleanderknot import decisions
@@ -14,6 +17,8 @@
 from oleanderknot.tasks import http_exchange
 from oleanderknot.tasks import http_listener
 from oleanderknot.tasks import order_keys
+from oleanderknot.tasks import outcome
+from oleanderknot.tasks import request_refusal
 
 # From this status on, a client may take an answer for worth repeating.
 FIRST_FAILURE_STATUS = 500
@@ -107,7 +112,7 @@
         try:
             call = build_call(request, policy)
         except ValueError as error:
-            return refuse_request(request, str(error))
+            return request_refusal.refuse(calls, request, str(error), depth=0)
         return await exchange(
             request, call, decisions.open_account(call), calls
         )
@@ -115,23 +120,6 @@
     return handle
 
 
-def refuse_request(
-    request: web.BaseRequest,
-    detail: str,
-    rule: model.Rule = model.Rule.BAD_REQUEST,
-) -> web.Response:
-    """Build the response to a request that cannot be understood.
-
-    An earlier request with the same key may have run.
-    """
-    verdict = model.Verdict.NOT_RUN
-    if border.headers.IDEMPOTENCY_KEY in request.headers:
-        verdict = model.Verdict.MAY_HAVE_RUN
-    return http_answer.build_refusal(
-        model.Refusal(verdict=verdict, rule=rule, service='', detail=detail)
-    )
-
-
 async def exchange(
     request: web.BaseRequest,
     call: model.Call,
@@ -149,28 +137,72 @@
     Returns:
         The response.
     """
+    calls.begin(call)
     try:
         content, body = await http_exchange.read_body(request)
     except model.BodyCut as error:
-        return refuse_request(request, str(error), error.rule)
-    if not account.admit_repeat(call):
-        return refuse(call, calls, build_spent_refusal(call))
-    try:
-        result = await calls.dispatch(call, account, content, body)
+        refusal = request_refusal.build(request, str(error), error.rule)
+        return refuse(call, calls, refusal)
     except asyncio.CancelledError:
-        calls.count_decision(
-            call, model.Rule.CALLER_LEFT, model.Verdict.MAY_HAVE_RUN
-        )
+        note_left(call, calls, model.Verdict.NOT_RUN)
         raise
+    if not account.admit_repeat(call):
+        return refuse(call, calls, build_spent_refusal(call))
+    result = await dispatch_safely(call, account, content, body, calls)
     if result.is_error():
         account.note_failure(call)
         return refuse(call, calls, result.error)
     answer = result.ok
     if answer.status >= FIRST_FAILURE_STATUS:
         account.note_failure(call)
-    calls.count_decision(call, model.Rule.ADMITTED, model.Verdict.ANSWERED)
-    return await http_exchange.send_answer(
-        request, answer, lambda: account.note_failure(call)
+    cut: model.Rule | None = model.Rule.CALLER_LEFT
+    try:
+        response, cut = await http_exchange.send_answer(request, answer)
+    finally:
+        if cut is not None:
+            account.note_failure(call)
+        calls.count_decision(call, *outcome.judge(answer.status, cut))
+    return response
+
+
+async def dispatch_safely(
+    call: model.Call,
+    account: decisions.ChainAccount,
+    content: bytes,
+    body: model.Body | None,
+    calls: dispatcher.Dispatcher,
+) -> Result[model.Answer, model.Refusal]:
+    """Dispatch a call; an error of the node becomes a refusal.
+
+    Without it the caller would get an answer that names no verdict, and the
+    account would miss the call.
+    """
+    try:
+        return await calls.dispatch(call, account, content, body)
+    except asyncio.CancelledError:
+        note_left(call, calls, model.Verdict.MAY_HAVE_RUN)
+        raise
+    except Exception:
+        logging.exception('dispatching a call to %s failed', call.service)
+        return Error(
+            model.build_refusal(
+                call,
+                model.Verdict.MAY_HAVE_RUN,
+                model.Rule.INTERNAL_ERROR,
+                'this node failed while it worked on the request',
+            )
+        )
+
+
+def note_left(
+    call: model.Call, calls: dispatcher.Dispatcher, verdict: model.Verdict
+) -> None:
+    """Count a call whose caller left before there was an answer."""
+    calls.count_decision(
+        call,
+        model.Rule.CALLER_LEFT,
+        verdict,
+        'the caller left before there was an answer',
     )
 
 
@@ -178,7 +210,7 @@
     call: model.Call, calls: dispatcher.Dispatcher, refusal: model.Refusal
 ) -> web.Response:
     """Count a refusal and build its response."""
-    calls.count_decision(call, refusal.rule, refusal.verdict)
+    calls.count_decision(call, refusal.rule, refusal.verdict, refusal.detail)
     return http_answer.build_refusal(refusal)
 
 
--- a/oleanderknot/tasks/peer_connection.py
+++ b/oleanderknot/tasks/peer_connection.py
@@ -33,6 +33,7 @@
         parting: Ends the connection when both sides have finished.
         used_at: Loop time in seconds of the last frame received.
         silent: Whether it ended because it had gone silent.
+        finished: Whether this node has ended its direction.
         closed: Whether the connection has ended.
     """
 
@@ -56,6 +57,7 @@
         self.writable: asyncio.Future[None] | None = None
         self.used_at = self.loop.time()
         self.silent = False
+        self.finished = False
         self.closed = False
         outlet = body_sender.Outlet(
             send=self.send, wait_writable=self.wait_writable
@@ -160,7 +162,7 @@
 
     def send(self, call: int, **message: typing.Any) -> None:
         """Send one frame; the named argument is its message."""
-        if self.closed or self.transport is None:
+        if self.closed or self.finished or self.transport is None:
             return
         frame = wire.Frame(session=self.session, call=call, **message)
         data = self.codec.encode(frame)
@@ -182,7 +184,9 @@
         number = frame.call
         own = number % 2 == self.outgoing.last_number % 2
         side = self.outgoing if own else self.incoming
-        if own and number or frame.pong is not None:
+        # Credit answers for bytes of this side; while bulk data fills a slow
+        # path, the answer to a probe waits behind it for seconds.
+        if own and number or frame.pong or frame.credit:
             self.watch.note_heard()
         if frame.head is not None and own:
             self.outgoing.handle_head(number, frame.head)
@@ -249,6 +253,7 @@
 
     def finish(self) -> None:
         """End the own direction; the other node then ends its own."""
+        self.finished = True
         if self.transport.can_write_eof():
             self.transport.write_eof()
 
