--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -32,6 +32,14 @@
     'latency.added_p99': Bound(
         at_most=0.35, source='0.35 ms added to a call for 99 in 100'
     ),
+    'surge.on_goodput': Bound(
+        at_least=0.9,
+        source='goodput in the surge of at least 90 % of what the slowest'
+        ' service can do',
+    ),
+    'surge.on_recovery': Bound(
+        at_most=5.0, source='recovery within 5 s of the end of the surge'
+    ),
     'orders.full_mb': Bound(
         at_most=256, source='256 MB of a node for control'
     ),
@@ -54,4 +62,13 @@
     'tracing.unsampled': Bound(
         at_most=5.0, source='a few microseconds for a call without a span'
     ),
+    'membership.bytes_1200': Bound(
+        at_most=7000, source='7 KB a second of a node for control'
+    ),
+    'membership.core_1200': Bound(
+        at_most=2.3, source='2.3 % of a core of a node for control'
+    ),
+    'membership.memory_1200': Bound(
+        at_most=256, source='256 MB of a node for control'
+    ),
 }
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -115,7 +115,7 @@
             table=self.members,
             own=own,
             pool=self.pool,
-            count=self.count,
+            count=self.operations.metrics.count,
         )
         self.operations.metrics.gauges.update(
             {
@@ -197,7 +197,7 @@
             policy=lambda peer, item: self.tickets.handle(peer, item),
             opened=self.greet,
             closed=self.part,
-            count=self.count,
+            count=self.operations.metrics.count,
             parting=lambda peer: self.pool.part(peer),
             traffic=self.traffic,
         )
@@ -213,7 +213,7 @@
             policy=self.policy,
             members=self.members,
             pool=self.pool,
-            count=self.count,
+            count=self.operations.metrics.count,
             rng=random.Random(),
         )
         self.runner.gate = work_gate.build_gate(
@@ -239,13 +239,13 @@
             begin=self.operations.tracing.begin,
         )
         self.runner.deeper.find_service_level = (
-            self.dispatcher.find_service_level
+            self.dispatcher.chooser.find_service_level
         )
         self.orders = order_assembly.build_orders(
             table_client=self.table,
             runner=self.runner,
             dispatcher=self.dispatcher,
-            count=self.count,
+            count=self.operations.metrics.count,
         )
         self.callers = http_listener.HttpListener(
             handle=ingress.build_handler(self.dispatcher, self.policy)
@@ -263,7 +263,7 @@
             handle=operator_listener.build_handler(
                 self.describe,
                 token=self.settings.operator_token,
-                count=self.count,
+                count=self.operations.metrics.count,
             )
         )
 
