Show that a lost filing is fenced and called not filed

Cause: no feature covered a commit that is lost before it takes effect.

Change: the stand-in platform can lose commits, and a scenario files through such a loss and then again.

--- a/features/steps/ticket_filing_steps.py
+++ b/features/steps/ticket_filing_steps.py
@@ -97,6 +97,13 @@
     file_example(context, '--yes')
 
 
+@when('the table loses a filing before the write')
+def lose_filing(context):
+    """File the example while the commit is lost on its way."""
+    set_faults(context, lose_commits=1)
+    file_example(context, '--yes')
+
+
 @when('the table loses the answer to a filing and goes down')
 def lose_answer_and_go(context):
     """File the example while the platform goes down in the middle."""
--- a/features/tickets.feature
+++ b/features/tickets.feature
@@ -14,6 +14,17 @@
     Then the command ends with exit code 0
     And the ticket platform holds 1 ticket
 
+  Scenario: A filing that never reached the table is called not filed
+    Guards against a late copy of the write that takes effect after all.
+    Given a ticket platform without nodes
+    When the table loses a filing before the write
+    Then the command ends with exit code 1
+    And the command's errors contain "nothing was changed"
+    And the ticket platform holds 0 tickets
+    When an operator answers "yes" to the question about the example ticket
+    Then the command ends with exit code 0
+    And the ticket platform holds 1 ticket
+
   Scenario: An outcome that cannot be found out is called unknown
     Given a ticket platform without nodes
     When the table loses the answer to a filing and goes down
--- a/oleanderknot/standins/platform_server.py
+++ b/oleanderknot/standins/platform_server.py
@@ -16,7 +16,8 @@
     ``POST /-/faults`` sets faults: ``down`` refuses requests, ``delay_ms``
     answers late, ``drop_answers`` ends that many connections after the
     request has taken effect; ``drop_commits`` does so for commits only, and
-    ``down_after_drop`` refuses all requests after such a commit.
+    ``down_after_drop`` refuses all requests after such a commit;
+    ``lose_commits`` ends that many connections before a commit takes effect.
     ``GET /-/counts`` tells reads and writes.
 
     Attributes:
@@ -26,6 +27,7 @@
         delay_ms: Milliseconds before each answer.
         drop_answers: Answers to lose from now on.
         drop_commits: Answers to commits to lose from now on.
+        lose_commits: Commits to lose from now on.
         down_after_drop: Whether to go down after a commit's lost answer.
         object_writes: Objects that were written.
     """
@@ -37,6 +39,7 @@
         self.delay_ms = 0.0
         self.drop_answers = 0
         self.drop_commits = 0
+        self.lose_commits = 0
         self.down_after_drop = False
         self.object_writes = 0
         self.server: asyncio.Server | None = None
@@ -80,6 +83,10 @@
         if self.down:
             request.transport.abort()
             return web.Response()
+        if self.lose_commits > 0 and request.path == '/commit':
+            self.lose_commits -= 1
+            request.transport.abort()
+            return web.Response()
         response = await self.serve(request)
         if self.delay_ms:
             await asyncio.sleep(self.delay_ms / 1000)
