--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
     'tickets',
     'surge',
     'decisions',
+    'tracing',
 )
 
 
--- a/bench/surge.py
+++ b/bench/surge.py
@@ -64,6 +64,7 @@
         wasted: Share of the runs at upstreams that gave no whole answer.
         answered: Share of the requests of the surge that were answered, by
             kind.
+        latest_s: Most seconds that a request was sent too late.
     """
 
     goodput: float
@@ -71,6 +72,7 @@
     recovered: bool
     wasted: float
     answered: dict[str, float]
+    latest_s: float
 
 
 def start_chain(system: systems.System, control: bool) -> None:
@@ -131,12 +133,13 @@
         system.stop()
     if os.environ.get('SURGE_DETAIL'):
         print_course(outcomes, traces)
-    return summarize(outcomes, traces)
+    return summarize(outcomes, traces, generator.latest_s)
 
 
 def summarize(
     outcomes: collections.abc.Sequence[load_outcome.LoadOutcome],
     traces: collections.abc.Sequence[str],
+    latest_s: float,
 ) -> SurgeResult:
     """Work out the figures of one run."""
     start, end = NORMAL_S, NORMAL_S + SURGE_S
@@ -166,6 +169,7 @@
             )
             for kind in KINDS
         },
+        latest_s=latest_s,
     )
 
 
@@ -269,4 +273,10 @@
             unit='of the runs at upstreams',
             seed=seed,
         ),
+        figure.Figure(
+            name='surge.%s_late' % mode,
+            value=round(result.latest_s, 3),
+            unit='s at most after a request was due',
+            seed=seed,
+        ),
     ]
--- a/features/support/fake_peer.py
+++ b/features/support/fake_peer.py
@@ -6,6 +6,7 @@
 
 from oleanderknot import model
 from oleanderknot import wire
+from oleanderknot.tasks import control_traffic
 from oleanderknot.tasks import peer_handlers
 from oleanderknot.tasks import peer_pool
 
@@ -93,6 +94,8 @@
         opened=lambda connection: None,
         closed=lambda connection: None,
         count=lambda name: None,
+        parting=lambda connection: None,
+        traffic=control_traffic.ControlTraffic(),
     )
 
 
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -1,7 +1,6 @@
 """The node: puts the tasks together and runs their life cycle."""
 
 import asyncio
-import collections
 import dataclasses
 import random
 import secrets
@@ -14,6 +13,7 @@
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot import platform
+from oleanderknot.node import operations
 from oleanderknot.node import order_assembly
 from oleanderknot.tasks import admission
 from oleanderknot.tasks import control_traffic
@@ -31,6 +31,7 @@
 from oleanderknot.tasks import peer_handlers
 from oleanderknot.tasks import peer_listener
 from oleanderknot.tasks import peer_pool
+from oleanderknot.tasks import peer_tls
 from oleanderknot.tasks import plain_dispatcher
 from oleanderknot.tasks import prober
 from oleanderknot.tasks import runner
@@ -58,8 +59,7 @@
     Attributes:
         settings: Settings of the node.
         identity: Identity of this life of the node.
-        counters: Counts of events by name.
-        decisions: Counts of decisions by key.
+        operations: Metrics, account and alerts.
     """
 
     settings: border.NodeSettings
@@ -72,10 +72,7 @@
             incarnation=build_incarnation(),
             data_centre=settings.data_centre,
         )
-        self.counters: collections.Counter[str] = collections.Counter()
-        self.decision_counts: collections.Counter[model.DecisionKey] = (
-            collections.Counter()
-        )
+        self.tls = peer_tls.build_peer_tls(settings.tls)
         self.members = decisions.MemberTable()
         self.policy = decisions.PolicyTable()
         self.chains = decisions.ChainTable()
@@ -119,6 +116,14 @@
             pool=self.pool,
             count=self.count,
         )
+        self.operations.metrics.gauges.update(
+            {
+                'runner.running': lambda: self.runner.running,
+                'callers.active': lambda: self.callers.active,
+                'peer.connections': lambda: len(self.pool.connections),
+            }
+        )
+        self.background.extend(self.operations.start())
         self.start_membership()
         self.start_tickets()
         # All parts are in place before the first message arrives.
@@ -134,7 +139,21 @@
         logging.info('node %s started: %s', self.identity.instance, ports)
 
     async def stop(self, error: Exception | None = None) -> None:
-        """Drain and stop all tasks; called by aiomisc."""
+        """Drain and stop all tasks; called by aiomisc.
+
+        The last report is written also when a part fails to stop.
+        """
+        try:
+            await self.stop_serving()
+        finally:
+            await self.operations.close()
+        for table in (self.table, self.ticket_table):
+            if table is not None:
+                await table.close()
+        logging.info('node %s stopped', self.identity.instance)
+
+    async def stop_serving(self) -> None:
+        """Drain and end all connections."""
         await self.drain()
         self.membership.change_own(state=model.MemberState.LEFT)
         self.peer_listener.close()
@@ -148,13 +167,20 @@
         self.pool.close()
         await self.orders.close()
         await self.runner.close()
-        for table in (self.table, self.ticket_table):
-            if table is not None:
-                await table.close()
-        logging.info('node %s stopped', self.identity.instance)
 
     def build_tasks(self) -> None:
         """Build the tasks and connect them by their message functions."""
+        self.table = self.build_table_client()
+        self.ticket_table = self.build_table_client(
+            platform.ticket_filing.TIMEOUT_S
+        )
+        self.operations = operations.Operations(
+            settings=self.settings,
+            table=self.table,
+            identity=self.identity,
+            members=self.members,
+            policy=self.policy,
+        )
         controlled = self.settings.control
         self.runner = runner.Runner(
             chains=self.chains,
@@ -164,12 +190,12 @@
         )
         self.leaving = leaving.Leaving(on_change=self.change_leaving)
         handlers = peer_handlers.PeerHandlers(
-            run=self.runner.run,
+            run=self.operations.tracing.wrap(self.runner.run),
             query=lambda key, wait_s: self.orders.describe(key, wait_s),
             gossip=lambda peer, item: self.membership.handle(peer, item),
             policy=lambda peer, item: self.tickets.handle(peer, item),
             opened=self.greet,
-            closed=lambda peer: self.pool.remove(peer),
+            closed=self.part,
             count=self.count,
             parting=lambda peer: self.pool.part(peer),
             traffic=self.traffic,
@@ -179,6 +205,7 @@
             identity=self.identity,
             handlers=handlers,
             local_host=None if host.is_unspecified else str(host),
+            tls=self.tls.outgoing,
         )
         self.tickets = ticket_sync.TicketSync(
             identity=self.identity,
@@ -191,12 +218,10 @@
         self.runner.gate = work_gate.build_gate(
             self.policy, self.identity.instance
         )
-        self.table = self.build_table_client()
-        self.ticket_table = self.build_table_client(
-            platform.ticket_filing.TIMEOUT_S
-        )
         self.peer_listener = peer_listener.PeerListener(
-            identity=self.identity, handlers=handlers
+            identity=self.identity,
+            handlers=handlers,
+            tls=self.tls.incoming,
         )
         build = (
             dispatcher.Dispatcher
@@ -209,7 +234,8 @@
             policy=self.policy,
             runner=self.runner,
             pool=self.pool,
-            count=self.count_decision,
+            record=self.operations.recorder.record,
+            begin=self.operations.tracing.begin,
         )
         self.runner.deeper.find_service_level = (
             self.dispatcher.chooser.find_service_level
@@ -233,7 +259,11 @@
             )
         )
         self.operators = http_listener.HttpListener(
-            handle=operator_listener.build_handler(self.describe)
+            handle=operator_listener.build_handler(
+                self.describe,
+                token=self.settings.operator_token,
+                count=self.count,
+            )
         )
 
     def start_membership(self) -> None:
@@ -339,11 +369,12 @@
 
     def count(self, name: str) -> None:
         """Count an event."""
-        self.counters[name] += 1
+        self.operations.metrics.count(name)
 
-    def count_decision(self, key: model.DecisionKey) -> None:
-        """Count a decision."""
-        self.decision_counts[key] += 1
+    def part(self, connection: peer_connection.PeerConnection) -> None:
+        """Forget a connection that has ended."""
+        self.pool.remove(connection)
+        self.operations.note_closed(connection)
 
     def describe(self) -> dict[str, object]:
         """Describe the state of the node for operators."""
@@ -375,9 +406,9 @@
             ],
             'policy': self.tickets.describe(),
             'connections': sorted(self.pool.connections),
+            **self.operations.describe(),
             'control': {
                 'sent_bytes': self.traffic.sent,
                 'received_bytes': self.traffic.received,
             },
-            'counters': dict(self.counters),
         }
--- a/oleanderknot/tasks/order_dispatcher.py
+++ b/oleanderknot/tasks/order_dispatcher.py
@@ -102,6 +102,8 @@
             member = self.calls.choose(call, tried)
             if member is None:
                 return Error(self.calls.refuse_early(call))
+            if tried:
+                self.calls.count_retry(call)
             tried.add(member.instance)
             try:
                 result = await self.sender.attempt(
@@ -115,9 +117,6 @@
                 return result
             if not self.calls.may_retry(call, account, result, body, now):
                 return result
-            self.calls.count_decision(
-                call, model.Rule.RETRIED, model.Verdict.NOT_RUN
-            )
             await self.calls.pause()
 
     async def dispatch_claimed(
@@ -140,6 +139,8 @@
                 return await order_claim.refuse_claimed(
                     call, refusal, self.claims
                 )
+            if tried:
+                self.calls.count_retry(call)
             tried.add(member.instance)
             try:
                 return await self.sender.attempt(
