--- a/bench/load_generator.py
+++ b/bench/load_generator.py
@@ -27,6 +27,8 @@
         repeats: Times that a client repeats a failed request.
         pause_s: Seconds that a client waits before it repeats.
         outcomes: Outcome of each request in order of their start.
+        latest_s: Most seconds that a request was sent after it was due; a
+            high value says that the instance was too busy for the run.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         self.pause_s = pause_s
         self.outcomes: list[load_outcome.LoadOutcome] = []
         self.started_at = 0.0
+        self.latest_s = 0.0
 
     def run(
         self,
@@ -92,6 +95,8 @@
                 end += seconds
                 while due < end:
                     await asyncio.sleep(self.started_at + due - loop.time())
+                    late = loop.time() - self.started_at - due
+                    self.latest_s = max(self.latest_s, late)
                     group.create_task(self.send(session))
                     due += self.rng.expovariate(rate)
                 due = end
