--- a/oleanderknot/cli/node_query.py
+++ b/oleanderknot/cli/node_query.py
@@ -32,6 +32,11 @@
     try:
         async with session.get('http://%s/status' % address) as answer:
             content = await answer.read()
+            if answer.status in (401, 403):
+                return Error(
+                    'it wants the token of the operators: set %s'
+                    % operator_access.TOKEN_VARIABLE
+                )
             if answer.status != 200:
                 return Error('it answered with status %d' % answer.status)
         return Ok(border.NodeStatus.model_validate(json.loads(content)))
@@ -77,10 +82,10 @@
     """
     async with aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=ASK_AT_ONCE),
+        headers=operator_access.build_headers(),
         timeout=aiohttp.ClientTimeout(
             sock_connect=ASK_TIMEOUT_S, sock_read=ASK_TIMEOUT_S
         ),
-        headers=operator_access.build_headers(),
     ) as session:
         first = await ask(session, address)
         if first.is_error():
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -29,6 +29,7 @@
 from oleanderknot.decisions.log_sampler import LogSampler
 from oleanderknot.decisions.member_table import ENDED
 from oleanderknot.decisions.member_table import FORGET_S
+from oleanderknot.decisions.member_table import hash_record
 from oleanderknot.decisions.member_table import is_newer
 from oleanderknot.decisions.member_table import MemberTable
 from oleanderknot.decisions.member_watch import MemberWatch
@@ -60,6 +61,7 @@
 from oleanderknot.decisions.record_exchange import compare
 from oleanderknot.decisions.record_exchange import describe
 from oleanderknot.decisions.record_exchange import ExchangePace
+from oleanderknot.decisions.record_exchange import LIST_BYTES_PER_S
 from oleanderknot.decisions.record_exchange import RecordVersion
 from oleanderknot.decisions.refutation import refute
 from oleanderknot.decisions.refutation import split_claims
@@ -89,25 +91,15 @@
     'ADMITTING_STATES',
     'AdmissionLevel',
     'AdmissionQueue',
-    'CallCohort',
     'CALLER_KEY',
-    'group_by_centre',
-    'is_in_force',
-    'POLL_PERIOD_S',
-    'choose_targets',
-    'find_poll_delay',
-    'list_alive',
-    'split_batches',
-    'describe_changes',
-    'number_ticket',
-    'settle',
-    'CallNumbers',
     'CHANGES_PER_PING',
+    'CallCohort',
+    'CallNumbers',
     'Candidate',
     'ChainAccount',
     'ChainTable',
-    'ConcurrencyLimit',
     'ChangeSpread',
+    'ConcurrencyLimit',
     'ENDED',
     'ExchangePace',
     'FORGET_S',
@@ -116,6 +108,9 @@
     'LoadView',
     'KEY_RETENTION_S',
     'KeyAccountTable',
+    'LIST_BYTES_PER_S',
+    'LocalSuspicion',
+    'MAX_ADDRESSES',
     'MAX_LEVEL',
     'MemberTable',
     'MemberWatch',
@@ -123,6 +118,7 @@
     'OutageWatch',
     'OrderRecord',
     'OrderRecords',
+    'POLL_PERIOD_S',
     'PolicyTable',
     'QueuedCall',
     'RetryBudget',
@@ -144,20 +140,28 @@
     'may_say_not_run',
     'open_account',
     'parse_order_key',
-    'LocalSuspicion',
-    'MAX_ADDRESSES',
     'ProbeAction',
     'ProbeSchedule',
     'ProbeStep',
     'RecordVersion',
     'SUSPICION_S',
+    'choose_targets',
     'compare',
     'describe',
+    'describe_changes',
+    'find_poll_delay',
     'format_address',
+    'group_by_centre',
+    'hash_record',
+    'is_in_force',
     'limit_rides',
+    'list_alive',
+    'number_ticket',
     'plan_row',
     'rank',
     'summarise',
     'refute',
+    'settle',
+    'split_batches',
     'split_claims',
 ]
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -13,6 +13,7 @@
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot import platform
+from oleanderknot import wire
 from oleanderknot.node import operations
 from oleanderknot.node import order_assembly
 from oleanderknot.tasks import admission
@@ -114,7 +115,7 @@
             table=self.members,
             own=own,
             pool=self.pool,
-            count=self.count,
+            count=self.operations.metrics.count,
         )
         self.operations.metrics.gauges.update(
             {
@@ -192,11 +193,11 @@
         handlers = peer_handlers.PeerHandlers(
             run=self.operations.tracing.wrap(self.runner.run),
             query=lambda key, wait_s: self.orders.describe(key, wait_s),
-            gossip=lambda peer, item: self.membership.handle(peer, item),
+            gossip=self.take_gossip,
             policy=lambda peer, item: self.tickets.handle(peer, item),
             opened=self.greet,
             closed=self.part,
-            count=self.count,
+            count=self.operations.metrics.count,
             parting=lambda peer: self.pool.part(peer),
             traffic=self.traffic,
         )
@@ -212,7 +213,7 @@
             policy=self.policy,
             members=self.members,
             pool=self.pool,
-            count=self.count,
+            count=self.operations.metrics.count,
             rng=random.Random(),
         )
         self.runner.gate = work_gate.build_gate(
@@ -238,13 +239,13 @@
             begin=self.operations.tracing.begin,
         )
         self.runner.deeper.find_service_level = (
-            self.dispatcher.find_service_level
+            self.dispatcher.chooser.find_service_level
         )
         self.orders = order_assembly.build_orders(
             table_client=self.table,
             runner=self.runner,
             dispatcher=self.dispatcher,
-            count=self.count,
+            count=self.operations.metrics.count,
         )
         self.callers = http_listener.HttpListener(
             handle=ingress.build_handler(self.dispatcher, self.policy)
@@ -262,7 +263,7 @@
             handle=operator_listener.build_handler(
                 self.describe,
                 token=self.settings.operator_token,
-                count=self.count,
+                count=self.operations.metrics.count,
             )
         )
 
@@ -270,7 +271,10 @@
         """Start to look for other nodes and to watch them."""
         rng = random.Random()
         self.prober = prober.Prober(
-            members=self.membership, pool=self.pool, rng=rng
+            members=self.membership,
+            pool=self.pool,
+            rng=rng,
+            build_policy=self.tickets.build_digest,
         )
         finder = first_peers.FirstPeers(
             members=self.membership,
@@ -301,8 +305,7 @@
         )
 
     def start_tickets(self) -> None:
-        """Start to exchange policy with peers and to poll the table."""
-        self.background.append(asyncio.create_task(self.tickets.run()))
+        """Start to poll the table for tickets."""
         if self.ticket_table is None:
             return
         poll = ticket_poll.TicketPoll(
@@ -361,6 +364,18 @@
             timeout_s=self.settings.drain_timeout_s,
         )
 
+    def take_gossip(
+        self, connection: peer_connection.PeerConnection, message: wire.Gossip
+    ) -> None:
+        """Take a membership message and the digest that rides on a probe.
+
+        Raises:
+            BadFrame: The message is malformed.
+        """
+        self.membership.handle(connection, message)
+        if message.policy is not None:
+            self.tickets.take_digest(connection, message.policy)
+
     def greet(self, connection: peer_connection.PeerConnection) -> None:
         """Take a connection whose handshake is done."""
         self.pool.add(connection)
