Split the node application

Change: listeners, platform clients, the mode without control, the incarnation and the description have files of their own; the application keeps the life cycle.

--- a/oleanderknot/cli/demo/demo_system.py
+++ b/oleanderknot/cli/demo/demo_system.py
@@ -72,7 +72,7 @@
         )
         started = node.NodeApplication(settings=settings)
         await started.start()
-        options.node = 'http://%s:%d' % (HOST, started.egress_port)
+        options.node = 'http://%s:%d' % (HOST, started.listeners.egress_port)
         beside = upstream.Upstream(options=options)
         await beside.start()
         self.instances.append(
--- /dev/null
+++ b/oleanderknot/node/control_mode.py
@@ -0,0 +1,71 @@
+"""Builds runner and dispatcher, with control of load or without."""
+
+import collections.abc
+
+from oleanderknot import border
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.node import operations
+from oleanderknot.tasks import admission
+from oleanderknot.tasks import dispatcher
+from oleanderknot.tasks import open_admission
+from oleanderknot.tasks import peer_pool
+from oleanderknot.tasks import plain_dispatcher
+from oleanderknot.tasks import runner as runners
+from oleanderknot.tasks import work_gate
+
+
+def build_runner(
+    settings: border.NodeSettings,
+    chains: decisions.ChainTable,
+    policy: decisions.PolicyTable,
+) -> runners.Runner:
+    """Build the task that runs calls at the own upstream."""
+    built = runners.Runner(
+        chains=chains,
+        build_admission=admission.Admission
+        if settings.control
+        else open_admission.OpenAdmission,
+    )
+    built.gate = work_gate.build_gate(policy, settings.instance)
+    return built
+
+
+def build_dispatcher(
+    *,
+    control: bool,
+    identity: model.NodeIdentity,
+    members: decisions.MemberTable,
+    policy: decisions.PolicyTable,
+    runner: runners.Runner,
+    pool: peer_pool.PeerPool,
+    seen: operations.Operations,
+) -> dispatcher.Dispatcher:
+    """Build the task that sends calls and connect it to the runner.
+
+    Args:
+        control: Whether the node controls load.
+        identity: Identity of the node.
+        members: Nodes and upstreams that are known.
+        policy: Policy in force.
+        runner: Runs calls at the own upstream.
+        pool: Connections to other nodes.
+        seen: Takes decisions and spans.
+
+    Returns:
+        The dispatcher.
+    """
+    build: collections.abc.Callable[..., dispatcher.Dispatcher] = (
+        dispatcher.Dispatcher if control else plain_dispatcher.PlainDispatcher
+    )
+    built = build(
+        identity=identity,
+        members=members,
+        policy=policy,
+        runner=runner,
+        pool=pool,
+        record=seen.recorder.record,
+        begin=seen.tracing.begin,
+    )
+    runner.deeper.find_service_level = built.chooser.find_service_level
+    return built
--- a/oleanderknot/node/operations.py
+++ b/oleanderknot/node/operations.py
@@ -8,6 +8,7 @@
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot import platform
+from oleanderknot.node import platform_clients
 from oleanderknot.tasks import account
 from oleanderknot.tasks import alerts
 from oleanderknot.tasks import condition_watch
@@ -18,20 +19,6 @@
 from oleanderknot.tasks import tracing
 
 
-def build_object_client(
-    settings: border.NodeSettings,
-) -> platform.ObjectClient | None:
-    """Build the client of the object store, if settings name one."""
-    host = settings.listen.host
-    if not settings.platform.object_url:
-        return None
-    return platform.ObjectClient(
-        url=settings.platform.object_url,
-        timeout_s=settings.platform.timeout_ms / 1000,
-        local_host=None if host.is_unspecified else str(host),
-    )
-
-
 class Operations:
     """Holds metrics, account and alerts, and runs their life cycle.
 
@@ -71,7 +58,7 @@
         )
         self.account = account.Account(
             identity=identity,
-            client=build_object_client(settings),
+            client=platform_clients.build_object_client(settings),
             settings=settings.account,
             hooks=account.AccountHooks(
                 count=self.metrics.count,
