--- a/oleanderknot/tasks/order_sender.py
+++ b/oleanderknot/tasks/order_sender.py
@@ -80,7 +80,7 @@
                 connection, home, call, key, account, content, body
             )
         except ConnectionError:
-            self.calls.suspicions.note_unreachable(
+            self.calls.chooser.suspicions.note_unreachable(
                 member.instance, time.monotonic()
             )
             raise
@@ -115,7 +115,7 @@
             and result.is_error()
             and result.error.rule is model.Rule.CONNECTION_LOST
         ):
-            self.calls.suspicions.note_unreachable(
+            self.calls.chooser.suspicions.note_unreachable(
                 home.instance, time.monotonic()
             )
             result = await self.inquiry.ask(
