Name the close of a connection by the field's term

Cause: the type that ends a connection without cutting calls had a figurative name. Change: it is called graceful close, with its functions.

--- a/features/support/fake_peer.py
+++ b/features/support/fake_peer.py
@@ -94,7 +94,7 @@
         opened=lambda connection: None,
         closed=lambda connection: None,
         count=lambda name: None,
-        parting=lambda connection: None,
+        closing=lambda connection: None,
         traffic=control_traffic.ControlTraffic(),
     )
 
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -115,7 +115,7 @@
         await self.drain()
         self.membership.change_own(state=model.MemberState.LEFT)
         self.listeners.peers.close()
-        await self.pool.say_goodbye(GOODBYE_S)
+        await self.pool.close_gracefully(GOODBYE_S)
         for task in self.background:
             task.cancel()
         await asyncio.gather(*self.background, return_exceptions=True)
@@ -184,9 +184,9 @@
             gossip=self.take_gossip,
             policy=lambda peer, item: self.tickets.handle(peer, item),
             opened=self.greet,
-            closed=self.part,
+            closed=self.forget_connection,
             count=self.operations.metrics.count,
-            parting=lambda peer: self.pool.part(peer),
+            closing=lambda peer: self.pool.withdraw(peer),
             traffic=self.traffic,
         )
 
@@ -318,7 +318,9 @@
         self.membership.greet(connection)
         self.tickets.greet(connection)
 
-    def part(self, connection: peer_connection.PeerConnection) -> None:
+    def forget_connection(
+        self, connection: peer_connection.PeerConnection
+    ) -> None:
         """Forget a connection that has ended."""
         self.pool.remove(connection)
         self.operations.note_closed(connection)
--- a/oleanderknot/tasks/parting.py
+++ b/oleanderknot/tasks/graceful_close.py
@@ -7,7 +7,7 @@
 GOODBYE_S = 2.0
 
 
-class Parting:
+class GracefulClose:
     """Agrees with the other node that a connection ends.
 
     A plain close could cut a call that the other node has just sent.
--- a/oleanderknot/tasks/peer_connection.py
+++ b/oleanderknot/tasks/peer_connection.py
@@ -11,10 +11,10 @@
 from oleanderknot import model
 from oleanderknot import wire
 from oleanderknot.tasks import body_sender
+from oleanderknot.tasks import graceful_close
 from oleanderknot.tasks import handshake
 from oleanderknot.tasks import incoming_calls
 from oleanderknot.tasks import outgoing_calls
-from oleanderknot.tasks import parting
 from oleanderknot.tasks import peer_handlers
 from oleanderknot.tasks import silence_watch
 
@@ -30,7 +30,7 @@
         peer: Identity of the other node after the handshake.
         ready: Done after the handshake; holds the error if it failed.
         session: Number of the connection, in every frame.
-        parting: Ends the connection when both sides have finished.
+        graceful_close: Ends the connection when both sides have finished.
         used_at: Loop time in seconds of the last frame received.
         silent: Whether it ended because it had gone silent.
         finished: Whether this node has ended its direction.
@@ -77,13 +77,15 @@
             probe=lambda: self.send(0, ping=wire.Ping(number=0)),
             on_silent=self.close_silent,
         )
-        self.parting = parting.Parting(
+        self.graceful_close = graceful_close.GracefulClose(
             is_idle=self.is_idle,
-            announce=self.announce_parting,
+            announce=self.announce_close,
             finish=self.finish,
             give_up=lambda: self.close('no answer to the goodbye'),
         )
-        self.outgoing.on_done = self.incoming.on_done = self.parting.check
+        self.outgoing.on_done = self.incoming.on_done = (
+            self.graceful_close.check
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the handshake; called by the event loop."""
@@ -211,7 +213,7 @@
         elif frame.key_state is not None and own:
             self.outgoing.handle_key_state(number, frame.key_state)
         elif frame.goodbye is not None:
-            self.parting.handle()
+            self.graceful_close.handle()
         elif frame.pong is None:
             raise wire.BadFrame('frame without a message for this side')
 
@@ -246,9 +248,9 @@
         """Return whether neither side waits for the other one."""
         return not self.has_work() and not self.incoming.entries
 
-    def announce_parting(self) -> None:
+    def announce_close(self) -> None:
         """Tell both nodes that this one opens no more calls here."""
-        self.handlers.parting(self)
+        self.handlers.closing(self)
         self.send(0, goodbye=wire.Goodbye())
 
     def finish(self) -> None:
@@ -280,7 +282,7 @@
             return
         self.closed = True
         self.watch.stop()
-        self.parting.stop()
+        self.graceful_close.stop()
         self.resume_writing()
         error = ConnectionError('%s: %s' % (self.describe(), why))
         if not self.ready.done():
--- a/oleanderknot/tasks/peer_handlers.py
+++ b/oleanderknot/tasks/peer_handlers.py
@@ -31,7 +31,7 @@
         opened: Called when the handshake is done.
         closed: Called when the connection has ended.
         count: Counts an event by name, for metrics.
-        parting: Called when a connection takes no more calls.
+        closing: Called when a connection takes no more calls.
         traffic: Counts the bytes of control.
     """
 
@@ -48,5 +48,5 @@
     opened: collections.abc.Callable[['peer_connection.PeerConnection'], None]
     closed: collections.abc.Callable[['peer_connection.PeerConnection'], None]
     count: collections.abc.Callable[[str], None]
-    parting: collections.abc.Callable[['peer_connection.PeerConnection'], None]
+    closing: collections.abc.Callable[['peer_connection.PeerConnection'], None]
     traffic: control_traffic.ControlTraffic
--- a/oleanderknot/tasks/peer_pool.py
+++ b/oleanderknot/tasks/peer_pool.py
@@ -166,7 +166,7 @@
         self.open.add(connection)
         self.connections[connection.peer.instance] = connection
 
-    def part(self, connection: peer_connection.PeerConnection) -> None:
+    def withdraw(self, connection: peer_connection.PeerConnection) -> None:
         """Give a connection no more calls."""
         peer = connection.peer
         if peer and self.connections.get(peer.instance) is connection:
@@ -174,7 +174,7 @@
 
     def remove(self, connection: peer_connection.PeerConnection) -> None:
         """Forget a connection that has ended."""
-        self.part(connection)
+        self.withdraw(connection)
         self.open.discard(connection)
         if connection.silent:
             # What silenced it may have silenced others that are idle.
@@ -190,9 +190,9 @@
             oldest = asyncio.get_running_loop().time() - IDLE_S
             for connection in list(self.open):
                 if connection.used_at < oldest and connection.is_idle():
-                    connection.parting.start()
+                    connection.graceful_close.start()
 
-    async def say_goodbye(self, timeout_s: float) -> None:
+    async def close_gracefully(self, timeout_s: float) -> None:
         """End all connections once their calls are done.
 
         Args:
@@ -200,7 +200,7 @@
         """
         self.emptied.clear()
         for connection in list(self.open):
-            connection.parting.start()
+            connection.graceful_close.start()
         if self.open:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.emptied.wait(), timeout_s)
