--- a/oleanderknot/cli/alert_ack.py
+++ b/oleanderknot/cli/alert_ack.py
@@ -31,6 +31,12 @@
         platform_options.SETTINGS,
         ticket_options.TABLE,
     ]
+    help = """Takes an alert out of the morning report; it stays in the list \
+of all alerts with the name of the operator.
+
+Example:
+
+    oleanderknot alert ack member-dead.orders-2 --settings node.yaml"""
 
     def carry_out(self) -> int:
         """See the base class."""
--- a/oleanderknot/cli/alert_list.py
+++ b/oleanderknot/cli/alert_list.py
@@ -23,6 +23,12 @@
         ticket_options.TABLE,
         ticket_options.OUTPUT,
     ]
+    help = """Lists open alerts with what each says and what to do; alerts \
+of a data centre's nodes are all in the platform's table.
+
+Example:
+
+    oleanderknot alert list --settings node.yaml"""
 
     def carry_out(self) -> int:
         """See the base class."""
--- a/oleanderknot/cli/check.py
+++ b/oleanderknot/cli/check.py
@@ -23,6 +23,13 @@
             'output', description='text or json', flag=False, default='text'
         )
     ]
+    help = """Names every mistake of a settings file with line and field, \
+what was found and what is allowed.
+The exit code is 0 when there is none and 2 when there is one.
+
+Example:
+
+    oleanderknot check node.yaml"""
 
     def handle(self) -> int:
         """Run the command."""
--- a/oleanderknot/cli/node.py
+++ b/oleanderknot/cli/node.py
@@ -17,6 +17,14 @@
     name = 'node'
     description = 'Run a node beside an upstream'
     arguments = [argument('settings', description='YAML settings file')]
+    help = """Runs a node beside an upstream and logs JSON lines to standard \
+error.
+SIGTERM is a planned stop: requests in flight run to their end. The exit code \
+is 2 when the settings are wrong.
+
+Example:
+
+    oleanderknot node node.yaml"""
 
     def handle(self) -> int:
         """Run the command."""
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -94,7 +94,14 @@
         await self.listeners.start()
         if self.settings.upstream is not None:
             await self.announce(self.settings.upstream)
-        logging.info('node %s started: %s', self.identity.instance, own)
+        logging.info(
+            'node %s started: callers at %s:%d, other nodes at %s:%d',
+            own.instance,
+            self.settings.listen.host,
+            own.caller_port,
+            own.host,
+            own.peer_port,
+        )
 
     async def stop(self, error: Exception | None = None) -> None:
         """Drain and stop all tasks; called by aiomisc.
