--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -66,7 +66,6 @@
         self.chains = decisions.ChainTable()
         self.traffic = control_traffic.ControlTraffic()
         self.background: list[asyncio.Task] = []
-        self.stopped = asyncio.Event()
 
     # Life-cycle hooks.
 
