--- /dev/null
+++ b/features/platform_changes.feature
@@ -0,0 +1,68 @@
+Feature: Heartbeats, policies and stops on a platform
+
+  Background:
+    Given a platform with the routes
+      | name  | prefix  | kind   | service   |
+      | page  | /page/  | safe   | catalogue |
+      | order | /order/ | unsafe | orders    |
+    And the instance "one" with a back end of "catalogue"
+    And the instance "two" with a back end of "orders"
+    And "one" serves "/order/ready" and "/page/ready"
+
+  Scenario: An upstream that says that it drains gets no new request
+    Guards against work sent after the heartbeat was acknowledged.
+    When the back end of "two" says "draining"
+    And a client of "one" sends POST "/order/1" as "a1"
+    Then it gets status 503
+    And "a1" ran nowhere
+    When the back end of "two" says "ready"
+    Then "one" serves "/order/ready" again
+
+  Scenario Outline: A foreign or late heartbeat changes nothing
+    Guards against an upstream taken out by what it did not say.
+    When the back end of "two" sends a heartbeat with <field> <value>
+    And a client of "one" sends POST "/order/1" as "b1"
+    Then it gets status 200
+
+    Examples:
+      | field   | value                |
+      | state   | draining&sequence=0  |
+      | state   | draining&born=1      |
+      | service | other&state=draining |
+      | state   | unheard              |
+      | slots   | many                 |
+      | address | 127.0.9.9:1          |
+
+  Scenario: A policy that is not valid leaves the last one in force
+    Guards against routes lost to a document that cannot be read.
+    When the operator's document is "{"
+    And a client of "one" sends GET "/page/1" as "c1"
+    Then it gets status 200
+
+  Scenario: A new version is in force at both nodes and never goes back
+    When the route "extra" with prefix "/extra/" for "orders" is added
+    Then "one" serves "/extra/1" again
+    And "two" serves "/extra/1" again
+    When the operator's document is an older version without routes
+    And a client of "one" sends GET "/extra/1" as "d1"
+    Then it gets status 200
+
+  Scenario: The store forgets its history and changes are still heard
+    Guards against a feed that waits for ever after its place was dropped.
+    When the store forgets its history
+    And the route "extra" with prefix "/extra/" for "orders" is added
+    Then "one" serves "/extra/1" again
+
+  Scenario: A node that starts while the store is away learns from its peers
+    Guards against a node that answers 404, or nothing, until the store is back.
+    When the store has the faults "silent"
+    And the node of "one" is killed and started
+    Then the node of "one" answers 503 and never 404 until it is ready
+
+  Scenario: A node that was told to stop finishes its requests
+    Guards against a payment cut off by planned work.
+    When a client of "two" sends POST "/order/1?delay_ms=1500" as "f1" and waits
+    And the node of "two" gets SIGTERM
+    Then readiness of "two" is refused
+    And the waiting client gets status 200
+    And the node of "two" exits with status 0
--- a/features/steps/embedded_steps.py
+++ b/features/steps/embedded_steps.py
@@ -8,7 +8,7 @@
 from features.support import ports
 from oleanderknot import border
 from oleanderknot import model
-from oleanderknot import node
+from oleanderknot.node import embedded_node
 
 
 async def send_all(context, paths):
@@ -25,7 +25,7 @@
             'seeds': seeds,
         }
     )
-    async with node.open_node(settings) as embedded:
+    async with embedded_node.open_node(settings) as embedded:
         while len(embedded.node.members.members) < 3:
             await asyncio.sleep(0.02)
         return [await embedded.request('GET', path) for path in paths]
--- /dev/null
+++ b/features/steps/platform_change_steps.py
@@ -0,0 +1,131 @@
+"""Steps about heartbeats, policies and stops on a platform."""
+
+import http.client
+import signal
+import time
+
+from behave import then
+from behave import when
+
+from features.support import wait
+
+
+@when('the back end of "{name}" says "{state}"')
+def change_state(context, name, state):
+    """Let a back end report a state; the heartbeat is acknowledged."""
+    status = context.fleet.ask_backend(name, '/-/state?value=' + state)
+    assert status == 200, status
+
+
+@when('the back end of "{name}" sends a heartbeat with {field:w} {value}')
+def send_heartbeat(context, name, field, value):
+    """Send one heartbeat that differs from the usual ones."""
+    context.fleet.ask_backend(name, '/-/report?%s=%s' % (field, value))
+
+
+@then('"{name}" serves "{target}" again')
+def check_served(context, name, target):
+    """Wait until requests are served."""
+    context.fleet.wait_for_service(name, target)
+
+
+@when('the operator\'s document is "{text}"')
+def put_document(context, text):
+    """Put bytes that are no policy, and wait until nodes have seen them."""
+    context.fleet.put_row(text)
+    for item in context.fleet.sidecars.values():
+        wait.wait_until(
+            lambda item=item: 'is not valid' in item.process.read_log(),
+            '%s sees the document' % item.name,
+        )
+
+
+@when('the route "{name}" with prefix "{prefix}" for "{service}" is added')
+def add_route(context, name, prefix, service):
+    """Put a new version with one more route."""
+    context.fleet.routes[name] = {'prefix': prefix, 'service': service}
+    context.fleet.put_policy()
+
+
+@when("the operator's document is an older version without routes")
+def put_older(context):
+    """Put a document whose version is lower, then a marker that is not."""
+    context.fleet.put_row('{"version": 0, "resources": []}')
+    put_document(context, '{')
+
+
+@when('the store forgets its history')
+def forget(context):
+    """Drop the history of the store."""
+    context.fleet.set_faults(forget=True)
+
+
+@when('the store has the faults "{name}"')
+def set_fault(context, name):
+    """Set a fault of the store."""
+    context.fleet.set_faults(**{name: True})
+
+
+@when('the node of "{name}" is killed and started')
+def restart(context, name):
+    """Kill a node and start it again."""
+    item = context.fleet.sidecars[name]
+    item.process.kill()
+    context.fleet.restart(item)
+
+
+@then('the node of "{name}" answers 503 and never 404 until it is ready')
+def check_restart(context, name):
+    """Send requests until one is served; all others must be refused."""
+    statuses = []
+
+    def served():
+        try:
+            statuses.append(context.fleet.send(name, '/page/1')[0])
+        except (OSError, http.client.HTTPException):
+            return False
+        return statuses[-1] == 200
+
+    wait.wait_until(served, '%s serves again' % name)
+    assert set(statuses) <= {200, 503}, statuses
+
+
+@when('the node of "{name}" gets SIGTERM')
+def terminate(context, name):
+    """Tell a node to stop."""
+    context.fleet.sidecars[name].process.send(signal.SIGTERM)
+
+
+def ask_readiness(context, name):
+    """Return the status of a node's readiness."""
+    host, port = context.fleet.sidecars[name].readiness.split(':')
+    connection = http.client.HTTPConnection(host, int(port), timeout=5)
+    try:
+        connection.request('GET', '/v1/readiness')
+        return connection.getresponse().status
+    finally:
+        connection.close()
+
+
+@then('readiness of "{name}" is refused')
+def check_unready(context, name):
+    """Wait until a node says that it is not ready."""
+    wait.wait_until(
+        lambda: ask_readiness(context, name) == 503, 'readiness ends'
+    )
+
+
+@then('the waiting client gets status {status:d}')
+def check_waiting(context, status):
+    """Wait for the answer to the request in the background."""
+    context.sender.join(20)
+    assert context.answer[0] == status, context.answer
+
+
+@then('the node of "{name}" exits with status {status:d}')
+def check_exit(context, name, status):
+    """Wait for the end of a node."""
+    started = time.monotonic()
+    found = context.fleet.sidecars[name].process.wait()
+    assert found == status, found
+    assert time.monotonic() - started < 6.0
--- /dev/null
+++ b/features/support/fleet.py
@@ -0,0 +1,242 @@
+"""All processes of one scenario on a platform."""
+
+import base64
+import http.client
+import json
+
+import yaml
+
+from features.support import http as plain_http
+from features.support import ports
+from features.support import process
+from features.support import sidecar
+from features.support import system
+
+DEFAULT_LIMITS = {
+    'maxHeaderBytes': 16384,
+    'maxBodyBytes': 4 << 20,
+    'headerTimeout': '3000ms',
+    'idleTimeout': '15000ms',
+}
+
+
+class Fleet:
+    """Starts the store, nodes and back ends of a scenario.
+
+    Attributes:
+        system: Owner of the processes.
+        sidecars: Instances by name.
+        store_port: TCP port of the store.
+        routes: Specification of each route by name.
+        version: Version of the policy that was put last.
+    """
+
+    def __init__(self, *, system: system.System) -> None:
+        self.system = system
+        self.sidecars: dict[str, sidecar.Sidecar] = {}
+        self.routes: dict[str, dict[str, object]] = {}
+        self.version = 0
+        (self.store_port,) = ports.take_ports(1)
+
+    def store_url(self, path: str) -> str:
+        """Return an address of the store."""
+        return 'http://127.0.0.1:%d%s' % (self.store_port, path)
+
+    def start_store(self) -> process.Process:
+        """Start the store."""
+        started = self.system.run(
+            'store',
+            'oleanderknot.standins.row_server',
+            '--port',
+            str(self.store_port),
+        )
+        self.system.wait_for(
+            lambda: (
+                plain_http.get_json(self.store_url('/-/counts')) is not None
+            ),
+            'the store starts',
+        )
+        return started
+
+    def set_faults(self, **faults: object) -> None:
+        """Change the faults of the store."""
+        plain_http.post_json(self.store_url('/-/faults'), faults)
+
+    def put_policy(self, **limits: object) -> int:
+        """Put a new version of the policy; return its number."""
+        self.version += 1
+        services = {item.service for item in self.sidecars.values()}
+        resources = [
+            {
+                'resourceType': 'routes',
+                'metadata': {'name': name},
+                'specification': {
+                    'host': 'shop.example',
+                    'kind': 'safe',
+                    'timeout': '2000ms',
+                    'targetLatency': '1000ms',
+                    'maxAttempts': 2,
+                    'priority': 1,
+                    **specification,
+                },
+            }
+            for name, specification in self.routes.items()
+        ]
+        resources += [
+            {
+                'resourceType': 'services',
+                'metadata': {'name': name},
+                'specification': {'healthCheckPath': '/health'},
+            }
+            for name in sorted(services)
+        ]
+        resources.append(
+            {
+                'resourceType': 'limits',
+                'metadata': {},
+                'specification': {**DEFAULT_LIMITS, **limits},
+            }
+        )
+        self.put_row(
+            json.dumps({'version': self.version, 'resources': resources})
+        )
+        return self.version
+
+    def put_row(self, text: str) -> None:
+        """Put the operators' document as it is."""
+        value = base64.b64encode(text.encode()).decode()
+        plain_http.post_json(
+            self.store_url('/-/put'),
+            {'table': 'op', 'key': 'config', 'value': value},
+        )
+
+    def start(
+        self, name: str, service: str, data_centre: str = 'dc1', **more: object
+    ) -> sidecar.Sidecar:
+        """Start a node and its back end.
+
+        Args:
+            name: Name of the instance.
+            service: Service of the back end.
+            data_centre: Data centre of the instance.
+            more: Settings besides the usual ones.
+
+        Returns:
+            The instance.
+        """
+        host = self.system.find_host(data_centre)
+        numbers = ports.take_ports(6)
+        addresses = ['%s:%d' % (host, number) for number in numbers]
+        item = sidecar.Sidecar(
+            name=name,
+            service=service,
+            host=host,
+            requests=addresses[0],
+            readiness=addresses[1],
+            heartbeats=addresses[2],
+            peers=addresses[3],
+            metrics=addresses[4],
+            backend_address=addresses[5],
+        )
+        self.sidecars[name] = item
+        content = {
+            'instance': name,
+            'data_centre': data_centre,
+            'addresses': {
+                'requests': item.requests,
+                'readiness': item.readiness,
+                'heartbeats': item.heartbeats,
+                'peers': item.peers,
+            },
+            'upstream': {'service': service, 'address': item.backend_address},
+            'store': {'address': '127.0.0.1:%d' % self.store_port},
+            'retries': {'ratio': 0.2, 'slack': 40, 'window': '10s'},
+            **more,
+        }
+        path = self.system.folder / (name + '.yaml')
+        path.write_text(yaml.safe_dump(content))
+        self.restart_backend(item)
+        self.restart(item)
+        return item
+
+    def restart(self, item: sidecar.Sidecar) -> None:
+        """Start the process of a node."""
+        path = self.system.folder / (item.name + '.yaml')
+        item.process = self.system.run(
+            'sidecar-' + item.name, 'oleanderknot', 'sidecar', str(path)
+        )
+
+    def restart_backend(self, item: sidecar.Sidecar, *arguments: str) -> None:
+        """Start the process of a back end."""
+        item.backend = self.system.run(
+            'backend-' + item.name,
+            'oleanderknot.standins.backend',
+            '--name',
+            item.name,
+            '--service',
+            item.service,
+            '--address',
+            item.backend_address,
+            '--control',
+            item.heartbeats,
+            '--node',
+            item.requests,
+            *arguments,
+        )
+
+    def send(
+        self,
+        name: str,
+        target: str,
+        *,
+        method: str = 'GET',
+        request_id: str = 'r1',
+        body: bytes = b'',
+        wait_ms: int = 2000,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Send a request to a node as a client would.
+
+        Returns:
+            Status, headers with names in lower case, and body.
+        """
+        host, port = self.sidecars[name].requests.split(':')
+        connection = http.client.HTTPConnection(host, int(port), timeout=20)
+        try:
+            connection.request(
+                method,
+                target,
+                body or None,
+                {
+                    'Host': 'shop.example',
+                    'Request-Id': request_id,
+                    'Deadline-Milliseconds': str(wait_ms),
+                    **(headers or {}),
+                },
+            )
+            answer = connection.getresponse()
+            found = {key.lower(): value for key, value in answer.getheaders()}
+            return answer.status, found, answer.read()
+        finally:
+            connection.close()
+
+    def ask_backend(self, name: str, path: str) -> dict:
+        """Send a command to a back end."""
+        address = self.sidecars[name].backend_address
+        return plain_http.get_json('http://%s%s' % (address, path))
+
+    def list_runs(self) -> list[dict[str, str]]:
+        """Return the runs that all live back ends recorded."""
+        return [
+            run
+            for name, item in self.sidecars.items()
+            if item.backend is not None and item.backend.is_running()
+            for run in self.ask_backend(name, '/-/runs')['runs']
+        ]
+
+    def wait_for_service(self, name: str, target: str) -> None:
+        """Wait until a node serves a request."""
+        self.system.wait_for(
+            lambda: self.send(name, target, request_id='wait')[0] == 200,
+            '%s serves %s' % (name, target),
+        )
--- a/oleanderknot/__init__.py
+++ b/oleanderknot/__init__.py
@@ -7,12 +7,18 @@
         result = await node.request('GET', '/catalogue/page')
 """
 
-from oleanderknot.border.settings_file import load_settings
-from oleanderknot.model.answer import Answer
-from oleanderknot.model.refusal import Refusal
-from oleanderknot.model.verdict import Verdict
-from oleanderknot.node.embedded_node import EmbeddedNode
-from oleanderknot.node.embedded_node import open_node
+import importlib
+
+# Module of each public name. It is imported at first use, since each process
+# of a node would otherwise import what only embedding callers need.
+PUBLIC = {
+    'Answer': 'oleanderknot.model.answer',
+    'EmbeddedNode': 'oleanderknot.node.embedded_node',
+    'Refusal': 'oleanderknot.model.refusal',
+    'Verdict': 'oleanderknot.model.verdict',
+    'load_settings': 'oleanderknot.border.settings_file',
+    'open_node': 'oleanderknot.node.embedded_node',
+}
 
 __all__ = [
     'Answer',
@@ -22,3 +28,12 @@
     'load_settings',
     'open_node',
 ]
+
+
+def __getattr__(name: str) -> object:
+    """Import a public name at its first use (PEP 562)."""
+    if name not in PUBLIC:
+        raise AttributeError(
+            'module %r has no attribute %r' % (__name__, name)
+        )
+    return getattr(importlib.import_module(PUBLIC[name]), name)
--- a/oleanderknot/cli/demo/demo_instance.py
+++ b/oleanderknot/cli/demo/demo_instance.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from oleanderknot import node
+from oleanderknot.node import application
 from oleanderknot.standins import upstream
 
 
@@ -19,7 +19,7 @@
 
     name: str
     service: str
-    node: node.NodeApplication
+    node: application.NodeApplication
     upstream: upstream.Upstream
 
     def find_caller_port(self) -> int:
--- a/oleanderknot/cli/demo/demo_system.py
+++ b/oleanderknot/cli/demo/demo_system.py
@@ -4,8 +4,8 @@
 
 from oleanderknot import border
 from oleanderknot import model
-from oleanderknot import node
 from oleanderknot.cli.demo import demo_instance
+from oleanderknot.node import application
 from oleanderknot.standins import platform_server
 from oleanderknot.standins import upstream
 from oleanderknot.standins import upstream_options
@@ -70,7 +70,7 @@
                 'platform': {'table_url': self.url, 'object_url': self.url},
             }
         )
-        started = node.NodeApplication(settings=settings)
+        started = application.NodeApplication(settings=settings)
         await started.start()
         options.node = 'http://%s:%d' % (HOST, started.listeners.egress_port)
         beside = upstream.Upstream(options=options)
--- a/oleanderknot/cli/main.py
+++ b/oleanderknot/cli/main.py
@@ -1,20 +1,41 @@
 """The command line."""
 
+import importlib
 import sys
 
-from oleanderknot.cli import alert_ack
-from oleanderknot.cli import alert_list
-from oleanderknot.cli import check
+from cleo.commands import command
+from cleo.loaders import factory_command_loader
+
 from oleanderknot.cli import command_line
-from oleanderknot.cli import explain
-from oleanderknot.cli import node
-from oleanderknot.cli import sidecar
-from oleanderknot.cli import status
-from oleanderknot.cli import ticket_file
-from oleanderknot.cli import ticket_list
-from oleanderknot.cli import ticket_show
-from oleanderknot.cli import ticket_status
-from oleanderknot.cli.demo import command as demo
+
+# Module and class of each command. A module is imported when its command
+# runs: a node that starts again would otherwise wait for the imports of all.
+COMMANDS = {
+    'alert ack': ('alert_ack', 'AlertAckCommand'),
+    'alert list': ('alert_list', 'AlertListCommand'),
+    'check': ('check', 'CheckCommand'),
+    'demo': ('demo.command', 'DemoCommand'),
+    'explain': ('explain', 'ExplainCommand'),
+    'node': ('node', 'NodeCommand'),
+    'sidecar': ('sidecar', 'SidecarCommand'),
+    'status': ('status', 'StatusCommand'),
+    'ticket file': ('ticket_file', 'TicketFileCommand'),
+    'ticket list': ('ticket_list', 'TicketListCommand'),
+    'ticket show': ('ticket_show', 'TicketShowCommand'),
+    'ticket status': ('ticket_status', 'TicketStatusCommand'),
+}
+
+
+def build_command(name: str) -> command.Command:
+    """Import and build a command.
+
+    Args:
+        name: Name of the command.
+    """
+    module, kind = COMMANDS[name]
+    return getattr(
+        importlib.import_module('oleanderknot.cli.' + module), kind
+    )()
 
 
 def main() -> int:
@@ -25,18 +46,11 @@
         settings.
     """
     app = command_line.CommandLine('oleanderknot', '0.1.0')
-    app.add(check.CheckCommand())
-    app.add(demo.DemoCommand())
-    app.add(node.NodeCommand())
-    app.add(sidecar.SidecarCommand())
-    app.add(ticket_file.TicketFileCommand())
-    app.add(ticket_list.TicketListCommand())
-    app.add(ticket_show.TicketShowCommand())
-    app.add(ticket_status.TicketStatusCommand())
-    app.add(explain.ExplainCommand())
-    app.add(status.StatusCommand())
-    app.add(alert_list.AlertListCommand())
-    app.add(alert_ack.AlertAckCommand())
+    app.set_command_loader(
+        factory_command_loader.FactoryCommandLoader(
+            {name: lambda name=name: build_command(name) for name in COMMANDS}
+        )
+    )
     return app.execute()
 
 
--- /dev/null
+++ b/oleanderknot/standins/row_server.py
@@ -0,0 +1,144 @@
+"""Stand-in of the platform's store."""
+
+import argparse
+import asyncio
+import json
+import signal
+import time
+
+from aiohttp import web
+
+from oleanderknot.standins import row_table
+
+
+class RowServer:
+    """Serves rows over HTTP.
+
+    ``POST /-/faults`` sets faults: ``down`` resets connections, ``busy``
+    answers 503, ``silent`` never answers, ``delay_ms`` answers late,
+    ``drop_commits`` ends that many connections after a write has taken
+    effect, ``forget`` drops the history. ``POST /-/put`` writes a row as the
+    operator would. ``GET /-/counts`` tells the calls.
+
+    Attributes:
+        table: The rows.
+        faults: Faults in force.
+        calls: Calls by path.
+    """
+
+    def __init__(self) -> None:
+        self.table = row_table.RowTable()
+        self.faults: dict[str, float] = {}
+        self.calls: dict[str, int] = {}
+        self.server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Start to listen."""
+        self.server = await asyncio.get_running_loop().create_server(
+            web.Server(self.answer, access_log=None), host, port, backlog=1024
+        )
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request with the faults in force."""
+        if request.path.startswith('/-/'):
+            return await self.control(request)
+        self.calls[request.path] = self.calls.get(request.path, 0) + 1
+        faults = self.faults
+        if faults.get('silent'):
+            await asyncio.sleep(3600)
+        if faults.get('down'):
+            request.transport.abort()
+            return web.Response()
+        if faults.get('busy'):
+            return web.Response(status=503)
+        response = await self.serve(request)
+        if faults.get('delay_ms'):
+            await asyncio.sleep(faults['delay_ms'] / 1000)
+        if request.path == '/v1/rows-tx' and faults.get('drop_commits', 0) > 0:
+            faults['drop_commits'] -= 1
+            request.transport.abort()
+        return response
+
+    async def control(self, request: web.BaseRequest) -> web.Response:
+        """Carry out a command of a test."""
+        if request.path == '/-/counts':
+            return web.json_response(self.calls)
+        content = json.loads(await request.read())
+        if request.path == '/-/put':
+            address = (content['table'], '', content['key'])
+            await self.table.commit({}, {address: content['value']}, ())
+        elif content.pop('forget', False):
+            self.table.forget()
+        self.faults.update(content)
+        return web.json_response({})
+
+    async def serve(self, request: web.BaseRequest) -> web.Response:
+        """Carry out one call."""
+        if request.path == '/v1/rows-tx':
+            return await self.commit(json.loads(await request.read()))
+        query = request.query
+        if request.path == '/v1/rows-get':
+            limit = int(query.get('limit', 500))
+            rows = self.table.read(
+                query['table'], query['part'], query.get('from', ''), limit + 1
+            )
+            more = len(rows) > limit
+            return self.build_answer(200, rows=rows[:limit], hasMore=more)
+        if request.path == '/v1/rows-feed':
+            rows = await self.table.follow(
+                query['table'],
+                int(query['after']),
+                int(query['waitMs']) / 1000,
+            )
+            if rows is None:
+                return web.Response(status=410)
+            return self.build_answer(200, rows=rows)
+        return web.Response(status=404)
+
+    async def commit(self, content: dict) -> web.Response:
+        """Carry out a transaction."""
+        done = await self.table.commit(
+            {
+                find_address(row): row['rowVersion']
+                for row in content['expected']
+            },
+            {find_address(row): row['value'] for row in content['put']},
+            [find_address(row) for row in content['remove']],
+        )
+        return self.build_answer(200 if done else 412)
+
+    def build_answer(self, status: int, **fields: object) -> web.Response:
+        """Build an answer about rows."""
+        return web.json_response(
+            {
+                **fields,
+                'rowVersion': self.table.version,
+                'now': '%dms' % (time.monotonic() * 1000),
+            },
+            status=status,
+        )
+
+
+def find_address(row: dict) -> row_table.Address:
+    """Return the address of a row of a transaction."""
+    return row['table'], row['part'], row['key']
+
+
+async def run(port: int) -> None:
+    """Serve until SIGTERM."""
+    server = RowServer()
+    await server.start('127.0.0.1', port)
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    await stop.wait()
+
+
+def main() -> None:
+    """Run the stand-in from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--port', type=int, required=True)
+    asyncio.run(run(parser.parse_args().port))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/oleanderknot/standins/row_table.py
@@ -0,0 +1,113 @@
+"""Rows of the stand-in of the platform's store."""
+
+import asyncio
+import collections.abc
+
+Address = tuple[str, str, str]
+
+
+class RowTable:
+    """Keeps rows in memory, with one version counter for all of them.
+
+    Attributes:
+        rows: Version and base64 value by table, part and key.
+        changes: Version, address and value of each change; None as value
+            stands for a dropped row.
+        version: Version of the newest transaction.
+        first: Changes after this version are still known.
+        changed: Notified after each transaction.
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[Address, tuple[int, str]] = {}
+        self.changes: list[tuple[int, Address, str | None]] = []
+        self.version = 0
+        self.first = 0
+        self.changed = asyncio.Condition()
+
+    async def commit(
+        self,
+        expected: collections.abc.Mapping[Address, int],
+        put: collections.abc.Mapping[Address, str],
+        remove: collections.abc.Iterable[Address],
+    ) -> bool:
+        """Change rows if all have the expected versions.
+
+        Returns:
+            Whether the rows were changed.
+        """
+        for address, version in expected.items():
+            if self.rows.get(address, (0, ''))[0] != version:
+                return False
+        self.version += 1
+        for address, value in put.items():
+            self.rows[address] = (self.version, value)
+            self.changes.append((self.version, address, value))
+        for address in remove:
+            if self.rows.pop(address, None) is not None:
+                self.changes.append((self.version, address, None))
+        async with self.changed:
+            self.changed.notify_all()
+        return True
+
+    def read(
+        self, table: str, part: str, start: str, limit: int
+    ) -> list[dict[str, object]]:
+        """Return rows in key order."""
+        addresses = sorted(
+            address
+            for address in self.rows
+            if address[:2] == (table, part) and address[2] >= start
+        )
+        return [
+            describe(address, *self.rows[address])
+            for address in addresses[:limit]
+        ]
+
+    async def follow(
+        self, table: str, after: int, wait_s: float
+    ) -> list[dict[str, object]] | None:
+        """Wait for changes of a table.
+
+        Returns:
+            The changed rows, perhaps none; None when the history is lost.
+        """
+        deadline = asyncio.get_running_loop().time() + wait_s
+        while after >= self.first:
+            found = [
+                describe(address, version, value)
+                for version, address, value in self.changes
+                if version > after and address[0] == table
+            ]
+            left = deadline - asyncio.get_running_loop().time()
+            if found or left <= 0:
+                return found
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except TimeoutError:
+                    continue
+        return None
+
+    def forget(self) -> None:
+        """Drop the history."""
+        self.first = self.version + 1
+        self.version += 1
+        self.changes.clear()
+
+
+def describe(
+    address: Address, version: int, value: str | None
+) -> dict[str, object]:
+    """Return a row as it goes over the wire."""
+    row: dict[str, object] = {
+        'table': address[0],
+        'part': address[1],
+        'key': address[2],
+        'rowVersion': version,
+    }
+    if value is None:
+        row['deleted'] = True
+    else:
+        row['value'] = value
+    return row
--- a/oleanderknot/tasks/routed_ingress.py
+++ b/oleanderknot/tasks/routed_ingress.py
@@ -1,5 +1,6 @@
 """Answers the requests of clients and the calls of the own upstream."""
 
+import hashlib
 import random
 import time
 
@@ -160,10 +161,16 @@
         headers=facts.headers,
         request_class=model.RequestClass(min(priority, TOP_CLASS)),
         deadline=request.received_at + (wait_s or 0.0),
-        trace_id=facts.request_id.partition(CALL_MARK)[0],
+        trace_id=build_trace_id(facts.request_id),
         span_id=facts.request_id,
         idempotent=route is not None and route.idempotent,
         route='' if route is None else route.name,
         ticket=version,
         has_body=bool(request.content),
     )
+
+
+def build_trace_id(request_id: str) -> str:
+    """Return the trace id that a request and its calls share."""
+    root = request_id.partition(CALL_MARK)[0]
+    return hashlib.blake2b(root.encode(), digest_size=16).hexdigest()
