Log decisions without waiting and serve metrics on a platform

Cause: on-call engineers have only logs and metrics; a log pipe that nobody reads would have stopped the event loop. Change: a log stream that never waits and counts what it drops; one line for a bounded number of decisions a second with attempts, load and time left; counters, gauges and histograms in text form on a metrics address.

--- a/oleanderknot/cli/sidecar.py
+++ b/oleanderknot/cli/sidecar.py
@@ -10,6 +10,7 @@
 from oleanderknot import border
 from oleanderknot.node import serve
 from oleanderknot.node import sidecar_application
+from oleanderknot.tasks import log_stream
 
 SETTINGS_VARIABLE = 'OLEANDERKNOT_BOOT'
 
@@ -52,6 +53,6 @@
             instance=settings.instance,
             level=settings.log.level,
             stop_timeout_s=settings.grace,
-            stream=sys.stdout,
+            stream=log_stream.LogStream(descriptor=sys.stdout.fileno()),
         )
         return 0
--- a/oleanderknot/node/serve.py
+++ b/oleanderknot/node/serve.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import signal
-import typing
 
 import aiomisc
 
 from oleanderknot.tasks import json_formatter
+from oleanderknot.tasks import log_stream
 
 # Time in seconds beyond a node's own limits after which a stop is given up.
 STOP_MARGIN_S = 10.0
@@ -18,7 +18,7 @@
     instance: str,
     level: str,
     stop_timeout_s: float,
-    stream: typing.TextIO | None = None,
+    stream: log_stream.LogStream | None = None,
 ) -> None:
     """Run a node until SIGTERM or SIGINT, then drain and stop it.
 
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -8,6 +8,7 @@
 from absl import logging
 import aiomisc
 from expression import Result
+import prometheus_client
 
 from oleanderknot import border
 from oleanderknot import decisions
@@ -21,6 +22,7 @@
 from oleanderknot.tasks import control_traffic
 from oleanderknot.tasks import heartbeat_ingress
 from oleanderknot.tasks import http_dialect
+from oleanderknot.tasks import json_formatter
 from oleanderknot.tasks import leaving
 from oleanderknot.tasks import membership
 from oleanderknot.tasks import peer_connection
@@ -48,6 +50,8 @@
 # Part of the time until SIGKILL that is left for closing connections.
 CLOSE_S = 0.7
 
+METRICS_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
+
 DIALECT = http_dialect.HttpDialect(
     read_request=platform.message_headers.read_request,
     read_answer=platform.message_headers.read_answer,
@@ -81,9 +85,7 @@
         self.rng = random.Random()
         self.stopping = False
         self.upstream = ''
-        self.recorder = sidecar_recorder.SidecarRecorder(
-            lines_per_s=settings.log.refusals_per_s
-        )
+        self.recorder = sidecar_recorder.SidecarRecorder(settings=settings.log)
 
     # Life-cycle hooks.
 
@@ -115,6 +117,9 @@
             (self.readiness, addresses.readiness),
         ):
             await listener.start(*split_address(address))
+        if addresses.metrics is not None:
+            await self.metrics.start(*split_address(addresses.metrics))
+        self.add_gauges()
         # What lives as long as the process need not be looked at again.
         gc.collect()
         gc.freeze()
@@ -158,7 +163,12 @@
         await asyncio.gather(
             *self.background, withdrawal, return_exceptions=True
         )
-        for listener in (self.requests, self.heartbeats, self.readiness):
+        for listener in (
+            self.requests,
+            self.heartbeats,
+            self.readiness,
+            self.metrics,
+        ):
             listener.close()
         self.peers.close()
         self.pool.close()
@@ -243,6 +253,7 @@
                 ratio=settings.retries.ratio, slack=settings.retries.slack
             ),
             record=self.recorder.record,
+            run=self.run_here,
             rng=self.rng,
         )
         self.runner.deeper.find_service_level = (
@@ -260,6 +271,7 @@
                 chains=self.chains,
                 dialect=DIALECT,
                 rng=self.rng,
+                measure=self.recorder.requests.observe,
             )
         )
         self.heartbeats = self.build_listener(
@@ -268,6 +280,7 @@
             )
         )
         self.readiness = self.build_listener(self.answer_readiness)
+        self.metrics = self.build_listener(self.answer_metrics)
 
     def build_listener(
         self, handle: client_listener.HandleFunction
@@ -326,12 +339,60 @@
         """Run a call of another node once its body is whole."""
         if body is not None:
             content = await whole_body.join_body(content, body)
-        result = await self.runner.run(call, content, None)
+        result = await self.run_here(call, content, None)
         if result.is_ok():
             answer = result.ok
             answer.content, answer.body = whole_body.split_body(answer.content)
         return result
 
+    async def run_here(
+        self, call: model.Call, content: bytes, body: model.Body | None
+    ) -> Result[model.Answer, model.Refusal]:
+        """Run a call at the own upstream and record what became of it."""
+        started = time.monotonic()
+        result = await self.runner.run(call, content, body)
+        refusal = result.error if result.is_error() else None
+        self.recorder.record_run(
+            call,
+            refusal,
+            time.monotonic() - started,
+            self.runner.admission.describe() if refusal else {},
+        )
+        return result
+
+    async def answer_metrics(
+        self, request: model.HttpRequest
+    ) -> model.HttpResponse:
+        """Return the metrics as text."""
+        return model.HttpResponse(
+            status=200,
+            headers=[(b'Content-Type', METRICS_TYPE)],
+            content=self.recorder.format_metrics(),
+        )
+
+    def add_gauges(self) -> None:
+        """Name the values that metrics read when they are asked for."""
+        table = self.members
+        self.recorder.gauges.update(
+            {
+                'policy_version': lambda: self.policies.version,
+                'requests_active': lambda: self.requests.active,
+                'runs_active': lambda: self.runner.running,
+                'run_limit': lambda: self.runner.admission.describe()['limit'],
+                'admission_level': lambda: self.runner.admission.describe()[
+                    'level'
+                ],
+                'nodes_live': lambda: len(table.list_live()),
+                'peer_connections': lambda: len(self.pool.open),
+                'store_answer_age_seconds': lambda: (
+                    self.watch.find_age(time.monotonic()) or 0.0
+                ),
+                'log_lines_dropped': lambda: (
+                    json_formatter.count_dropped_lines()
+                ),
+            }
+        )
+
     async def answer_readiness(
         self, request: model.HttpRequest
     ) -> model.HttpResponse:
--- a/oleanderknot/node/sidecar_recorder.py
+++ b/oleanderknot/node/sidecar_recorder.py
@@ -1,26 +1,101 @@
-"""Counts and logs the decisions of a node on a platform."""
+"""Counts, measures and logs the decisions of a node on a platform."""
 
 import collections
+import collections.abc
 import time
 
 from absl import logging
+import prometheus_client
+from prometheus_client import core
 
+from oleanderknot import border
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot.tasks import json_formatter
 
+# Upper bounds in seconds: from the target for added latency, 0.35 ms, up to
+# the longest deadline of a customer.
+BUCKETS_S = (
+    0.00035,
+    0.001,
+    0.005,
+    0.02,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+)
+
+GaugeFunction = collections.abc.Callable[[], float]
+
 
 class SidecarRecorder:
-    """Counts each decision and logs those that end a request badly.
+    """Holds the counters of a node and writes its decisions to the log.
 
     Attributes:
         totals: Counts since the start by name.
-        sampler: Limits the log lines.
+        decisions: Counts since the start by rule, route and verdict.
+        gauges: Function that returns the value of a gauge, by name.
+        registry: What the metrics address serves.
+        requests: Seconds from a request to its answer.
+        runs: Seconds that a call spent at this node's upstream and queue.
+        refusals: Limits the lines about calls that ended badly.
+        answers: Limits the lines about the others.
     """
 
-    def __init__(self, *, lines_per_s: int) -> None:
+    def __init__(self, *, settings: border.LogSettings) -> None:
         self.totals: collections.Counter[str] = collections.Counter()
-        self.sampler = decisions.LogSampler(per_second=lines_per_s)
+        self.decisions: collections.Counter[tuple[str, str, str]] = (
+            collections.Counter()
+        )
+        self.gauges: dict[str, GaugeFunction] = {}
+        self.refusals = decisions.LogSampler(
+            per_second=settings.refusals_per_s
+        )
+        self.answers = decisions.LogSampler(per_second=settings.answers_per_s)
+        self.registry = prometheus_client.CollectorRegistry()
+        self.registry.register(self)
+        self.requests = prometheus_client.Histogram(
+            'oleanderknot_request_seconds',
+            'Time from a request of this instance to its answer.',
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
+        self.runs = prometheus_client.Histogram(
+            'oleanderknot_run_seconds',
+            'Time of a call in the queue and at the own upstream.',
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
+
+    def collect(self) -> collections.abc.Iterator[core.Metric]:
+        """Give the counters and gauges; called by the metrics library."""
+        decided = core.CounterMetricFamily(
+            'oleanderknot_decisions',
+            'Decisions about calls.',
+            labels=('rule', 'route', 'verdict'),
+        )
+        for labels, number in self.decisions.items():
+            decided.add_metric(labels, number)
+        yield decided
+        events = core.CounterMetricFamily(
+            'oleanderknot_events', 'Other events.', labels=('event',)
+        )
+        for name, number in self.totals.items():
+            events.add_metric((name,), number)
+        yield events
+        for name, read in self.gauges.items():
+            yield core.GaugeMetricFamily(
+                'oleanderknot_' + name,
+                name.replace('_', ' ').capitalize() + '.',
+                value=read(),
+            )
+
+    def format_metrics(self) -> bytes:
+        """Return all metrics in the text format of the library."""
+        return prometheus_client.generate_latest(self.registry)
 
     def count(self, name: str, number: int = 1) -> None:
         """Count an event."""
@@ -33,7 +108,7 @@
         verdict: model.Verdict,
         detail: str,
     ) -> None:
-        """Record a decision about a call.
+        """Record a decision about a call that started at this node.
 
         Args:
             call: The call.
@@ -41,17 +116,64 @@
             verdict: Outcome of the call.
             detail: One English sentence for operators.
         """
-        self.totals[rule.value] += 1
-        if rule is model.Rule.ADMITTED:
-            return
-        if not self.sampler.take(time.monotonic()):
+        self.decisions[rule.value, call.route, verdict.value] += 1
+        sampler = (
+            self.answers if rule is model.Rule.ADMITTED else self.refusals
+        )
+        if sampler.take(time.monotonic()):
+            self.log('request', call, rule, verdict, detail, sampler)
+
+    def record_run(
+        self,
+        call: model.Call,
+        refusal: model.Refusal | None,
+        took_s: float,
+        load: collections.abc.Mapping[str, float],
+    ) -> None:
+        """Record what became of a call at the own upstream.
+
+        Args:
+            call: The call.
+            refusal: Why it got no answer; None when it got one.
+            took_s: Seconds in the queue and at the upstream.
+            load: Load of the upstream that decided about it.
+        """
+        self.runs.observe(took_s)
+        if refusal is None:
             return
+        self.decisions[refusal.rule.value, call.route, 'run'] += 1
+        if self.refusals.take(time.monotonic()):
+            self.log(
+                'run',
+                call,
+                refusal.rule,
+                refusal.verdict,
+                refusal.detail,
+                self.refusals,
+                took_ms=round(took_s * 1000, 1),
+                **load,
+            )
+
+    def log(
+        self,
+        event: str,
+        call: model.Call,
+        rule: model.Rule,
+        verdict: model.Verdict,
+        detail: str,
+        sampler: decisions.LogSampler,
+        **inputs: object,
+    ) -> None:
+        """Write one line about a call with what decided it."""
         fields = json_formatter.describe_call(call, rule, verdict)
         fields['call_fields'].update(
-            event='decision',
+            event=event,
             request=call.span_id,
             route=call.route,
             depth=call.depth,
-            left_out=self.sampler.flush(),
+            attempts=call.trail,
+            left_ms=round((call.deadline - time.monotonic()) * 1000),
+            left_out=sampler.flush(),
+            **inputs,
         )
         logging.info('%s: %s', rule.value, detail, extra=fields)
--- a/oleanderknot/tasks/json_formatter.py
+++ b/oleanderknot/tasks/json_formatter.py
@@ -3,12 +3,12 @@
 import datetime
 import json
 import logging
-import typing
 
 from absl import flags
 from absl import logging as absl_logging
 
 from oleanderknot import model
+from oleanderknot.tasks import log_stream
 
 
 class JsonFormatter(logging.Formatter):
@@ -56,7 +56,7 @@
 
 
 def set_up_log(
-    *, instance: str, level: str, stream: typing.TextIO | None = None
+    *, instance: str, level: str, stream: log_stream.LogStream | None = None
 ) -> None:
     """Make all log lines of the process JSON lines.
 
@@ -75,3 +75,9 @@
     if stream is not None:
         absl_logging.get_absl_handler().python_handler.stream = stream
     absl_logging.set_verbosity(level)
+
+
+def count_dropped_lines() -> int:
+    """Return the lines that the reader of the log had no room for."""
+    stream = absl_logging.get_absl_handler().python_handler.stream
+    return getattr(stream, 'dropped', 0)
--- a/oleanderknot/tasks/routed_dispatcher.py
+++ b/oleanderknot/tasks/routed_dispatcher.py
@@ -12,6 +12,7 @@
 from oleanderknot.tasks import early_refusal
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import runner
+from oleanderknot.tasks import single_run
 from oleanderknot.tasks import upstream_chooser
 from oleanderknot.tasks import whole_body
 
@@ -49,6 +50,7 @@
         chooser: Knows the load of other upstreams.
         repeats: Bound on what reaches upstreams more than once.
         record: Counts and logs a decision.
+        run: Runs a call at the own upstream.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         pool: peer_pool.PeerPool,
         repeats: decisions.RepeatBudget,
         record: dispatcher.RecordFunction,
+        run: single_run.RunFunction,
         rng: random.Random,
     ) -> None:
         self.identity = identity
@@ -69,6 +72,7 @@
         self.pool = pool
         self.repeats = repeats
         self.record = record
+        self.run = run
         self.chooser = upstream_chooser.UpstreamChooser(
             identity=identity,
             members=members,
@@ -108,6 +112,7 @@
             if result.is_ok():
                 return result
             refusal = result.error
+            call.trail.append('%s %s' % (member.instance, refusal.rule.value))
             if refusal.verdict is not model.Verdict.NOT_RUN:
                 may_have_run = True
                 if not call.idempotent:
@@ -145,7 +150,7 @@
         load.outstanding += 1
         try:
             if member.instance == self.identity.instance:
-                return await self.runner.run(call, content, None)
+                return await self.run(call, content, None)
             connection = self.pool.find(member.instance)
             if connection is None:
                 connection = await self.pool.connect(member)
--- a/oleanderknot/tasks/routed_ingress.py
+++ b/oleanderknot/tasks/routed_ingress.py
@@ -1,5 +1,6 @@
 """Answers the requests of clients and the calls of the own upstream."""
 
+import collections.abc
 import hashlib
 import random
 import time
@@ -35,6 +36,7 @@
     chains: decisions.ChainTable,
     dialect: http_dialect.HttpDialect,
     rng: random.Random,
+    measure: collections.abc.Callable[[float], None],
 ) -> client_listener.HandleFunction:
     """Build the function that answers requests.
 
@@ -45,6 +47,7 @@
         chains: Requests that the own upstream works on.
         dialect: Reads and writes headers.
         rng: Source of randomness.
+        measure: Takes the seconds from each request to its answer.
 
     Returns:
         The function.
@@ -89,6 +92,7 @@
         result = await calls.dispatch(
             call, request.content, max_attempts=route.max_attempts
         )
+        measure(time.monotonic() - request.received_at)
         if result.is_error():
             refusal = result.error
             calls.record(call, refusal.rule, refusal.verdict, refusal.detail)
