Repeat calls that the own upstream turned away within the shared budget

Change: such refusals lower the admission level, not the limit; the node beside the upstream sends a rejected call again while its part of the budget lasts. The bound is split between origin (a quarter) and gateway (a half).

--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -66,6 +66,8 @@
 from oleanderknot.decisions.record_exchange import RecordVersion
 from oleanderknot.decisions.refutation import refute
 from oleanderknot.decisions.refutation import split_claims
+from oleanderknot.decisions.repeat_budget import GATEWAY_SHARE
+from oleanderknot.decisions.repeat_budget import ORIGIN_SHARE
 from oleanderknot.decisions.repeat_budget import RepeatBudget
 from oleanderknot.decisions.reporters import find_dark
 from oleanderknot.decisions.reporters import is_reporter
@@ -87,6 +89,8 @@
 from oleanderknot.decisions.upstream_choice import choose
 
 __all__ = [
+    'GATEWAY_SHARE',
+    'ORIGIN_SHARE',
     'RepeatBudget',
     'HeartbeatOrder',
     'TargetSplit',
--- a/oleanderknot/decisions/repeat_budget.py
+++ b/oleanderknot/decisions/repeat_budget.py
@@ -2,10 +2,11 @@
 
 from oleanderknot.decisions import retry_budget
 
-# The shared bound counts what is sent in any window of its length, while a
-# node counts whole seconds and cannot see the other nodes. Half of the bound
-# also leaves room for calls of requests that are repeats themselves.
-SAFETY = 0.5
+# Parts of the shared bound. Nodes count whole seconds while the bound holds
+# for any window of its length, and calls of requests that are repeats
+# themselves count as well, so a part of the bound stays unused.
+ORIGIN_SHARE = 0.25
+GATEWAY_SHARE = 0.5
 
 
 class RepeatBudget:
@@ -17,12 +18,14 @@
     Attributes:
         ratio: Repeats allowed as a share of the requests.
         slack: Repeats allowed whatever the requests, for all nodes together.
+        share: Part of the shared bound that this budget may use.
         budgets: Counts by service.
     """
 
-    def __init__(self, *, ratio: float, slack: int) -> None:
+    def __init__(self, *, ratio: float, slack: int, share: float) -> None:
         self.ratio = ratio
         self.slack = slack
+        self.share = share
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
 
     def find(self, service: str) -> retry_budget.RetryBudget:
@@ -52,5 +55,5 @@
         Returns:
             Whether the repeat may be sent.
         """
-        minimum = int(SAFETY * self.slack / max(1, nodes))
-        return self.find(service).take(now, SAFETY * self.ratio, minimum)
+        minimum = int(self.share * self.slack / max(1, nodes))
+        return self.find(service).take(now, self.share * self.ratio, minimum)
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -217,19 +217,25 @@
             timeout_s=settings.store.timeout,
         )
         self.watch = store_watch.StoreWatch()
+        self.repeats = decisions.RepeatBudget(
+            ratio=settings.retries.ratio,
+            slack=settings.retries.slack,
+            share=decisions.GATEWAY_SHARE,
+        )
         self.order = decisions.HeartbeatOrder(
             service=settings.upstream.service, host=host, port=port
         )
         self.runner = runners.Runner(
             chains=self.chains,
             build_admission=lambda slots, warm=False: admission.Admission(
-                slots=slots, warm=warm, shed_inner=False
+                slots=slots, warm=warm, shed_inner=False, sole_sender=True
             ),
             build_client=lambda host, port, slots: upstream_pool.UpstreamPool(
                 host=host,
                 port=port,
                 upstream=self.upstream,
                 dialect=DIALECT,
+                may_repeat=self.may_repeat,
             ),
         )
         self.runner.orders = single_run.SingleRun(run_call=self.runner.admit)
@@ -250,7 +256,9 @@
             runner=self.runner,
             pool=self.pool,
             repeats=decisions.RepeatBudget(
-                ratio=settings.retries.ratio, slack=settings.retries.slack
+                ratio=settings.retries.ratio,
+                slack=settings.retries.slack,
+                share=decisions.ORIGIN_SHARE,
             ),
             record=self.recorder.record,
             run=self.run_here,
@@ -350,6 +358,7 @@
     ) -> Result[model.Answer, model.Refusal]:
         """Run a call at the own upstream and record what became of it."""
         started = time.monotonic()
+        self.repeats.count_request(call.service, started)
         result = await self.runner.run(call, content, body)
         refusal = result.error if result.is_error() else None
         self.recorder.record_run(
@@ -360,6 +369,15 @@
         )
         return result
 
+    def may_repeat(self, call: model.Call) -> bool:
+        """Take one repeat of a call that the own upstream turned away."""
+        nodes = len(self.members.members)
+        taken = self.repeats.take(call.service, time.monotonic(), nodes)
+        self.recorder.count(
+            'upstream.repeated' if taken else 'upstream.budget_spent'
+        )
+        return taken
+
     async def answer_metrics(
         self, request: model.HttpRequest
     ) -> model.HttpResponse:
--- a/oleanderknot/tasks/admission.py
+++ b/oleanderknot/tasks/admission.py
@@ -44,12 +44,22 @@
         running: Calls that run now.
         shed_inner: Whether the level also refuses calls of requests that an
             upstream already works on; such a refusal wastes that work.
+        sole_sender: Whether no other node sends to the upstream. Its
+            refusals then do not come from too many calls at once, and a
+            lower limit would only leave its slots unused; the level falls
+            instead.
     """
 
     def __init__(
-        self, *, slots: int, warm: bool = False, shed_inner: bool = True
+        self,
+        *,
+        slots: int,
+        warm: bool = False,
+        shed_inner: bool = True,
+        sole_sender: bool = False,
     ) -> None:
         self.shed_inner = shed_inner
+        self.sole_sender = sole_sender
         self.loop = asyncio.get_running_loop()
         now = self.loop.time()
         self.level = decisions.AdmissionLevel(now=now)
@@ -185,6 +195,10 @@
         """
         now = self.loop.time()
         place.reported = True
+        if failed and self.sole_sender:
+            failed = False
+            own_time_s = None
+            self.level.count_refusal()
         self.limit.finish(
             place.cohort, now, own_time_s=own_time_s, failed=failed
         )
--- a/oleanderknot/tasks/upstream_pool.py
+++ b/oleanderknot/tasks/upstream_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import collections.abc
 
 from expression import Error
 from expression import Ok
@@ -25,6 +26,10 @@
 # Time after the deadline within which the upstream's own answer may arrive.
 ANSWER_GRACE_S = 0.3
 
+# Sends of one call that the upstream keeps turning away. With an upstream
+# that turns away every second request, one call in 64 still fails.
+MAX_SENDS = 6
+
 HEADER = b'%b: %b\r\n'
 
 
@@ -36,6 +41,8 @@
         port: TCP port of the upstream.
         upstream: Id of this start of the upstream; empty when unknown.
         dialect: Reads and writes headers.
+        may_repeat: Takes one repeat of a call that the upstream turned away
+            from the budget, and returns whether there was one.
         idle: Connections without a request, the freshest last.
     """
 
@@ -46,7 +53,9 @@
         port: int,
         upstream: str,
         dialect: http_dialect.HttpDialect,
+        may_repeat: collections.abc.Callable[[model.Call], bool],
     ) -> None:
+        self.may_repeat = may_repeat
         self.host = host
         self.port = port
         self.upstream = upstream
@@ -116,8 +125,26 @@
 
         Returns:
             The answer of the upstream, or a refusal that says whether the
-            call may have run.
+            call may have run. A call that the upstream turned away is sent
+            again while the budget of repeats lasts.
         """
+        sends = 0
+        while True:
+            sends += 1
+            result = await self.send_once(call, content, now)
+            if (
+                result.is_ok()
+                or sends >= MAX_SENDS
+                or result.error.rule is not model.Rule.UPSTREAM_REFUSED
+                or self.loop.time() >= call.deadline
+                or not self.may_repeat(call)
+            ):
+                return result
+
+    async def send_once(
+        self, call: model.Call, content: bytes, now: float
+    ) -> Result[model.Answer, model.Refusal]:
+        """Send a request once; see ``request``."""
         longest = IDLE_S if call.idempotent else IDLE_ONCE_S
         connection = self.take(now, longest)
         if connection is None:
