Lower the level for refusals of the upstream only by their share

Change: timeouts lower the limit again; refusals lower the level by half of their share, from a tenth of the admitted calls on.

--- a/oleanderknot/decisions/admission_level.py
+++ b/oleanderknot/decisions/admission_level.py
@@ -24,6 +24,10 @@
 # reported level, so faster rises would not bring more calls.
 MAX_RISE = 0.1
 
+# Share of the admitted calls that the upstream may turn away before the level
+# falls. Single refusals have other causes than the number of calls.
+TURNED_AWAY_SHARE = 0.1
+
 # Windows in a row without a wait after which the rise stops to double.
 MAX_CALM = 6
 
@@ -57,6 +61,7 @@
         waited: Whether a call was queued in this window.
         admitted: Calls admitted in this window.
         refused: Calls that the queue refused in this window.
+        turned_away: Calls that the upstream refused in this window.
         overloads: Windows in a row in which the level fell.
         calm: Windows in a row in which no call waited.
     """
@@ -72,6 +77,7 @@
         self.waited = False
         self.admitted = 0
         self.refused = 0
+        self.turned_away = 0
         self.overloads = 0
         self.calm = 0
 
@@ -108,6 +114,10 @@
         """Count a call that the full queue refused."""
         self.refused += 1
 
+    def count_turned_away(self) -> None:
+        """Count a call that the upstream refused in spite of its repeats."""
+        self.turned_away += 1
+
     def advance(self, now: float) -> None:
         """Close the windows that have ended."""
         passed = int((now - self.window_start) / WINDOW_S)
@@ -127,9 +137,12 @@
         self.calm = 0 if self.waited else self.calm + 1
         over = self.delay_s > self.target_s
         growing = self.delay_s > SHRINKING * self.last_delay_s
+        away = self.turned_away / max(1, self.admitted)
         if self.refused or (over and growing):
             self.lower(self.find_fall())
             self.overloads += 1
+        elif away > TURNED_AWAY_SHARE:
+            self.lower(min(MAX_FALL, away / 2))
         elif not over:
             self.overloads = 0
             self.rise()
@@ -138,6 +151,7 @@
         self.waited = self.delay_s > 0
         self.admitted = 0
         self.refused = 0
+        self.turned_away = 0
 
     def find_fall(self) -> float:
         """Return the share by which expected admissions are to shrink."""
--- a/oleanderknot/tasks/admission.py
+++ b/oleanderknot/tasks/admission.py
@@ -182,6 +182,7 @@
         *,
         own_time_s: float | None,
         failed: bool,
+        turned_away: bool = False,
     ) -> None:
         """Take the outcome of a call; the place stays taken.
 
@@ -192,13 +193,13 @@
                 of the answer, without the time that it waited for its own
                 outgoing calls; None when it gave no answer.
             failed: Whether the upstream refused it or let it time out.
+            turned_away: Whether the upstream refused it.
         """
         now = self.loop.time()
         place.reported = True
-        if failed and self.sole_sender:
+        if turned_away and self.sole_sender:
             failed = False
-            own_time_s = None
-            self.level.count_refusal()
+            self.level.count_turned_away()
         self.limit.finish(
             place.cohort, now, own_time_s=own_time_s, failed=failed
         )
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -185,7 +185,9 @@
                 self.idle.set()
             return unspent
 
-        def measure(failed: bool, answered: bool) -> None:
+        def measure(
+            failed: bool, answered: bool, turned_away: bool = False
+        ) -> None:
             own_time = time.monotonic() - started - (account.waited - waited)
             # An upstream that made calls may only pass on that a deeper
             # service refused or was late; this must not lower its limit.
@@ -194,6 +196,7 @@
                 place,
                 own_time_s=max(0.0, own_time) if answered else None,
                 failed=failed and not account.called,
+                turned_away=turned_away,
             )
 
         try:
@@ -202,7 +205,12 @@
             finish()
             raise
         if result.is_error():
-            measure(result.error.rule in FAILURE_RULES, False)
+            rule = result.error.rule
+            measure(
+                rule in FAILURE_RULES,
+                False,
+                rule is model.Rule.UPSTREAM_REFUSED,
+            )
             result.error.unspent = finish()
             result.error.reports = (self.build_report(call),)
             return result
