Choose upstreams by load before data centre on a platform

Change: a sample of near and far upstreams is compared by load, with a preference of a quarter of the limit for near ones; the level of a service counts the upstreams that a node has heard of.

--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -9,6 +9,7 @@
 from oleanderknot.decisions.admission_queue import AdmissionQueue
 from oleanderknot.decisions.alert_texts import ALERT_TEXTS
 from oleanderknot.decisions.alert_texts import summarise
+from oleanderknot.decisions.balanced_choice import choose_balanced
 from oleanderknot.decisions.call_cohort import CallCohort
 from oleanderknot.decisions.call_numbers import CallNumbers
 from oleanderknot.decisions.chain_account import ChainAccount
@@ -89,6 +90,7 @@
 from oleanderknot.decisions.upstream_choice import choose
 
 __all__ = [
+    'choose_balanced',
     'GATEWAY_SHARE',
     'ORIGIN_SHARE',
     'RepeatBudget',
--- /dev/null
+++ b/oleanderknot/decisions/balanced_choice.py
@@ -0,0 +1,70 @@
+"""Chooses an upstream by load first and by data centre second."""
+
+import collections.abc
+
+from oleanderknot.decisions import upstream_choice
+
+# Load, as a share of the limit, by which an upstream of the own data centre
+# may be above one of another before the other is used. The way between data
+# centres costs about a millisecond and a little money, a full upstream costs
+# a place in its queue.
+LOCAL_PREFERENCE = 0.25
+
+# Upstreams that are compared of each kind; more would make all nodes choose
+# the same one by reports of the same age.
+SAMPLE = 2
+
+
+def choose_balanced(
+    candidates: collections.abc.Sequence[upstream_choice.Candidate],
+    *,
+    priority: float,
+    tried: collections.abc.Container[str],
+    draw: collections.abc.Callable[[int], int],
+) -> upstream_choice.Candidate | None:
+    """Choose the least loaded of a few upstreams near and far.
+
+    Args:
+        candidates: Upstreams of the service that take work.
+        priority: Priority number of the request.
+        tried: Instances that earlier attempts went to; they are used only
+            when no other is left.
+        draw: Returns a random number below its argument.
+
+    Returns:
+        The choice, or None when no upstream admits the request.
+    """
+    admitting = [item for item in candidates if priority < item.level]
+    if len(admitting) < 2:
+        return admitting[0] if admitting else None
+    best = min(rate(item, tried) for item in admitting)
+    group = [item for item in admitting if rate(item, tried) == best]
+    near = [item for item in group if item.local]
+    far = [item for item in group if not item.local]
+    return min(
+        (*sample(near, draw), *sample(far, draw)),
+        key=lambda item: (
+            upstream_choice.score(item)
+            + (0.0 if item.local else LOCAL_PREFERENCE)
+        ),
+    )
+
+
+def rate(
+    candidate: upstream_choice.Candidate,
+    tried: collections.abc.Container[str],
+) -> int:
+    """Return the group of an upstream; lower groups are used first."""
+    return 2 * (candidate.instance in tried) + candidate.suspect
+
+
+def sample(
+    group: list[upstream_choice.Candidate],
+    draw: collections.abc.Callable[[int], int],
+) -> list[upstream_choice.Candidate]:
+    """Return a few upstreams of a group, chosen at random."""
+    if len(group) <= SAMPLE:
+        return group
+    first = draw(len(group))
+    second = draw(len(group) - 1)
+    return [group[first], group[second + (second >= first)]]
--- a/oleanderknot/decisions/load_view.py
+++ b/oleanderknot/decisions/load_view.py
@@ -59,7 +59,10 @@
     ) -> float:
         """Return the highest level among the upstreams of a service.
 
-        A call that one upstream admits is admitted by the service.
+        A call that one upstream admits is admitted by the service. An
+        upstream that this node has not heard of counts only when it has
+        heard of none: nodes call near upstreams first, and the level of the
+        far ones would hide that the near ones are full.
 
         Args:
             service: Name of the service.
@@ -73,12 +76,14 @@
         kept = self.levels.get((service, route))
         if kept is not None and now - kept[0] < KEEP_S:
             return kept[1]
+        loads = [
+            self.find(member)
+            for member in members
+            if member.state in ADMITTING_STATES
+        ]
+        heard = [load for load in loads if load.reported_at]
         level = max(
-            (
-                self.find(member).find_level(route, now)
-                for member in members
-                if member.state in ADMITTING_STATES
-            ),
+            (load.find_level(route, now) for load in heard or loads),
             default=instance_load.MAX_LEVEL,
         )
         self.levels[(service, route)] = (now, level)
--- a/oleanderknot/tasks/routed_dispatcher.py
+++ b/oleanderknot/tasks/routed_dispatcher.py
@@ -80,6 +80,7 @@
             runner=runner,
             rng=rng,
             shed_inner=False,
+            pick=decisions.choose_balanced,
         )
 
     async def dispatch(
--- a/oleanderknot/tasks/upstream_chooser.py
+++ b/oleanderknot/tasks/upstream_chooser.py
@@ -8,6 +8,8 @@
 from oleanderknot import model
 from oleanderknot.tasks import runner
 
+PickFunction = collections.abc.Callable[..., decisions.Candidate | None]
+
 # Priority number that every level admits.
 ALWAYS_ADMITTED = -1.0
 
@@ -25,6 +27,7 @@
         suspicions: Instances that have just failed a call.
         shed_inner: Whether levels also hold for calls of requests that an
             upstream already works on.
+        pick: Chooses one of several upstreams.
     """
 
     def __init__(
@@ -36,8 +39,10 @@
         runner: runner.Runner,
         rng: random.Random,
         shed_inner: bool = True,
+        pick: PickFunction = decisions.choose,
     ) -> None:
         self.shed_inner = shed_inner
+        self.pick = pick
         self.identity = identity
         self.members = members
         self.policy = policy
@@ -70,7 +75,7 @@
             if member.state in decisions.ADMITTING_STATES
             and self.policy.takes_work(member.instance)
         ]
-        choice = decisions.choose(
+        choice = self.pick(
             candidates,
             priority=priority,
             tried=tried,
