Judge a service by its newest load reports

Change: reports of the top level are kept with their time; reports more than 0.3 s older than the newest no longer count.

--- a/oleanderknot/decisions/instance_load.py
+++ b/oleanderknot/decisions/instance_load.py
@@ -54,10 +54,7 @@
         self.in_flight = report.in_flight
         self.reported_at = now
         self.limit = max(1, report.limit)
-        if report.level >= MAX_LEVEL:
-            self.levels.pop(report.route, None)
-        else:
-            self.levels[report.route] = (report.level, now)
+        self.levels[report.route] = (report.level, now)
 
     def find_in_flight(self, now: float) -> float:
         """Return how many calls the upstream is thought to have.
--- a/oleanderknot/decisions/load_view.py
+++ b/oleanderknot/decisions/load_view.py
@@ -9,6 +9,9 @@
 # all upstreams of a service for each answer would cost more than the answer.
 KEEP_S = 0.01
 
+# Reports that are this much older than the newest one no longer count.
+NEWEST_S = 0.3
+
 ADMITTING_STATES = (model.MemberState.TAKING, model.MemberState.SUSPECT)
 
 
@@ -59,10 +62,9 @@
     ) -> float:
         """Return the highest level among the upstreams of a service.
 
-        A call that one upstream admits is admitted by the service. An
-        upstream that this node has not heard of counts only when it has
-        heard of none: nodes call near upstreams first, and the level of the
-        far ones would hide that the near ones are full.
+        A call that one upstream admits is admitted by the service. Only the
+        newest reports count: a node hears less of far upstreams, and an old
+        report of one that was open would hide that all are full now.
 
         Args:
             service: Name of the service.
@@ -76,15 +78,26 @@
         kept = self.levels.get((service, route))
         if kept is not None and now - kept[0] < KEEP_S:
             return kept[1]
-        loads = [
-            self.find(member)
-            for member in members
-            if member.state in ADMITTING_STATES
+        heard = [
+            (load.levels[route][1], load.find_level(route, now))
+            for load in map(self.find, list_admitting(members))
+            if route in load.levels
         ]
-        heard = [load for load in loads if load.reported_at]
+        newest = max((reported_at for reported_at, _ in heard), default=0.0)
         level = max(
-            (load.find_level(route, now) for load in heard or loads),
+            (
+                level
+                for reported_at, level in heard
+                if newest - reported_at <= NEWEST_S
+            ),
             default=instance_load.MAX_LEVEL,
         )
         self.levels[(service, route)] = (now, level)
         return level
+
+
+def list_admitting(
+    members: collections.abc.Iterable[model.Member],
+) -> collections.abc.Iterator[model.Member]:
+    """Return the members whose upstreams may take work."""
+    return (item for item in members if item.state in ADMITTING_STATES)
