Admit requests that need one service before trees of the same rank

Stock checks are held against the true level of inventory, trees against levels that other nodes see late. Change: a request of a caller whose route calls nothing is held against a level one class higher.

--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -50,6 +50,10 @@
 # Part of the time until SIGKILL that is left for closing connections.
 CLOSE_S = 0.7
 
+# One class: enough to go before trees of the same rank, not before those of
+# the next one.
+LEAF_BONUS = 1.0
+
 METRICS_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
 
 DIALECT = http_dialect.HttpDialect(
@@ -238,6 +242,7 @@
                 may_repeat=self.may_repeat,
             ),
         )
+        self.runner.leaf_bonus = LEAF_BONUS
         self.runner.orders = single_run.SingleRun(run_call=self.runner.admit)
         self.leaving = leaving.Leaving(on_change=self.change_leaving)
         handlers = self.build_peer_handlers()
--- a/oleanderknot/tasks/admission.py
+++ b/oleanderknot/tasks/admission.py
@@ -86,11 +86,14 @@
         self.level.advance(self.loop.time())
         return self.level.level
 
-    async def enter(self, call: model.Call) -> Place | model.Refusal:
+    async def enter(
+        self, call: model.Call, bonus: float = 0.0
+    ) -> Place | model.Refusal:
         """Wait until a call may run.
 
         Args:
             call: The call.
+            bonus: How much its priority number and class are improved.
 
         Returns:
             A place, to be given back by ``leave``, or why the call must not
@@ -101,6 +104,7 @@
         """
         now = self.loop.time()
         priority = decisions.rank(call.request_class, call.trace_id)
+        priority = max(0.0, priority - bonus)
         admitted = self.level.admit(priority, now)
         if not admitted and (self.shed_inner or not call.depth):
             return self.refuse(call, model.Rule.LEVEL)
@@ -110,7 +114,9 @@
         if not self.queue.size and self.running < self.limit.count_places():
             return self.start(now)
         entry = decisions.QueuedCall(
-            request_class=call.request_class,
+            request_class=model.RequestClass(
+                max(0, call.request_class - int(bonus))
+            ),
             depth=call.depth,
             arrived_at=now,
             deadline=call.deadline,
--- a/oleanderknot/tasks/chain_level.py
+++ b/oleanderknot/tasks/chain_level.py
@@ -51,6 +51,12 @@
             default=decisions.MAX_LEVEL,
         )
 
+    def is_leaf(self, route: str) -> bool:
+        """Return whether a route is known to need no other service."""
+        return route in self.calls.requests and not self.calls.list_needed(
+            route
+        )
+
     def check(self, call: model.Call) -> model.Refusal | None:
         """Return the refusal of a call that a deeper service would refuse."""
         level = self.find(call.route)
--- a/oleanderknot/tasks/open_admission.py
+++ b/oleanderknot/tasks/open_admission.py
@@ -16,6 +16,8 @@
         """Return the level that admits everything."""
         return decisions.MAX_LEVEL
 
-    async def enter(self, call: model.Call) -> admission.Place | model.Refusal:
+    async def enter(
+        self, call: model.Call, bonus: float = 0.0
+    ) -> admission.Place | model.Refusal:
         """Give a place to any call."""
         return self.start(self.loop.time())
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -44,6 +44,11 @@
         orders: Runs non-idempotent calls at most once.
         idle: Set while ``running`` is 0.
         refused_leaving: Calls refused because the upstream is leaving.
+        leaf_bonus: How much more the level admits of requests of callers
+            that need no other service. Such a request takes little of an
+            upstream that others need for whole trees of calls, and its
+            refusal is final at once, while trees are refused by levels that
+            other nodes see late.
         gate: Returns why policy refuses a call, or None.
     """
 
@@ -67,6 +72,7 @@
         self.idle = asyncio.Event()
         self.idle.set()
         self.refused_leaving = 0
+        self.leaf_bonus = 0.0
         self.gate: GateFunction = lambda call: None
 
     async def attach(
@@ -121,13 +127,26 @@
             else None
         )
         slots = self.admission
-        place = refusal or await slots.enter(call)
+        place = refusal or await slots.enter(call, self.find_bonus(call))
         if isinstance(place, model.Refusal):
             place.unspent = call.allowance
             place.reports = (self.build_report(call),)
             return Error(place)
         return await self.execute(call, content, body, slots, place)
 
+    def find_bonus(self, call: model.Call) -> float:
+        """Return the bonus of a call; see ``leaf_bonus``."""
+        if call.depth or not self.deeper.is_leaf(call.route):
+            return 0.0
+        return self.leaf_bonus
+
+    def find_call_level(self, call: model.Call) -> float:
+        """Return the level that a call's priority number is held against."""
+        return min(
+            decisions.MAX_LEVEL,
+            self.find_level(call.route) + self.find_bonus(call),
+        )
+
     def find_level(self, route: str) -> float:
         """Return the level at which a route's whole chain admits calls.
 
@@ -141,7 +160,7 @@
 
     def build_report(self, call: model.Call) -> model.LoadReport:
         """Build the load report for a call's route."""
-        return self.admission.build_report(call, self.find_level(call.route))
+        return self.admission.build_report(call, self.find_call_level(call))
 
     def check(self, call: model.Call) -> model.Refusal | None:
         """Return why a call cannot run at all, or None."""
--- a/oleanderknot/tasks/upstream_chooser.py
+++ b/oleanderknot/tasks/upstream_chooser.py
@@ -92,7 +92,7 @@
             and not self.runner.leaving
             and self.policy.takes_work(self.identity.instance)
             and self.runner.admission.has_room(priority)
-            and priority < self.runner.find_level(call.route)
+            and priority < self.runner.find_call_level(call)
         )
 
     def build_candidate(
@@ -109,7 +109,7 @@
             outstanding=load.outstanding,
             in_flight=load.find_in_flight(now),
             limit=load.limit,
-            level=self.runner.find_level(call.route)
+            level=self.runner.find_call_level(call)
             if own
             else load.find_level(call.route, now),
         )
