--- a/features/support/shop_node.py
+++ b/features/support/shop_node.py
@@ -43,7 +43,12 @@
     settings = border.load_settings(pathlib.Path(path))
     node = application.NodeApplication(settings=settings)
     node.policy.merge([build_policy('catalogue')])
-    serve.serve(settings, node)
+    serve.serve(
+        node,
+        instance=settings.instance,
+        level=settings.log.level,
+        stop_timeout_s=settings.drain_timeout_s,
+    )
 
 
 if __name__ == '__main__':
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -50,6 +50,10 @@
 # Part of the time until SIGKILL that is left for closing connections.
 CLOSE_S = 0.7
 
+# Allocations before each generation is searched for cycles. Calls leave few
+# cycles, and the default of 700 searches several times for each request.
+COLLECT_AFTER = (20000, 20, 20)
+
 # One class: enough to go before trees of the same rank, not before those of
 # the next one.
 LEAF_BONUS = 1.0
@@ -127,6 +131,7 @@
         # What lives as long as the process need not be looked at again.
         gc.collect()
         gc.freeze()
+        gc.set_threshold(*COLLECT_AFTER)
         logging.info(
             'node %s started',
             self.identity.instance,
--- a/oleanderknot/tasks/client_connection.py
+++ b/oleanderknot/tasks/client_connection.py
@@ -32,7 +32,9 @@
         waiting: Whole requests, and whether the client reuses the
             connection after each.
         task: Answers the present request; None while there is none.
-        timer: Ends a connection that idles or sends its request too slowly.
+        waiting_since: Loop time in seconds since which it idles, or since
+            which the client sends a request.
+        reading: Whether a part of a request has been read.
         paused: Whether reading is paused.
         closing: Whether the connection ends after what is being written.
     """
@@ -47,7 +49,8 @@
             collections.deque()
         )
         self.task: asyncio.Task | None = None
-        self.timer: asyncio.TimerHandle | None = None
+        self.waiting_since = self.loop.time()
+        self.reading = False
         self.transport: typing.Any = None
         self.paused = False
         self.closing = False
@@ -57,13 +60,11 @@
         """Wait for the first request; called by the event loop."""
         self.transport = transport
         self.listener.connections.add(self)
-        self.watch_idle()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Stop the work for a client that has left."""
         self.listener.connections.discard(self)
         self.closing = True
-        self.stop_timer()
         self.waiting.clear()
         if self.writable is not None and not self.writable.done():
             self.writable.cancel()
@@ -98,17 +99,18 @@
             if self.parser.wants_continue:
                 self.parser.wants_continue = False
                 self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-            if self.parser.started and self.task is None:
-                self.watch_head()
+            if self.parser.started and not self.reading:
+                self.reading = True
+                self.waiting_since = self.loop.time()
 
     def take_request(
         self, request: model.HttpRequest, keep_alive: bool
     ) -> None:
         """Take a whole request; called by the parser."""
         request.received_at = self.loop.time()
+        self.reading = False
         self.waiting.append((request, keep_alive))
         if self.task is None:
-            self.stop_timer()
             self.task = self.loop.create_task(self.answer())
         elif len(self.waiting) >= MAX_PIPELINED and not self.paused:
             self.paused = True
@@ -138,7 +140,7 @@
             if self.paused:
                 self.paused = False
                 self.transport.resume_reading()
-            self.watch_idle()
+            self.waiting_since = self.loop.time()
 
     async def handle(self, request: model.HttpRequest) -> model.HttpResponse:
         """Return the answer to one request."""
@@ -193,7 +195,6 @@
     def end(self) -> None:
         """Close the connection once all is written."""
         self.closing = True
-        self.stop_timer()
         self.transport.close()
 
     def end_idle(self) -> None:
@@ -201,40 +202,20 @@
         if self.task is None and not self.parser.started:
             self.end()
 
-    def watch_idle(self) -> None:
-        """Wait for the next request, at most for the idle time."""
-        self.set_timer(self.listener.limits().idle_timeout_s, self.expire_idle)
+    def check_time(self, now: float, limits: model.ClientLimits) -> None:
+        """End a connection that idles or sends a head for too long.
 
-    def watch_head(self) -> None:
-        """Wait for the rest of a request's head."""
-        if self.parser.head_complete or self.parser.watched:
+        Args:
+            now: Loop time in seconds.
+            limits: Limits in force.
+        """
+        if self.task is not None or self.closing:
             return
-        self.parser.watched = True
-        self.set_timer(
-            self.listener.limits().header_timeout_s, self.expire_head
-        )
-
-    def set_timer(
-        self, delay_s: float, action: collections.abc.Callable[[], None]
-    ) -> None:
-        """Replace the timer."""
-        self.stop_timer()
-        self.timer = self.loop.call_later(delay_s, action)
-
-    def stop_timer(self) -> None:
-        """Stop the timer."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-
-    def expire_idle(self) -> None:
-        """End a connection that has been idle for too long."""
-        self.timer = None
-        if self.task is None and not self.parser.started:
-            self.end()
-
-    def expire_head(self) -> None:
-        """Refuse a request whose head takes too long."""
-        self.timer = None
-        if self.task is None and not self.parser.head_complete:
+        waited = now - self.waiting_since
+        if not self.parser.started:
+            if waited >= limits.idle_timeout_s:
+                self.end()
+        elif (
+            not self.parser.head_complete and waited >= limits.header_timeout_s
+        ):
             self.refuse(408, 'the head of the request took too long')
--- a/oleanderknot/tasks/client_listener.py
+++ b/oleanderknot/tasks/client_listener.py
@@ -15,6 +15,10 @@
 # A full queue of new connections costs a client seconds until it tries again.
 BACKLOG = 1024
 
+# Time between two looks at all connections. The shortest limit in use, that
+# of a request's head, is several times as long.
+SWEEP_S = 0.5
+
 # Faults of clients are logged at most once in this time.
 FAULT_LOG_PERIOD_S = 1
 
@@ -30,6 +34,7 @@
         active: Requests that are being answered.
         idle: Set while ``active`` is 0.
         closing: Whether connections end after their current request.
+        sweeper: Timer of the next look at all connections.
     """
 
     def __init__(
@@ -49,6 +54,7 @@
         self.idle = asyncio.Event()
         self.idle.set()
         self.closing = False
+        self.sweeper: asyncio.TimerHandle | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an address.
@@ -67,6 +73,19 @@
             backlog=BACKLOG,
             reuse_address=True,
         )
+        self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
+
+    def sweep(self) -> None:
+        """End connections that have waited too long; runs once a period.
+
+        A timer for each connection would be set and stopped twice for each
+        request.
+        """
+        self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
+        now = self.loop.time()
+        limits = self.limits()
+        for connection in list(self.connections):
+            connection.check_time(now, limits)
 
     def enter(self) -> None:
         """Count a connection that has a request to answer."""
@@ -105,5 +124,7 @@
     def close(self) -> None:
         """End all connections at once."""
         self.close_idle()
+        if self.sweeper is not None:
+            self.sweeper.cancel()
         for connection in list(self.connections):
             connection.transport.abort()
--- a/oleanderknot/tasks/client_parser.py
+++ b/oleanderknot/tasks/client_parser.py
@@ -19,7 +19,6 @@
             keeps the connection.
         started: Whether a part of a request has been read.
         head_complete: Whether its head has been read.
-        watched: Whether a timer bounds the rest of the head.
         wants_continue: Whether the client waits before it sends the body.
         head_bytes: Bytes of the head so far.
     """
@@ -40,7 +39,6 @@
         """Prepare for the next request."""
         self.started = False
         self.head_complete = False
-        self.watched = False
         self.head_bytes = 0
         self.pending_bytes = 0
         self.body_bytes = 0
