Test the decisions made for the platform

Change: one feature on passed-in time, and a search of all sources outside the adapter and the stand-ins.

--- /dev/null
+++ b/features/platform_decisions.feature
@@ -0,0 +1,76 @@
+Feature: Decisions of a node on a platform follow from what is passed in
+
+  Scenario Outline: The longest prefix of the path wins
+    Guards against a prefix matched inside a segment, or in the query.
+    Given the routes "/", "/shop/", "/shop/new/" of "a.example"
+    Then "<target>" of "<host>" takes the route "<route>"
+
+    Examples:
+      | host      | target         | route      |
+      | a.example | /shop/new/1    | /shop/new/ |
+      | a.example | /shop/newer/1  | /shop/     |
+      | a.example | /shop          | /          |
+      | a.example | /x?y=/shop/new/ | /         |
+      | b.example | /shop/1        | none       |
+
+  Scenario: A split route keeps its weights also over short spans
+    Guards against shares that drift by chance.
+    Given a route split 90 to "a", 10 to "b" and 0 to "c"
+    When 50 requests are distributed
+    Then "a" gets 45, "b" gets 5 and "c" gets 0
+
+  Scenario: Calls go to a far upstream only when it is clearly less loaded
+    Guards against a near upstream that is used while it is full.
+    Given a near upstream with 20 of 100 places in use and a far one with 10
+    Then the near one is chosen
+    Given a near upstream with 80 of 100 places in use and a far one with 10
+    Then the far one is chosen
+
+  Scenario: Old reports of open upstreams do not hide that all are full
+    Guards against trees that start although a deep service admits nothing.
+    Given an upstream that reported level 4.0 at time 0 and one that reported 0.5 at time 2
+    Then the level of their service at time 2 is 0.5
+
+  Scenario: Single refusals of an upstream leave the level alone
+    Guards against a level that falls to the bottom for a refusal a window.
+    Given an admission level at time 0
+    When 1 of 50 calls of each window is turned away for 20 windows
+    Then the level is between 4 and 4
+    When 25 of 50 calls of each window are turned away for 20 windows
+    Then the level is between 0 and 3
+
+  Scenario: Repeats of all nodes together stay within the shared bound
+    Guards against a budget that holds at each node only.
+    Given 13 nodes with a shared bound of 0.2 and a slack of 47
+    When each counts 100 requests and asks for 100 repeats at its gateway and at its origin
+    Then all nodes together were granted at most 307 repeats
+
+  Scenario Outline: Late and foreign heartbeats are told from new ones
+    Guards against a live upstream taken out by the word of a dead one.
+    Given a heartbeat of "i-1" started at 1000 with sequence 5
+    When a heartbeat of "<upstream>" started at <started> with sequence <sequence> arrives
+    Then it is <outcome>
+
+    Examples:
+      | upstream | started | sequence | outcome |
+      | i-1      | 1000    | 6        | taken   |
+      | i-1      | 1000    | 5        | ignored |
+      | i-0      | 900     | 9        | ignored |
+      | i-1      | 2000    | 1        | taken   |
+      | i-2      | 2000    | 1        | taken   |
+
+  Scenario: An upstream that has left does not come back by a late heartbeat
+    Given a heartbeat of "i-1" started at 1000 with sequence 5
+    When "i-1" started at 1000 leaves
+    And a heartbeat of "i-1" started at 1000 with sequence 9 arrives
+    Then it is ignored
+
+  Scenario: Names of the wire stay in the adapter
+    Guards against a product that depends on one platform's words.
+    Then no source outside the adapter holds a name of the platform's wire
+
+  Scenario: A log that nobody reads does not stop the node
+    Guards against an event loop that waits for a full pipe.
+    Given a log stream into a pipe that nobody reads
+    When 20000 lines are written
+    Then all writes returned and dropped lines are counted
--- /dev/null
+++ b/features/steps/platform_decision_steps.py
@@ -0,0 +1,293 @@
+"""Steps about decisions of a node on a platform."""
+
+import os
+import pathlib
+import re
+
+from behave import given
+from behave import then
+from behave import when
+
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.tasks import log_stream
+
+SOURCE = pathlib.Path(__file__).resolve().parents[2] / 'oleanderknot'
+
+# Folders whose job it is to speak the platform's language.
+SPEAKERS = ('platform', 'standins')
+
+# Names of headers, paths and fields as the platform's pages spell them.
+WIRE_NAMES = re.compile(
+    r'(?i:Request-Id|Deadline-Milliseconds|Response-Signature)'
+    r'|(?i:Expected-Instance|Not-Executed|Calling-Service|Instance-Id)'
+    r'|/v1/(readiness|instances|rows|blob)|rows-tx|rows-get|rows-feed|rowVersion|waitMs|hasMore|resourceType|specification'
+    r'|trafficSplit|targetLatency|maxAttempts|healthCheckPath'
+    r'|connectionLimit|maxHeaderBytes|maxBodyBytes|headerTimeout|idleTimeout'
+    r'|coldRemaining|heartbeatAddress|listenAddresses|applicationAddress'
+    r'|localNode|internalPortRange|retryBudget|gracePeriod'
+)
+
+
+@given('the routes {names} of "{host}"')
+def build_routes(context, names, host):
+    """Build a table of routes."""
+    context.table_of_routes = decisions.RouteTable(
+        routes=[
+            build_route(host, prefix, [('x', 1)])
+            for prefix in re.findall('"([^"]+)"', names)
+        ]
+    )
+
+
+def build_route(host, prefix, targets):
+    """Build a route whose name is its prefix."""
+    return model.Route(
+        name=prefix,
+        host=host,
+        prefix=prefix,
+        idempotent=True,
+        targets=tuple(
+            model.RouteTarget(service=service, weight=weight)
+            for service, weight in targets
+        ),
+        timeout_s=1.0,
+        latency_target_s=1.0,
+        max_attempts=2,
+        priority=1,
+    )
+
+
+@then('"{target}" of "{host}" takes the route "{name}"')
+def check_route(context, target, host, name):
+    """Check the route that a request takes."""
+    route = context.table_of_routes.find(host, target)
+    assert (route.name if route else 'none') == name, route
+
+
+@given('a route split 90 to "a", 10 to "b" and 0 to "c"')
+def build_split(context):
+    """Build a route with three targets."""
+    context.route = build_route(
+        'a.example', '/', [('a', 90), ('b', 10), ('c', 0)]
+    )
+    context.table_of_routes = decisions.RouteTable(routes=[context.route])
+
+
+@when('{count:d} requests are distributed')
+def distribute(context, count):
+    """Choose the targets of some requests."""
+    context.chosen = [
+        context.table_of_routes.choose_target(context.route)
+        for _ in range(count)
+    ]
+
+
+@then('"a" gets {first:d}, "b" gets {second:d} and "c" gets {third:d}')
+def check_split(context, first, second, third):
+    """Check how often each target was chosen."""
+    found = [context.chosen.count(name) for name in 'abc']
+    assert found == [first, second, third], found
+
+
+@given(
+    'a near upstream with {near:d} of 100 places in use and a far one '
+    'with {far:d}'
+)
+def build_candidates(context, near, far):
+    """Build two candidates."""
+    context.candidates = [
+        decisions.Candidate(
+            instance=name,
+            local=name == 'near',
+            suspect=False,
+            outstanding=0,
+            in_flight=in_flight,
+            limit=100,
+            level=4.0,
+        )
+        for name, in_flight in (('near', near), ('far', far))
+    ]
+
+
+@then('the {name} one is chosen')
+def check_choice(context, name):
+    """Check the choice for a request that every level admits."""
+    choice = decisions.choose_balanced(
+        context.candidates, priority=0.0, tried=(), draw=lambda count: 0
+    )
+    assert choice.instance == name, choice
+
+
+@given(
+    'an upstream that reported level {old:f} at time {then_s:d} and one that '
+    'reported {new:f} at time {now_s:d}'
+)
+def take_reports(context, old, then_s, new, now_s):
+    """Let two upstreams of a service report."""
+    context.view = decisions.LoadView()
+    context.service_members = []
+    for name, level, at in (('a', old, then_s), ('b', new, now_s)):
+        member = model.Member(
+            instance=name,
+            incarnation=1,
+            version=1,
+            state=model.MemberState.TAKING,
+            data_centre='dc1',
+            host='127.0.0.1',
+            peer_port=1,
+            service='s',
+            slots=10,
+        )
+        context.service_members.append(member)
+        context.view.find(member)
+        report = model.LoadReport(
+            service='s', route='r', level=level, in_flight=0, limit=10
+        )
+        context.view.take_reports(name, [report], float(at))
+
+
+@then('the level of their service at time {now:d} is {level:f}')
+def check_service_level(context, now, level):
+    """Check the level of the service."""
+    found = context.view.find_service_level(
+        's', 'r', context.service_members, float(now)
+    )
+    assert found == level, found
+
+
+@when(
+    '{away:d} of {count:d} calls of each window is turned away for '
+    '{windows:d} windows'
+)
+@when(
+    '{away:d} of {count:d} calls of each window are turned away for '
+    '{windows:d} windows'
+)
+def turn_away(context, away, count, windows):
+    """Pass windows in which an upstream refuses some calls."""
+    start = getattr(context, 'window_at', 0)
+    for window in range(start, start + windows):
+        for index in range(count):
+            now = (window + index / count) / 10
+            context.level.admit(2 + index / count, now)
+            if index < away:
+                context.level.count_turned_away()
+    context.window_at = start + windows
+    context.level.advance(context.window_at / 10 + 0.001)
+
+
+@given(
+    '{count:d} nodes with a shared bound of {ratio:f} and a slack of {slack:d}'
+)
+def build_budgets(context, count, ratio, slack):
+    """Build the budgets of all nodes."""
+    context.budgets = [
+        decisions.RepeatBudget(ratio=ratio, slack=slack, share=share)
+        for _ in range(count)
+        for share in (decisions.ORIGIN_SHARE, decisions.GATEWAY_SHARE)
+    ]
+    context.node_count = count
+
+
+@when(
+    'each counts {requests:d} requests and asks for {repeats:d} repeats at '
+    'its gateway and at its origin'
+)
+def ask_repeats(context, requests, repeats):
+    """Count requests and take repeats within one window."""
+    context.granted = 0
+    for budget in context.budgets:
+        for _ in range(requests):
+            budget.count_request('s', 1.0)
+        context.granted += sum(
+            budget.take('s', 1.5, context.node_count) for _ in range(repeats)
+        )
+
+
+@then('all nodes together were granted at most {most:d} repeats')
+def check_repeats(context, most):
+    """Check the sum; the bound is 0.2 of 1300 requests and 47."""
+    assert 0 < context.granted <= most, context.granted
+
+
+@given(
+    'a heartbeat of "{upstream}" started at {started:d} with sequence '
+    '{number:d}'
+)
+def start_order(context, upstream, started, number):
+    """Take a first heartbeat."""
+    context.order = decisions.HeartbeatOrder(
+        service='s', host='127.0.0.1', port=1
+    )
+    take_heartbeat(context, upstream, started, number)
+    assert context.taken
+
+
+@when(
+    'a heartbeat of "{upstream}" started at {started:d} with sequence '
+    '{number:d} arrives'
+)
+def take_heartbeat(context, upstream, started, number):
+    """Take a heartbeat."""
+    context.taken = context.order.take(
+        model.UpstreamReport(
+            upstream=upstream,
+            started_ms=started,
+            sequence=number,
+            service='s',
+            host='127.0.0.1',
+            port=1,
+            slots=10,
+            draining=False,
+            warming_s=0.0,
+        )
+    )
+
+
+@when('"{upstream}" started at {started:d} leaves')
+def end_upstream(context, upstream, started):
+    """Take a deregistration."""
+    assert context.order.end(upstream, started)
+
+
+@then('it is {outcome}')
+def check_taken(context, outcome):
+    """Check whether the last heartbeat told something new."""
+    assert context.taken == (outcome == 'taken'), outcome
+
+
+@then("no source outside the adapter holds a name of the platform's wire")
+def check_names(context):
+    """Search the sources of the product."""
+    found = [
+        '%s: %s' % (path.relative_to(SOURCE), match.group(0))
+        for path in SOURCE.rglob('*.py')
+        if path.relative_to(SOURCE).parts[0] not in SPEAKERS
+        for match in [WIRE_NAMES.search(path.read_text())]
+        if match
+    ]
+    assert not found, found
+
+
+@given('a log stream into a pipe that nobody reads')
+def open_log(context):
+    """Open a pipe and a log stream into it."""
+    reader, writer = os.pipe()
+    context.add_cleanup(os.close, reader)
+    context.add_cleanup(os.close, writer)
+    context.log = log_stream.LogStream(descriptor=writer)
+
+
+@when('{count:d} lines are written')
+def write_lines(context, count):
+    """Write lines that the pipe and the stream cannot hold."""
+    for _ in range(count):
+        context.log.write('x' * 100 + '\n')
+
+
+@then('all writes returned and dropped lines are counted')
+def check_dropped(context):
+    """Check that the stream is bounded and counts what it leaves out."""
+    assert context.log.size <= log_stream.MAX_PENDING_BYTES
+    assert context.log.dropped > 0
