--- a/features/platform_changes.feature
+++ b/features/platform_changes.feature
@@ -66,3 +66,24 @@
     Then readiness of "two" is refused
     And the waiting client gets status 200
     And the node of "two" exits with status 0
+
+  Scenario: A node whose settings have changed goes on serving
+    Guards against a signal that ends the process.
+    When a client of "two" sends POST "/order/1?delay_ms=700" as "g1" and waits
+    And the settings of "two" change to 3 lines a second and it gets SIGHUP
+    Then the waiting client gets status 200
+    And "two" logs "reloaded"
+
+  Scenario: Metrics are served as text
+    Guards against a scrape that finds nothing when a user complains.
+    When a client of "one" sends GET "/page/1" as "h1"
+    Then the metrics of "one" hold "oleanderknot_decisions_total"
+    And the metrics of "one" hold "oleanderknot_request_seconds_bucket"
+    And the metrics of "one" hold "oleanderknot_policy_version 1.0"
+
+  Scenario: A refused request is found in the log by its id
+    Guards against a refusal that nobody can explain.
+    When the back end of "two" says "draining"
+    And a client of "one" sends POST "/order/1" as "k1"
+    Then "one" logs "k1"
+    And "two" logs "upstream_draining"
--- a/features/steps/platform_change_steps.py
+++ b/features/steps/platform_change_steps.py
@@ -6,7 +6,9 @@
 
 from behave import then
 from behave import when
+import yaml
 
+from features.support import http as plain_http
 from features.support import wait
 
 
@@ -129,3 +131,38 @@
     found = context.fleet.sidecars[name].process.wait()
     assert found == status, found
     assert time.monotonic() - started < 6.0
+
+
+@when(
+    'the settings of "{name}" change to {lines:d} lines a second and it '
+    'gets SIGHUP'
+)
+def change_settings(context, name, lines):
+    """Change a settings file and signal the node."""
+    path = context.system.folder / (name + '.yaml')
+    content = yaml.safe_load(path.read_text())
+    content['log'] = {'refusals_per_s': lines}
+    path.write_text(yaml.safe_dump(content))
+    context.fleet.sidecars[name].process.send(signal.SIGHUP)
+
+
+@then('"{name}" logs "{text}"')
+def check_log(context, name, text):
+    """Wait until a node's log names something."""
+    wait.wait_until(
+        lambda: (
+            '"%s"' % text in context.fleet.sidecars[name].process.read_log()
+        ),
+        '%s logs %s' % (name, text),
+    )
+
+
+@then('the metrics of "{name}" hold "{text}"')
+def check_metrics(context, name, text):
+    """Check the text that a scrape gets."""
+    address = context.fleet.sidecars[name].metrics
+    status, _, content = plain_http.request(
+        'GET', 'http://%s/metrics' % address
+    )
+    assert status == 200, status
+    assert text in content.decode(), content.decode()[:3000]
--- a/features/steps/platform_decision_steps.py
+++ b/features/steps/platform_decision_steps.py
@@ -21,7 +21,8 @@
 WIRE_NAMES = re.compile(
     r'(?i:Request-Id|Deadline-Milliseconds|Response-Signature)'
     r'|(?i:Expected-Instance|Not-Executed|Calling-Service|Instance-Id)'
-    r'|/v1/(readiness|instances|rows|blob)|rows-tx|rows-get|rows-feed|rowVersion|waitMs|hasMore|resourceType|specification'
+    r'|/v1/(readiness|instances|rows|blob)|rows-tx|rows-get|rows-feed'
+    r'|rowVersion|waitMs|hasMore|resourceType|specification'
     r'|trafficSplit|targetLatency|maxAttempts|healthCheckPath'
     r'|connectionLimit|maxHeaderBytes|maxBodyBytes|headerTimeout|idleTimeout'
     r'|coldRemaining|heartbeatAddress|listenAddresses|applicationAddress'
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -147,9 +147,12 @@
                 'readiness': item.readiness,
                 'heartbeats': item.heartbeats,
                 'peers': item.peers,
+                'metrics': item.metrics,
             },
             'upstream': {'service': service, 'address': item.backend_address},
             'store': {'address': '127.0.0.1:%d' % self.store_port},
+            # Tests look for single lines, so none may be left out.
+            'log': {'refusals_per_s': 1000},
             'retries': {'ratio': 0.2, 'slack': 40, 'window': '10s'},
             **more,
         }
--- a/oleanderknot/cli/sidecar.py
+++ b/oleanderknot/cli/sidecar.py
@@ -4,6 +4,7 @@
 import pathlib
 import sys
 
+from absl import logging
 from cleo.commands import command
 from cleo.helpers import argument
 
@@ -48,11 +49,25 @@
         except border.MistakesError as error:
             print(error, file=sys.stderr)
             return 2
+        node = sidecar_application.SidecarApplication(settings=settings)
         serve.serve(
-            sidecar_application.SidecarApplication(settings=settings),
+            node,
             instance=settings.instance,
             level=settings.log.level,
             stop_timeout_s=settings.grace,
+            reload=lambda: reload(node, pathlib.Path(path)),
             stream=log_stream.LogStream(descriptor=sys.stdout.fileno()),
         )
         return 0
+
+
+def reload(
+    node: sidecar_application.SidecarApplication, path: pathlib.Path
+) -> None:
+    """Read the settings again; wrong ones leave the old ones in force."""
+    try:
+        settings = border.load_sidecar_settings(path)
+    except border.MistakesError as error:
+        logging.error('the settings were not reloaded: %s', error)
+        return
+    node.reload(settings)
--- a/oleanderknot/node/serve.py
+++ b/oleanderknot/node/serve.py
@@ -1,6 +1,7 @@
 """Runs a node until it is told to stop."""
 
 import asyncio
+import collections.abc
 import signal
 
 import aiomisc
@@ -19,6 +20,7 @@
     level: str,
     stop_timeout_s: float,
     stream: log_stream.LogStream | None = None,
+    reload: collections.abc.Callable[[], None] | None = None,
 ) -> None:
     """Run a node until SIGTERM or SIGINT, then drain and stop it.
 
@@ -28,6 +30,8 @@
         level: Lowest level that is logged.
         stop_timeout_s: Seconds that its stop takes at most.
         stream: Where log lines go; standard error by default.
+        reload: Called at SIGHUP, which says that settings have changed; by
+            default the signal ends the process.
 
     Raises:
         OSError: A listening address cannot be used.
@@ -41,4 +45,6 @@
         stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
+        if reload is not None:
+            loop.add_signal_handler(signal.SIGHUP, reload)
         loop.run_until_complete(stop.wait())
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -194,6 +194,36 @@
             },
         )
 
+    def reload(self, settings: border.SidecarSettings) -> None:
+        """Put changed bounds in force; addresses hold until a restart.
+
+        Args:
+            settings: The settings as they are now.
+        """
+        for budget in (self.repeats, self.dispatcher.repeats):
+            budget.ratio = settings.retries.ratio
+            budget.slack = settings.retries.slack
+        self.recorder.refusals.per_second = settings.log.refusals_per_s
+        self.recorder.answers.per_second = settings.log.answers_per_s
+        fixed = (settings.addresses, settings.upstream, settings.store)
+        same = fixed == (
+            self.settings.addresses,
+            self.settings.upstream,
+            self.settings.store,
+        )
+        self.settings = settings
+        logging.info(
+            'settings reloaded',
+            extra={
+                'call_fields': {
+                    'event': 'reloaded',
+                    'repeat_ratio': settings.retries.ratio,
+                    'repeat_slack': settings.retries.slack,
+                    'needs_restart': not same,
+                }
+            },
+        )
+
     async def drain(self, until: float) -> None:
         """Wait until clients have left and no request is in flight.
 
@@ -383,9 +413,10 @@
         """Take one repeat of a call that the own upstream turned away."""
         nodes = len(self.members.members)
         taken = self.repeats.take(call.service, time.monotonic(), nodes)
-        self.recorder.count(
-            'upstream.repeated' if taken else 'upstream.budget_spent'
-        )
+        if taken:
+            self.recorder.count('upstream.repeated')
+        else:
+            self.recorder.count('upstream.budget_spent')
         return taken
 
     async def answer_metrics(
--- a/oleanderknot/node/sidecar_recorder.py
+++ b/oleanderknot/node/sidecar_recorder.py
@@ -151,7 +151,8 @@
                 refusal.detail,
                 self.refusals,
                 took_ms=round(took_s * 1000, 1),
-                **load,
+                # The log has a field of its own that is named "level".
+                **{'upstream_' + name: load[name] for name in load},
             )
 
     def log(
--- a/oleanderknot/tasks/metric_list.py
+++ b/oleanderknot/tasks/metric_list.py
@@ -139,6 +139,18 @@
         'reads',
         'Reads that showed an older ticket than one already in force.',
     ),
+    (
+        'upstream.budget_spent',
+        'calls',
+        'Calls that the own upstream turned away and whose repeat the budget'
+        ' did not allow; on a platform.',
+    ),
+    (
+        'upstream.repeated',
+        'calls',
+        'Calls sent again after the own upstream turned them away; on a'
+        ' platform.',
+    ),
 )
 
 # Name, unit and what it tells.
