Split the node application of a platform

Cause: one file of 533 lines held the life cycle, the own upstream and the metrics; a function that builds refusals and a type stood twice. Change: own_upstream, sidecar_gauges and call_refusal; no behaviour changed. Result: the two platform features with processes: 34 passed, 0 failed.

--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -7,7 +7,6 @@
 
 from absl import logging
 import aiomisc
-from expression import Result
 import prometheus_client
 
 from oleanderknot import border
@@ -16,13 +15,13 @@
 from oleanderknot import platform
 from oleanderknot import wire
 from oleanderknot.node import incarnation
+from oleanderknot.node import own_upstream
+from oleanderknot.node import sidecar_gauges
 from oleanderknot.node import sidecar_recorder
-from oleanderknot.tasks import admission
 from oleanderknot.tasks import client_listener
 from oleanderknot.tasks import control_traffic
 from oleanderknot.tasks import heartbeat_ingress
 from oleanderknot.tasks import http_dialect
-from oleanderknot.tasks import json_formatter
 from oleanderknot.tasks import leaving
 from oleanderknot.tasks import membership
 from oleanderknot.tasks import peer_connection
@@ -33,14 +32,10 @@
 from oleanderknot.tasks import prober
 from oleanderknot.tasks import routed_dispatcher
 from oleanderknot.tasks import routed_ingress
-from oleanderknot.tasks import runner as runners
-from oleanderknot.tasks import single_run
 from oleanderknot.tasks import store_peers
 from oleanderknot.tasks import store_watch
 from oleanderknot.tasks import task_log
 from oleanderknot.tasks import traffic_policies
-from oleanderknot.tasks import upstream_pool
-from oleanderknot.tasks import whole_body
 
 # The platform asks once a second and takes a node out after two misses, so
 # clients may send new requests for this long after the node stops to be
@@ -54,10 +49,6 @@
 # cycles, and the default of 700 searches several times for each request.
 COLLECT_AFTER = (20000, 20, 20)
 
-# One class: enough to go before trees of the same rank, not before those of
-# the next one.
-LEAF_BONUS = 1.0
-
 METRICS_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
 
 DIALECT = http_dialect.HttpDialect(
@@ -92,7 +83,6 @@
         self.background: list[asyncio.Task] = []
         self.rng = random.Random()
         self.stopping = False
-        self.upstream = ''
         self.recorder = sidecar_recorder.SidecarRecorder(settings=settings.log)
 
     # Life-cycle hooks.
@@ -116,6 +106,7 @@
             pool=self.pool,
             count=self.recorder.count,
         )
+        self.own.membership = self.membership
         self.start_background()
         await self.peers.start()
         addresses = self.settings.addresses
@@ -127,7 +118,7 @@
             await listener.start(*split_address(address))
         if addresses.metrics is not None:
             await self.metrics.start(*split_address(addresses.metrics))
-        self.add_gauges()
+        self.recorder.gauges.update(sidecar_gauges.build_gauges(self))
         # What lives as long as the process need not be looked at again.
         gc.collect()
         gc.freeze()
@@ -156,11 +147,11 @@
                 'call_fields': {
                     'event': 'stopping',
                     'requests': self.requests.active,
-                    'runs': self.runner.running,
+                    'runs': self.own.runner.running,
                 }
             },
         )
-        self.leaving.set(leaving.LeavingReason.STOP, True)
+        self.own.leaving.set(leaving.LeavingReason.STOP, True)
         self.requests.finish()
         withdrawal = asyncio.create_task(self.finder.withdraw())
         withdrawal.add_done_callback(task_log.log_failure)
@@ -181,7 +172,7 @@
             listener.close()
         self.peers.close()
         self.pool.close()
-        await self.runner.close()
+        await self.own.runner.close()
         await self.store.close()
         logging.info(
             'node %s stopped',
@@ -200,7 +191,7 @@
         Args:
             settings: The settings as they are now.
         """
-        for budget in (self.repeats, self.dispatcher.repeats):
+        for budget in (self.own.repeats, self.dispatcher.repeats):
             budget.ratio = settings.retries.ratio
             budget.slack = settings.retries.slack
         self.recorder.refusals.per_second = settings.log.refusals_per_s
@@ -232,7 +223,7 @@
         """
         earliest = time.monotonic() + UNREADY_S
         while time.monotonic() < until:
-            busy = self.requests.active or self.runner.running
+            busy = self.requests.active or self.own.runner.running
             if not busy and time.monotonic() >= earliest:
                 return
             await asyncio.sleep(0.05)
@@ -242,7 +233,7 @@
                 'call_fields': {
                     'event': 'drain_ended',
                     'requests': self.requests.active,
-                    'runs': self.runner.running,
+                    'runs': self.own.runner.running,
                 }
             },
         )
@@ -250,36 +241,18 @@
     def build_tasks(self) -> None:
         """Build the tasks and connect them by their message functions."""
         settings = self.settings
-        host, port = split_address(settings.upstream.address)
         self.store = platform.RowStore(
             url='http://' + settings.store.address,
             timeout_s=settings.store.timeout,
         )
         self.watch = store_watch.StoreWatch()
-        self.repeats = decisions.RepeatBudget(
-            ratio=settings.retries.ratio,
-            slack=settings.retries.slack,
-            share=decisions.GATEWAY_SHARE,
-        )
-        self.order = decisions.HeartbeatOrder(
-            service=settings.upstream.service, host=host, port=port
-        )
-        self.runner = runners.Runner(
+        self.own = own_upstream.OwnUpstream(
+            settings=settings,
             chains=self.chains,
-            build_admission=lambda slots, warm=False: admission.Admission(
-                slots=slots, warm=warm, shed_inner=False, sole_sender=True
-            ),
-            build_client=lambda host, port, slots: upstream_pool.UpstreamPool(
-                host=host,
-                port=port,
-                upstream=self.upstream,
-                dialect=DIALECT,
-                may_repeat=self.may_repeat,
-            ),
+            members=self.members,
+            recorder=self.recorder,
+            dialect=DIALECT,
         )
-        self.runner.leaf_bonus = LEAF_BONUS
-        self.runner.orders = single_run.SingleRun(run_call=self.runner.admit)
-        self.leaving = leaving.Leaving(on_change=self.change_leaving)
         handlers = self.build_peer_handlers()
         self.pool = peer_pool.PeerPool(
             identity=self.identity, handlers=handlers
@@ -293,7 +266,7 @@
         self.dispatcher = routed_dispatcher.RoutedDispatcher(
             identity=self.identity,
             members=self.members,
-            runner=self.runner,
+            runner=self.own.runner,
             pool=self.pool,
             repeats=decisions.RepeatBudget(
                 ratio=settings.retries.ratio,
@@ -301,10 +274,10 @@
                 share=decisions.ORIGIN_SHARE,
             ),
             record=self.recorder.record,
-            run=self.run_here,
+            run=self.own.run,
             rng=self.rng,
         )
-        self.runner.deeper.find_service_level = (
+        self.own.runner.deeper.find_service_level = (
             self.dispatcher.chooser.find_service_level
         )
         self.build_listeners()
@@ -324,7 +297,9 @@
         )
         self.heartbeats = self.build_listener(
             heartbeat_ingress.build_handler(
-                order=self.order, take=self.take_heartbeat, end=self.end
+                order=self.own.order,
+                take=self.own.take_heartbeat,
+                end=self.own.end,
             )
         )
         self.readiness = self.build_listener(self.answer_readiness)
@@ -343,7 +318,7 @@
     def build_peer_handlers(self) -> peer_handlers.PeerHandlers:
         """Build the functions that messages of peers go to."""
         return peer_handlers.PeerHandlers(
-            run=self.run_call,
+            run=self.own.run_call,
             query=refuse_query,
             gossip=self.take_gossip,
             policy=lambda peer, item: self.policies.handle(peer, item),
@@ -381,44 +356,6 @@
             running.add_done_callback(task_log.log_failure)
             self.background.append(running)
 
-    async def run_call(
-        self, call: model.Call, content: bytes, body: model.Body | None
-    ) -> Result[model.Answer, model.Refusal]:
-        """Run a call of another node once its body is whole."""
-        if body is not None:
-            content = await whole_body.join_body(content, body)
-        result = await self.run_here(call, content, None)
-        if result.is_ok():
-            answer = result.ok
-            answer.content, answer.body = whole_body.split_body(answer.content)
-        return result
-
-    async def run_here(
-        self, call: model.Call, content: bytes, body: model.Body | None
-    ) -> Result[model.Answer, model.Refusal]:
-        """Run a call at the own upstream and record what became of it."""
-        started = time.monotonic()
-        self.repeats.count_request(call.service, started)
-        result = await self.runner.run(call, content, body)
-        refusal = result.error if result.is_error() else None
-        self.recorder.record_run(
-            call,
-            refusal,
-            time.monotonic() - started,
-            self.runner.admission.describe() if refusal else {},
-        )
-        return result
-
-    def may_repeat(self, call: model.Call) -> bool:
-        """Take one repeat of a call that the own upstream turned away."""
-        nodes = len(self.members.members)
-        taken = self.repeats.take(call.service, time.monotonic(), nodes)
-        if taken:
-            self.recorder.count('upstream.repeated')
-        else:
-            self.recorder.count('upstream.budget_spent')
-        return taken
-
     async def answer_metrics(
         self, request: model.HttpRequest
     ) -> model.HttpResponse:
@@ -429,29 +366,6 @@
             content=self.recorder.format_metrics(),
         )
 
-    def add_gauges(self) -> None:
-        """Name the values that metrics read when they are asked for."""
-        table = self.members
-        self.recorder.gauges.update(
-            {
-                'policy_version': lambda: self.policies.version,
-                'requests_active': lambda: self.requests.active,
-                'runs_active': lambda: self.runner.running,
-                'run_limit': lambda: self.runner.admission.describe()['limit'],
-                'admission_level': lambda: self.runner.admission.describe()[
-                    'level'
-                ],
-                'nodes_live': lambda: len(table.list_live()),
-                'peer_connections': lambda: len(self.pool.open),
-                'store_answer_age_seconds': lambda: (
-                    self.watch.find_age(time.monotonic()) or 0.0
-                ),
-                'log_lines_dropped': lambda: (
-                    json_formatter.count_dropped_lines()
-                ),
-            }
-        )
-
     async def answer_readiness(
         self, request: model.HttpRequest
     ) -> model.HttpResponse:
@@ -459,50 +373,6 @@
         ready = not self.stopping and self.policies.policy is not None
         return model.HttpResponse(status=200 if ready else 503)
 
-    async def take_heartbeat(self, report: model.UpstreamReport) -> None:
-        """Take a new heartbeat of the own upstream."""
-        own = self.membership.own
-        if report.upstream != self.upstream or report.slots != own.slots:
-            self.upstream = report.upstream
-            await self.runner.attach(
-                service=report.service,
-                host=report.host,
-                port=report.port,
-                slots=report.slots,
-                warm=True,
-            )
-            heartbeat_ingress.log_upstream('upstream_joined', report)
-            self.membership.change_own(
-                service=report.service,
-                slots=report.slots,
-                state=model.MemberState.LEAVING
-                if self.runner.leaving
-                else model.MemberState.TAKING,
-            )
-        if report.draining != self.leaving.holds(
-            leaving.LeavingReason.UPSTREAM
-        ):
-            heartbeat_ingress.log_upstream(
-                'upstream_draining' if report.draining else 'upstream_back',
-                report,
-            )
-        self.leaving.set(leaving.LeavingReason.UPSTREAM, report.draining)
-
-    def end(self) -> None:
-        """Send no new work to an upstream that has left."""
-        self.leaving.set(leaving.LeavingReason.UPSTREAM, True)
-
-    def change_leaving(self, leaves: bool) -> None:
-        """Take new work or none, and tell the other nodes at once."""
-        self.runner.leaving = leaves
-        if leaves:
-            state = model.MemberState.LEAVING
-        elif self.runner.service:
-            state = model.MemberState.TAKING
-        else:
-            state = model.MemberState.JOINING
-        self.membership.change_own(state=state)
-
     def take_gossip(
         self, connection: peer_connection.PeerConnection, message: wire.Gossip
     ) -> None:
--- /dev/null
+++ b/oleanderknot/node/sidecar_gauges.py
@@ -0,0 +1,30 @@
+"""Values that the metrics of a node on a platform read when asked for."""
+
+import time
+import typing
+
+from oleanderknot.node import sidecar_recorder
+from oleanderknot.tasks import json_formatter
+
+if typing.TYPE_CHECKING:
+    from oleanderknot.node import sidecar_application
+
+
+def build_gauges(
+    node: 'sidecar_application.SidecarApplication',
+) -> dict[str, sidecar_recorder.GaugeFunction]:
+    """Return the function that reads each gauge, by name."""
+    runner = node.own.runner
+    return {
+        'policy_version': lambda: node.policies.version,
+        'requests_active': lambda: node.requests.active,
+        'runs_active': lambda: runner.running,
+        'run_limit': lambda: runner.admission.describe()['limit'],
+        'admission_level': lambda: runner.admission.find_level(),
+        'nodes_live': lambda: len(node.members.list_live()),
+        'peer_connections': lambda: len(node.pool.open),
+        'store_answer_age_seconds': lambda: (
+            node.watch.find_age(time.monotonic()) or 0.0
+        ),
+        'log_lines_dropped': json_formatter.count_dropped_lines,
+    }
--- a/oleanderknot/tasks/routed_dispatcher.py
+++ b/oleanderknot/tasks/routed_dispatcher.py
@@ -10,9 +10,9 @@
 from oleanderknot import model
 from oleanderknot.tasks import dispatcher
 from oleanderknot.tasks import early_refusal
+from oleanderknot.tasks import peer_handlers
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import runner
-from oleanderknot.tasks import single_run
 from oleanderknot.tasks import upstream_chooser
 from oleanderknot.tasks import whole_body
 
@@ -62,7 +62,7 @@
         pool: peer_pool.PeerPool,
         repeats: decisions.RepeatBudget,
         record: dispatcher.RecordFunction,
-        run: single_run.RunFunction,
+        run: peer_handlers.RunFunction,
         rng: random.Random,
     ) -> None:
         self.identity = identity
--- a/oleanderknot/tasks/single_run.py
+++ b/oleanderknot/tasks/single_run.py
@@ -1,18 +1,13 @@
 """Runs non-idempotent calls to their end once they have been sent."""
 
 import asyncio
-import collections.abc
 
 from expression import Result
 
 from oleanderknot import model
+from oleanderknot.tasks import peer_handlers
 from oleanderknot.tasks import task_log
 
-RunFunction = collections.abc.Callable[
-    [model.Call, bytes, model.Body | None],
-    collections.abc.Awaitable[Result[model.Answer, model.Refusal]],
-]
-
 
 class SingleRun:
     """Separates a call that has been sent from those that wait for it.
@@ -25,7 +20,7 @@
         tasks: Calls that run.
     """
 
-    def __init__(self, *, run_call: RunFunction) -> None:
+    def __init__(self, *, run_call: peer_handlers.RunFunction) -> None:
         self.run_call = run_call
         self.tasks: set[asyncio.Task] = set()
 
--- a/oleanderknot/tasks/upstream_client.py
+++ b/oleanderknot/tasks/upstream_client.py
@@ -6,13 +6,13 @@
 import time
 
 import aiohttp
-from expression import Error
 from expression import Ok
 from expression import Result
 import yarl
 
 from oleanderknot import border
 from oleanderknot import model
+from oleanderknot.tasks import call_refusal
 from oleanderknot.tasks import finished_body
 from oleanderknot.tasks import response_body
 from oleanderknot.tasks import send_window
@@ -116,18 +116,18 @@
                 allow_redirects=False,
             )
         except aiohttp.ClientConnectorError as error:
-            return refuse(
+            return call_refusal.refuse(
                 call,
                 model.Verdict.NOT_RUN,
                 model.Rule.CONNECTION_REFUSED,
                 'the upstream cannot be reached: %s' % error,
             )
         except model.BodyCut as error:
-            return refuse(
+            return call_refusal.refuse(
                 call, model.Verdict.MAY_HAVE_RUN, error.rule, str(error)
             )
         except (aiohttp.ClientError, OSError) as error:
-            return refuse(
+            return call_refusal.refuse(
                 call,
                 model.Verdict.MAY_HAVE_RUN,
                 model.Rule.UPSTREAM_CUT,
@@ -142,7 +142,7 @@
         verdict = response.headers.get(border.headers.VERDICT)
         if response.status >= 400 and verdict == model.Verdict.NOT_RUN.value:
             response.release()
-            return refuse(
+            return call_refusal.refuse(
                 call,
                 model.Verdict.NOT_RUN,
                 model.Rule.UPSTREAM_REFUSED,
@@ -152,7 +152,7 @@
         try:
             first = await rest.read_up_to(send_window.CHUNK_BYTES)
         except model.BodyCut as error:
-            return refuse(
+            return call_refusal.refuse(
                 call, model.Verdict.MAY_HAVE_RUN, error.rule, str(error)
             )
         return Ok(
@@ -203,13 +203,3 @@
         yield content
     while data := await body.read():
         yield data
-
-
-def refuse(
-    call: model.Call,
-    verdict: model.Verdict,
-    rule: model.Rule,
-    detail: str,
-) -> Result[model.Answer, model.Refusal]:
-    """Return the refusal of a call as a result."""
-    return Error(model.build_refusal(call, verdict, rule, detail))
--- a/oleanderknot/tasks/upstream_pool.py
+++ b/oleanderknot/tasks/upstream_pool.py
@@ -4,11 +4,11 @@
 import collections
 import collections.abc
 
-from expression import Error
 from expression import Ok
 from expression import Result
 
 from oleanderknot import model
+from oleanderknot.tasks import call_refusal
 from oleanderknot.tasks import http_dialect
 from oleanderknot.tasks import raw_answer
 from oleanderknot.tasks import upstream_connection
@@ -151,7 +151,7 @@
             try:
                 connection = await self.connect()
             except (OSError, TimeoutError) as error:
-                return refuse(
+                return call_refusal.refuse(
                     call,
                     model.Verdict.NOT_RUN,
                     model.Rule.CONNECTION_REFUSED,
@@ -162,14 +162,14 @@
             answer = await self.send(connection, call, content)
             done = True
         except upstream_cut.UpstreamCut as error:
-            return refuse(
+            return call_refusal.refuse(
                 call,
                 model.Verdict.MAY_HAVE_RUN,
                 model.Rule.UPSTREAM_CUT,
                 str(error),
             )
         except TimeoutError:
-            return refuse(
+            return call_refusal.refuse(
                 call,
                 model.Verdict.MAY_HAVE_RUN,
                 model.Rule.UPSTREAM_TIMEOUT,
@@ -233,7 +233,7 @@
         """Decide what an answer says about the call."""
         facts = answer.facts
         if facts.not_run:
-            return refuse(
+            return call_refusal.refuse(
                 call,
                 model.Verdict.NOT_RUN,
                 model.Rule.UPSTREAM_REFUSED,
@@ -241,7 +241,7 @@
                 % answer.status,
             )
         if not facts.signed or facts.encoded:
-            return refuse(
+            return call_refusal.refuse(
                 call,
                 model.Verdict.MAY_HAVE_RUN,
                 model.Rule.UPSTREAM_CUT,
@@ -265,13 +265,3 @@
     """End the wait for an answer."""
     if not waiter.done():
         waiter.set_exception(TimeoutError())
-
-
-def refuse(
-    call: model.Call,
-    verdict: model.Verdict,
-    rule: model.Rule,
-    detail: str,
-) -> Result[model.Answer, model.Refusal]:
-    """Return the refusal of a call as a result."""
-    return Error(model.build_refusal(call, verdict, rule, detail))
