Count repeats over the window of the settings

Cause: retries.window was read and checked but the budgets counted over a constant of 10 s, so a deployment with another window would have had its repeats counted over the wrong time. Change: both repeat budgets of a node take the window of the settings.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -45,6 +45,22 @@
     When each counts 100 requests and asks for 100 repeats at its gateway and at its origin
     Then all nodes together were granted at most 307 repeats
 
+  Scenario Outline: The bound on repeats holds over the window of the settings
+    Guards against repeats that are counted over another time than the
+    platform counts them.
+    Given a budget of repeats over <window> seconds with a slack of 4
+    When it grants all repeats of the slack at second 100.0
+    Then it grants <count> repeats at second <now>
+
+    Examples:
+      | window | now   | count |
+      | 10.0   | 108.0 | 0     |
+      | 10.0   | 111.0 | 4     |
+      | 3.0    | 102.0 | 0     |
+      | 3.0    | 104.0 | 4     |
+      | 30.0   | 128.0 | 0     |
+      | 30.0   | 131.0 | 4     |
+
   Scenario Outline: Late and foreign heartbeats are told from new ones
     Guards against a live upstream taken out by the word of a dead one.
     Given a heartbeat of "i-1" started at 1000 with sequence 5
--- a/features/steps/platform_decision_steps.py
+++ b/features/steps/platform_decision_steps.py
@@ -184,7 +184,9 @@
 def build_budgets(context, count, ratio, slack):
     """Build the budgets of all nodes."""
     context.budgets = [
-        decisions.RepeatBudget(ratio=ratio, slack=slack, share=share)
+        decisions.RepeatBudget(
+            ratio=ratio, slack=slack, share=share, window_s=10.0
+        )
         for _ in range(count)
         for share in (decisions.ORIGIN_SHARE, decisions.GATEWAY_SHARE)
     ]
@@ -212,6 +214,31 @@
     assert 0 < context.granted <= most, context.granted
 
 
+@given(
+    'a budget of repeats over {window_s:f} seconds with a slack of {slack:d}'
+)
+def build_budget(context, window_s, slack):
+    """Build the budget of a single node."""
+    context.budget = decisions.RepeatBudget(
+        ratio=0.2, slack=slack, share=1.0, window_s=window_s
+    )
+
+
+@when('it grants all repeats of the slack at second {now:f}')
+def spend_budget(context, now):
+    """Take repeats until none is left."""
+    context.granted = 0
+    while context.budget.take('s', now, 1):
+        context.granted += 1
+
+
+@then('it grants {count:d} repeats at second {now:f}')
+def check_budget(context, count, now):
+    """Take repeats until none is left, and compare their number."""
+    spend_budget(context, now)
+    assert context.granted == count, context.granted
+
+
 @given(
     'a heartbeat of "{upstream}" started at {started:d} with sequence '
     '{number:d}'
--- a/oleanderknot/decisions/repeat_budget.py
+++ b/oleanderknot/decisions/repeat_budget.py
@@ -19,20 +19,26 @@
         ratio: Repeats allowed as a share of the requests.
         slack: Repeats allowed whatever the requests, for all nodes together.
         share: Part of the shared bound that this budget may use.
+        window_s: Seconds that the bound holds for.
         budgets: Counts by service.
     """
 
-    def __init__(self, *, ratio: float, slack: int, share: float) -> None:
+    def __init__(
+        self, *, ratio: float, slack: int, share: float, window_s: float
+    ) -> None:
         self.ratio = ratio
         self.slack = slack
         self.share = share
+        self.window_s = window_s
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
 
     def find(self, service: str) -> retry_budget.RetryBudget:
         """Return the counts of a service."""
         budget = self.budgets.get(service)
         if budget is None:
-            budget = self.budgets[service] = retry_budget.RetryBudget()
+            budget = self.budgets[service] = retry_budget.RetryBudget(
+                window_s=self.window_s
+            )
         return budget
 
     def count_request(self, service: str, now: float) -> None:
--- a/oleanderknot/decisions/retry_budget.py
+++ b/oleanderknot/decisions/retry_budget.py
@@ -2,19 +2,22 @@
 
 import collections
 
-WINDOW_S = 10
+# The budget of a node without a setting of its own; in seconds.
+DEFAULT_WINDOW_S = 10.0
 
 
 class RetryBudget:
     """Counts successes and retries in one-second buckets.
 
     Attributes:
+        window_s: Seconds that the budget holds for.
         buckets: Second, successes and retries of each bucket, oldest first.
         successes: Successes within the window.
         retries: Retries within the window.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, window_s: float = DEFAULT_WINDOW_S) -> None:
+        self.window_s = window_s
         self.buckets: collections.deque[list[int]] = collections.deque()
         self.successes = 0
         self.retries = 0
@@ -30,7 +33,7 @@
         """
         second = int(now)
         buckets = self.buckets
-        while buckets and buckets[0][0] <= second - WINDOW_S:
+        while buckets and buckets[0][0] <= second - self.window_s:
             _, successes, retries = buckets.popleft()
             self.successes -= successes
             self.retries -= retries
--- a/oleanderknot/node/own_upstream.py
+++ b/oleanderknot/node/own_upstream.py
@@ -59,6 +59,7 @@
             ratio=settings.retries.ratio,
             slack=settings.retries.slack,
             share=decisions.GATEWAY_SHARE,
+            window_s=settings.retries.window,
         )
         self.runner = runners.Runner(
             chains=chains,
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -272,6 +272,7 @@
                 ratio=settings.retries.ratio,
                 slack=settings.retries.slack,
                 share=decisions.ORIGIN_SHARE,
+                window_s=settings.retries.window,
             ),
             record=self.recorder.record,
             run=self.own.run,
