Tell the way of a request from the logs of several nodes

Cause: an engineer had to search the logs of all nodes by hand, and changes of members were logged only when the own failure detector had judged, without the record that decided. Change: oleanderknot trace ID FILE... prints the lines of a request and its calls in order, after what the same nodes came to believe shortly before; each found, lost or changed member is one line with incarnation and version, at most 20 a second.

--- a/oleanderknot/border/__init__.py
+++ b/oleanderknot/border/__init__.py
@@ -14,6 +14,7 @@
 from oleanderknot.border.alert_settings import AlertSettings
 from oleanderknot.border.announcement import Announcement
 from oleanderknot.border.claim_row import ClaimRow
+from oleanderknot.border.log_line import parse_log_line
 from oleanderknot.border.log_settings import LogSettings
 from oleanderknot.border.mistake import Mistake
 from oleanderknot.border.model_mistakes import collect
@@ -45,6 +46,7 @@
 from oleanderknot.border.yaml_lines import YamlText
 
 __all__ = [
+    'parse_log_line',
     'parse_traffic_policy',
     'dump_traffic_policy',
     'NodeRow',
--- a/oleanderknot/cli/main.py
+++ b/oleanderknot/cli/main.py
@@ -19,6 +19,7 @@
     'node': ('node', 'NodeCommand'),
     'sidecar': ('sidecar', 'SidecarCommand'),
     'status': ('status', 'StatusCommand'),
+    'trace': ('trace', 'TraceCommand'),
     'ticket file': ('ticket_file', 'TicketFileCommand'),
     'ticket list': ('ticket_list', 'TicketListCommand'),
     'ticket show': ('ticket_show', 'TicketShowCommand'),
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -72,6 +72,9 @@
 from oleanderknot.decisions.repeat_budget import RepeatBudget
 from oleanderknot.decisions.reporters import find_dark
 from oleanderknot.decisions.reporters import is_reporter
+from oleanderknot.decisions.request_trace import describe_line
+from oleanderknot.decisions.request_trace import find_context
+from oleanderknot.decisions.request_trace import find_lines
 from oleanderknot.decisions.retry_budget import RetryBudget
 from oleanderknot.decisions.route_calls import RouteCalls
 from oleanderknot.decisions.route_table import RouteTable
@@ -90,6 +93,9 @@
 from oleanderknot.decisions.upstream_choice import choose
 
 __all__ = [
+    'describe_line',
+    'find_context',
+    'find_lines',
     'choose_balanced',
     'GATEWAY_SHARE',
     'ORIGIN_SHARE',
--- /dev/null
+++ b/oleanderknot/decisions/request_trace.py
@@ -0,0 +1,121 @@
+"""Tells the way of one request from the log lines of several nodes."""
+
+import collections.abc
+import datetime
+
+from oleanderknot import model
+
+# Changes of what a node believes that are this much older than the first
+# line about a request are told with it. The platform puts a policy in force
+# and hears of a leaving upstream within this time.
+CONTEXT_S = 7.0
+
+# Separates the id of a request from those of the calls made for it.
+CALL_MARK = '.'
+
+REQUEST_EVENTS = ('request', 'run')
+
+VERDICT_TEXTS = {
+    'not-run': 'it has not run',
+    'may-have-run': 'it may have run',
+    'answered': 'it was answered',
+}
+
+
+def find_lines(
+    entries: collections.abc.Iterable[model.LogEntry], request: str
+) -> list[model.LogEntry]:
+    """Return the lines about a request, its calls and those above it.
+
+    Args:
+        entries: Lines of several nodes, in any order.
+        request: Id of the request or of one of its calls.
+
+    Returns:
+        The lines in order of time. The calls that one customer's request
+        leads to have its id, a mark and a part of their own.
+    """
+    root = request.partition(CALL_MARK)[0]
+    return sorted(
+        (
+            entry
+            for entry in entries
+            if entry.event in REQUEST_EVENTS
+            and entry.request.partition(CALL_MARK)[0] == root
+        ),
+        key=lambda entry: entry.at,
+    )
+
+
+def find_context(
+    entries: collections.abc.Iterable[model.LogEntry],
+    lines: collections.abc.Sequence[model.LogEntry],
+) -> list[model.LogEntry]:
+    """Return what the nodes of a request came to believe around it.
+
+    Args:
+        entries: Lines of several nodes, in any order.
+        lines: The lines about the request, in order of time.
+
+    Returns:
+        Lines of the same nodes from shortly before the first to the last.
+    """
+    if not lines:
+        return []
+    instances = {entry.instance for entry in lines}
+    for entry in lines:
+        instances.update(text.partition(' ')[0] for text in entry.attempts)
+    return sorted(
+        (
+            entry
+            for entry in entries
+            if entry.event
+            and entry.event not in REQUEST_EVENTS
+            and entry.instance in instances
+            and lines[0].at - CONTEXT_S <= entry.at <= lines[-1].at
+        ),
+        key=lambda entry: entry.at,
+    )
+
+
+def describe_line(entry: model.LogEntry) -> str:
+    """Return one line as sentences."""
+    place = '%s %s: ' % (format_time(entry.at), entry.instance)
+    if entry.event not in REQUEST_EVENTS:
+        return '%s%s.' % (place, entry.message)
+    rule, _, detail = entry.message.partition(': ')
+    text = '%s%s %s for %s (route %s, policy %d) ended with %s' % (
+        place,
+        'request' if entry.event == 'request' else 'the run of',
+        entry.request,
+        entry.service or 'no service',
+        entry.route or 'unknown',
+        entry.policy,
+        rule,
+    )
+    if detail:
+        text += ', since ' + detail
+    if entry.verdict in VERDICT_TEXTS:
+        text += '; ' + VERDICT_TEXTS[entry.verdict]
+    text += '.'
+    if entry.attempts:
+        text += ' Failed attempts: %s.' % ', '.join(entry.attempts)
+    if entry.took_ms is not None:
+        text += ' It took %.1f ms.' % entry.took_ms
+    if entry.limit is not None:
+        text += ' The upstream ran %d of %d calls and %d waited.' % (
+            entry.running or 0,
+            entry.limit,
+            entry.queued or 0,
+        )
+    if entry.left_ms is not None:
+        text += ' %d ms were left.' % entry.left_ms
+    if entry.left_out:
+        text += ' This node had left out %d lines before.' % entry.left_out
+    return text
+
+
+def format_time(at: float) -> str:
+    """Return the time of day (UTC) with milliseconds."""
+    moment = datetime.datetime.fromtimestamp(at, datetime.timezone.utc)
+    return moment.strftime('%H:%M:%S.%f')[:-3]
--- a/oleanderknot/model/__init__.py
+++ b/oleanderknot/model/__init__.py
@@ -23,6 +23,7 @@
 from oleanderknot.model.http_response import HttpResponse
 from oleanderknot.model.key_decision import KeyDecision
 from oleanderknot.model.load_report import LoadReport
+from oleanderknot.model.log_entry import LogEntry
 from oleanderknot.model.member import Member
 from oleanderknot.model.member_state import MemberState
 from oleanderknot.model.metric import Metric
@@ -57,6 +58,7 @@
 from oleanderknot.model.verdict import Verdict
 
 __all__ = [
+    'LogEntry',
     'RowBatch',
     'AnswerFacts',
     'ClientLimits',
--- a/oleanderknot/tasks/membership.py
+++ b/oleanderknot/tasks/membership.py
@@ -16,6 +16,9 @@
 # Records in one frame; far below the largest frame at 100 bytes a record.
 RECORDS_PER_FRAME = 500
 
+# Log lines about members. A node that joins 1,200 others hears of all at once.
+LINES_PER_S = 20
+
 ChangeHook = collections.abc.Callable[[model.Member], None]
 
 
@@ -27,6 +30,7 @@
         own: Record of this node.
         pool: Connections to other nodes.
         spread: Recent changes that ride on probes.
+        lines: Limits the log lines about members.
         pace: Spaces the exchanges of whole data centres.
         on_change: Called with each changed record of another node.
         on_probe: Called with messages of the failure detector.
@@ -46,6 +50,7 @@
         self.pool = pool
         self.count = count
         self.spread = decisions.ChangeSpread()
+        self.lines = decisions.LogSampler(per_second=LINES_PER_S)
         self.pace = decisions.ExchangePace()
         self.on_change: ChangeHook = lambda record: None
         self.on_probe: collections.abc.Callable[
@@ -76,7 +81,6 @@
             return
         judged = dataclasses.replace(record, state=state)
         self.count('member.' + state.name.lower())
-        logging.info('%s is %s', instance, state.name.lower())
         self.take([judged])
         # The member itself must hear of it to be able to refute.
         connection = self.pool.find(instance)
@@ -91,12 +95,50 @@
         Returns:
             The records that were new.
         """
+        records = list(records)
+        before = [self.table.members.get(item.instance) for item in records]
         changed = self.table.merge(records)
+        self.log_states(before, changed)
         for record in changed:
             self.spread.add(record.instance)
             self.on_change(record)
         return changed
 
+    def log_states(
+        self,
+        before: collections.abc.Iterable[model.Member | None],
+        changed: collections.abc.Iterable[model.Member],
+    ) -> None:
+        """Log the members that have been found, lost or changed their state.
+
+        Args:
+            before: What was known of them; None for a new member.
+            changed: Their new records.
+        """
+        states = {item.instance: item.state for item in before if item}
+        for record in changed:
+            known = states.get(record.instance)
+            if known is record.state:
+                continue
+            if not self.lines.take(time.monotonic()):
+                continue
+            logging.info(
+                '%s is %s',
+                record.instance,
+                record.state.name.lower(),
+                extra={
+                    'call_fields': {
+                        'event': 'member',
+                        'member': record.instance,
+                        'state': record.state.name.lower(),
+                        'before': known.name.lower() if known else None,
+                        'incarnation': record.incarnation,
+                        'version': record.version,
+                        'left_out': self.lines.flush(),
+                    }
+                },
+            )
+
     def handle(
         self,
         connection: peer_connection.PeerConnection,
