Look for killed nodes again without the store

Cause: a node that starts while the store is away knows nobody, and its peers took the new life for a wrong address until they had declared the old one dead, then tried one dead node in about ten periods. With two of three nodes killed the third served their routes after 10.0 s once and not within 30 s twice.

--- a/features/platform_changes.feature
+++ b/features/platform_changes.feature
@@ -59,6 +59,16 @@
     And the node of "one" is killed and started
     Then the node of "one" answers 503 and never 404 until it is ready
 
+  Scenario: Nodes that were killed while the store is away are found again
+    Guards against a restarted node that its peers take for dead until the
+    store is back.
+    Given the instance "three" with a back end of "orders"
+    And "three" serves "/order/ready" and "/page/ready"
+    When the store has the faults "silent"
+    And the nodes "one" and "two" are killed and started
+    Then "three" serves "/page/1" within 8 seconds
+    And "one" serves "/order/2" within 3 seconds
+
   Scenario: A node that was told to stop finishes its requests
     Guards against a payment cut off by planned work.
     When a client of "two" sends POST "/order/1?delay_ms=1500" as "f1" and waits
--- a/features/steps/platform_change_steps.py
+++ b/features/steps/platform_change_steps.py
@@ -76,6 +76,25 @@
     context.fleet.restart(item)
 
 
+@when('the nodes "{first}" and "{second}" are killed and started')
+def restart_two(context, first, second):
+    """Kill two nodes before either is started again."""
+    items = [context.fleet.sidecars[name] for name in (first, second)]
+    for item in items:
+        item.process.kill()
+    for item in items:
+        context.fleet.restart(item)
+
+
+@then('"{name}" serves "{target}" within {limit_s:d} seconds')
+def check_served_soon(context, name, target, limit_s):
+    """Wait until a request is served, and check how long it took."""
+    started = time.monotonic()
+    context.fleet.wait_for_service(name, target)
+    took_s = time.monotonic() - started
+    assert took_s <= limit_s, 'served after %.1f s' % took_s
+
+
 @then('the node of "{name}" answers 503 and never 404 until it is ready')
 def check_restart(context, name):
     """Send requests until one is served; all others must be refused."""
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -23,6 +23,7 @@
 from oleanderknot.tasks import heartbeat_ingress
 from oleanderknot.tasks import http_dialect
 from oleanderknot.tasks import leaving
+from oleanderknot.tasks import lost_peers
 from oleanderknot.tasks import membership
 from oleanderknot.tasks import peer_connection
 from oleanderknot.tasks import peer_handlers
@@ -170,6 +171,7 @@
             self.metrics,
         ):
             listener.close()
+        self.lost_peers.stop()
         self.peers.close()
         self.pool.close()
         await self.own.runner.close()
@@ -324,7 +326,7 @@
             gossip=self.take_gossip,
             policy=lambda peer, item: self.policies.handle(peer, item),
             opened=self.greet,
-            closed=lambda connection: self.pool.remove(connection),
+            closed=self.forget_connection,
             count=self.recorder.count,
             closing=lambda peer: self.pool.withdraw(peer),
             traffic=control_traffic.ControlTraffic(),
@@ -346,6 +348,9 @@
             watch=self.watch,
             rng=self.rng,
         )
+        self.lost_peers = lost_peers.LostPeers(
+            members=self.membership, pool=self.pool, rng=self.rng
+        )
         feed = policy_feed.PolicyFeed(
             store=self.store,
             take=self.policies.take,
@@ -386,6 +391,14 @@
         if message.policy is not None:
             self.policies.take_digest(connection, message.policy)
 
+    def forget_connection(
+        self, connection: peer_connection.PeerConnection
+    ) -> None:
+        """Take a connection that has ended."""
+        self.pool.remove(connection)
+        if not self.stopping:
+            self.lost_peers.note_closed(connection)
+
     def greet(self, connection: peer_connection.PeerConnection) -> None:
         """Take a connection whose handshake is done."""
         self.pool.add(connection)
--- a/oleanderknot/tasks/metric_list.py
+++ b/oleanderknot/tasks/metric_list.py
@@ -64,6 +64,11 @@
         'bodies',
         'Bodies cut because a part between two nodes was missing.',
     ),
+    (
+        'peer.found_again',
+        'connections',
+        'Connections to nodes that had gone without a goodbye.',
+    ),
     (
         'peer.silent',
         'connections',
--- a/oleanderknot/tasks/peer_pool.py
+++ b/oleanderknot/tasks/peer_pool.py
@@ -71,13 +71,18 @@
         return connection
 
     async def connect(
-        self, member: model.Member, heard_since: float = 0.0
+        self,
+        member: model.Member,
+        heard_since: float = 0.0,
+        *,
+        any_life: bool = False,
     ) -> peer_connection.PeerConnection:
         """Return a connection to a node; callers at once share one attempt.
 
         Args:
             member: The node.
             heard_since: See ``find``.
+            any_life: Whether a node that has started again will do.
 
         Returns:
             A connection whose handshake is done.
@@ -94,7 +99,7 @@
                 self.dial(
                     member.host,
                     member.peer_port,
-                    (member.instance, member.incarnation),
+                    (member.instance, 0 if any_life else member.incarnation),
                 )
             )
             self.dialling[member.instance] = task
--- a/oleanderknot/tasks/prober.py
+++ b/oleanderknot/tasks/prober.py
@@ -123,9 +123,13 @@
         if member is None:
             return
         try:
-            connection = await self.pool.connect(member)
+            connection = await self.pool.connect(member, any_life=True)
         except ConnectionError:
             return
+        if connection.peer.incarnation > member.incarnation:
+            # The life that was to be probed has ended; the handshake has
+            # brought the record of the new one.
+            return
         self.send(
             connection, gossip_kind.GossipKind.PROBE, self.expect(action)
         )
