Reload the window of repeats and share code of both nodes

Cause: SIGHUP put a changed ratio and slack in force but not the window, both node applications derived the state of their record on their own, and the node application of a platform held the text of its log lines. Change: a budget changes all its bounds at once; one function finds the state of the record; lines about the life of a node are written by node/life_log.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -61,6 +61,14 @@
       | 30.0   | 128.0 | 0     |
       | 30.0   | 131.0 | 4     |
 
+  Scenario: A changed window holds for repeats that were granted before
+    Guards against bounds that only services without repeats learn of.
+    Given a budget of repeats over 10.0 seconds with a slack of 4
+    When it grants all repeats of the slack at second 100.0
+    And its window changes to 3.0 seconds
+    Then it grants 0 repeats at second 102.0
+    And it grants 4 repeats at second 104.0
+
   Scenario Outline: Late and foreign heartbeats are told from new ones
     Guards against a live upstream taken out by the word of a dead one.
     Given a heartbeat of "i-1" started at 1000 with sequence 5
--- a/features/steps/platform_decision_steps.py
+++ b/features/steps/platform_decision_steps.py
@@ -232,6 +232,12 @@
         context.granted += 1
 
 
+@when('its window changes to {window_s:f} seconds')
+def change_budget(context, window_s):
+    """Change the window as a reload of the settings does."""
+    context.budget.change(ratio=0.2, slack=4, window_s=window_s)
+
+
 @then('it grants {count:d} repeats at second {now:f}')
 def check_budget(context, count, now):
     """Take repeats until none is left, and compare their number."""
--- a/oleanderknot/decisions/repeat_budget.py
+++ b/oleanderknot/decisions/repeat_budget.py
@@ -32,6 +32,14 @@
         self.window_s = window_s
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
 
+    def change(self, *, ratio: float, slack: int, window_s: float) -> None:
+        """Put other bounds in force; what was counted still counts."""
+        self.ratio = ratio
+        self.slack = slack
+        self.window_s = window_s
+        for budget in self.budgets.values():
+            budget.window_s = window_s
+
     def find(self, service: str) -> retry_budget.RetryBudget:
         """Return the counts of a service."""
         budget = self.budgets.get(service)
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -273,9 +273,7 @@
         self.membership.change_own(
             service=upstream.service,
             slots=upstream.slots,
-            state=model.MemberState.LEAVING
-            if self.runner.leaving
-            else model.MemberState.TAKING,
+            state=leaving.find_state(self.runner.leaving, upstream.service),
         )
         self.leaving.set(leaving.LeavingReason.UPSTREAM, False)
         logging.info('upstream of %s announced', upstream.service)
@@ -287,13 +285,9 @@
     def change_leaving(self, leaves: bool) -> None:
         """Take new work or none, and tell the other nodes at once."""
         self.runner.leaving = leaves
-        if leaves:
-            state = model.MemberState.LEAVING
-        elif self.runner.service:
-            state = model.MemberState.TAKING
-        else:
-            state = model.MemberState.JOINING
-        self.membership.change_own(state=state)
+        self.membership.change_own(
+            state=leaving.find_state(leaves, self.runner.service)
+        )
 
     async def drain(self) -> None:
         """Leave and wait until no request is in flight."""
--- a/oleanderknot/node/own_upstream.py
+++ b/oleanderknot/node/own_upstream.py
@@ -130,9 +130,7 @@
             self.membership.change_own(
                 service=report.service,
                 slots=report.slots,
-                state=model.MemberState.LEAVING
-                if self.runner.leaving
-                else model.MemberState.TAKING,
+                state=leaving.find_state(self.runner.leaving, report.service),
             )
         if report.draining != self.leaving.holds(
             leaving.LeavingReason.UPSTREAM
@@ -150,13 +148,9 @@
     def change_leaving(self, leaves: bool) -> None:
         """Take new work or none, and tell the other nodes at once."""
         self.runner.leaving = leaves
-        if leaves:
-            state = model.MemberState.LEAVING
-        elif self.runner.service:
-            state = model.MemberState.TAKING
-        else:
-            state = model.MemberState.JOINING
-        self.membership.change_own(state=state)
+        self.membership.change_own(
+            state=leaving.find_state(leaves, self.runner.service)
+        )
 
 
 def build_admission(slots: int, warm: bool = False) -> admission.Admission:
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -5,7 +5,6 @@
 import random
 import time
 
-from absl import logging
 import aiomisc
 import prometheus_client
 
@@ -15,6 +14,7 @@
 from oleanderknot import platform
 from oleanderknot import wire
 from oleanderknot.node import incarnation
+from oleanderknot.node import life_log
 from oleanderknot.node import own_upstream
 from oleanderknot.node import sidecar_gauges
 from oleanderknot.node import sidecar_recorder
@@ -124,33 +124,23 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(*COLLECT_AFTER)
-        logging.info(
-            'node %s started',
-            self.identity.instance,
-            extra={
-                'call_fields': {
-                    'event': 'started',
-                    'incarnation': self.identity.incarnation,
-                    'service': self.settings.upstream.service,
-                    'data_centre': self.identity.data_centre,
-                }
-            },
+        life_log.log_event(
+            'started',
+            'node %s started' % self.identity.instance,
+            incarnation=self.identity.incarnation,
+            service=self.settings.upstream.service,
+            data_centre=self.identity.data_centre,
         )
 
     async def stop(self, error: Exception | None = None) -> None:
         """Finish the requests in flight and stop; called by aiomisc."""
         started = time.monotonic()
         self.stopping = True
-        logging.info(
-            'node %s stops',
-            self.identity.instance,
-            extra={
-                'call_fields': {
-                    'event': 'stopping',
-                    'requests': self.requests.active,
-                    'runs': self.own.runner.running,
-                }
-            },
+        life_log.log_event(
+            'stopping',
+            'node %s stops' % self.identity.instance,
+            requests=self.requests.active,
+            runs=self.own.runner.running,
         )
         self.own.leaving.set(leaving.LeavingReason.STOP, True)
         self.requests.finish()
@@ -176,15 +166,10 @@
         self.pool.close()
         await self.own.runner.close()
         await self.store.close()
-        logging.info(
-            'node %s stopped',
-            self.identity.instance,
-            extra={
-                'call_fields': {
-                    'event': 'stopped',
-                    'after_s': round(time.monotonic() - started, 3),
-                }
-            },
+        life_log.log_event(
+            'stopped',
+            'node %s stopped' % self.identity.instance,
+            after_s=round(time.monotonic() - started, 3),
         )
 
     def reload(self, settings: border.SidecarSettings) -> None:
@@ -194,8 +179,11 @@
             settings: The settings as they are now.
         """
         for budget in (self.own.repeats, self.dispatcher.repeats):
-            budget.ratio = settings.retries.ratio
-            budget.slack = settings.retries.slack
+            budget.change(
+                ratio=settings.retries.ratio,
+                slack=settings.retries.slack,
+                window_s=settings.retries.window,
+            )
         self.recorder.refusals.per_second = settings.log.refusals_per_s
         self.recorder.answers.per_second = settings.log.answers_per_s
         fixed = (settings.addresses, settings.upstream, settings.store)
@@ -205,16 +193,13 @@
             self.settings.store,
         )
         self.settings = settings
-        logging.info(
+        life_log.log_event(
+            'reloaded',
             'settings reloaded',
-            extra={
-                'call_fields': {
-                    'event': 'reloaded',
-                    'repeat_ratio': settings.retries.ratio,
-                    'repeat_slack': settings.retries.slack,
-                    'needs_restart': not same,
-                }
-            },
+            repeat_ratio=settings.retries.ratio,
+            repeat_slack=settings.retries.slack,
+            repeat_window_s=settings.retries.window,
+            needs_restart=not same,
         )
 
     async def drain(self, until: float) -> None:
@@ -229,15 +214,11 @@
             if not busy and time.monotonic() >= earliest:
                 return
             await asyncio.sleep(0.05)
-        logging.warning(
+        life_log.log_event(
+            'drain_ended',
             'requests were in flight when the drain ended',
-            extra={
-                'call_fields': {
-                    'event': 'drain_ended',
-                    'requests': self.requests.active,
-                    'runs': self.own.runner.running,
-                }
-            },
+            requests=self.requests.active,
+            runs=self.own.runner.running,
         )
 
     def build_tasks(self) -> None:
--- a/oleanderknot/tasks/leaving.py
+++ b/oleanderknot/tasks/leaving.py
@@ -3,6 +3,8 @@
 import collections.abc
 import enum
 
+from oleanderknot import model
+
 
 class LeavingReason(enum.Enum):
     """Why an upstream takes no new work.
@@ -15,6 +17,18 @@
     STOP = 'the node stops'
 
 
+def find_state(leaves: bool, service: str) -> model.MemberState:
+    """Return the state of the own record.
+
+    Args:
+        leaves: Whether the upstream takes no new work.
+        service: Service of the upstream; empty before it is known.
+    """
+    if leaves:
+        return model.MemberState.LEAVING
+    return model.MemberState.TAKING if service else model.MemberState.JOINING
+
+
 class Leaving:
     """Keeps the reasons for which the own upstream takes no new work.
 
