Send fewer calls to upstreams that fail them

A single answer cleared the suspicion against an instance. Change: a node keeps a moving share of failed calls for each upstream; in the choice it counts as load, and clear outliers are left out. An upstream with failures is no longer preferred for being the own one.

--- /dev/null
+++ b/features/platform_choice.feature
@@ -0,0 +1,34 @@
+Feature: Upstreams that fail calls get fewer of them
+
+  Scenario Outline: An upstream that fails fast does not draw calls
+    Guards against an upstream that looks idle because it fails at once.
+    Given 6 upstreams of which 2 fail <share> in 100 calls at once
+    When 2000 calls of 60 ms are sent in 10 seconds
+    Then at most <most> in 100 of the calls of the last 5 seconds went to the failing ones
+
+    Examples:
+      | share | most |
+      | 100   | 5    |
+      | 50    | 12   |
+      | 25    | 20   |
+
+  Scenario: An upstream that has recovered is used again
+    Guards against one bad moment that costs an upstream for good.
+    Given 6 upstreams of which 2 fail 100 in 100 calls at once
+    When 2000 calls of 60 ms are sent in 10 seconds
+    And all upstreams are well again
+    And 2000 calls of 60 ms are sent in 10 seconds
+    Then at least 20 in 100 of the calls of the last 5 seconds went to the failing ones
+
+  Scenario: Upstreams that all fail alike share the calls
+    Guards against calls that are sent in turn to the upstream that failed
+    least, while a deeper service fails all.
+    Given 6 upstreams of which 6 fail 50 in 100 calls at once
+    When 2000 calls of 60 ms are sent in 10 seconds
+    Then each upstream got at least 10 in 100 of the calls of the last 5 seconds
+
+  Scenario: A single success does not clear an upstream
+    Guards against an upstream that flaps.
+    Given a share of failures after 20 failed calls
+    When one call succeeds
+    Then the share is above 0.5
--- /dev/null
+++ b/features/steps/platform_choice_steps.py
@@ -0,0 +1,136 @@
+"""Steps about the choice between upstreams of which some fail."""
+
+import collections
+import heapq
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from oleanderknot import decisions
+
+PLACES = 30
+
+
+@given(
+    '{count:d} upstreams of which {bad:d} fail {share:d} in 100 calls at once'
+)
+def build_upstreams(context, count, bad, share):
+    """Build the load of each upstream as one node knows it."""
+    context.loads = {
+        'up-%d' % number: decisions.InstanceLoad(limit=PLACES)
+        for number in range(count)
+    }
+    context.bad = {'up-%d' % number for number in range(bad)}
+    context.fail_share = share / 100
+    context.now = 0.0
+    context.rng = random.Random(4)
+
+
+def choose(context):
+    """Choose an upstream as a node does."""
+    candidates = [
+        decisions.Candidate(
+            instance=name,
+            local=False,
+            suspect=False,
+            outstanding=load.outstanding,
+            in_flight=0.0,
+            limit=load.limit,
+            level=decisions.MAX_LEVEL,
+            failing=load.failures.find(context.now),
+        )
+        for name, load in context.loads.items()
+    ]
+    return decisions.choose_balanced(
+        candidates, priority=0.0, tried=(), draw=context.rng.randrange
+    ).instance
+
+
+@when('{count:d} calls of {length_ms:d} ms are sent in {span_s:d} seconds')
+def send_calls(context, count, length_ms, span_s):
+    """Send calls at an even pace; failing ones end at once."""
+    ends = []
+    start = context.now
+    context.last = collections.Counter()
+    for number in range(count):
+        context.now = start + number * span_s / count
+        while ends and ends[0][0] <= context.now:
+            _, name = heapq.heappop(ends)
+            context.loads[name].outstanding -= 1
+            context.loads[name].failures.note(False, context.now)
+        name = choose(context)
+        if context.now >= start + span_s / 2:
+            context.last[name] += 1
+        load = context.loads[name]
+        if name in context.bad and context.rng.random() < context.fail_share:
+            load.failures.note(True, context.now)
+            continue
+        load.outstanding += 1
+        heapq.heappush(ends, (context.now + length_ms / 1000, name))
+    for _, name in ends:
+        context.loads[name].outstanding -= 1
+    context.now = start + span_s
+
+
+@when('all upstreams are well again')
+def recover(context):
+    """Let no call fail from now on."""
+    context.fail_share = 0.0
+
+
+def find_share(context):
+    """Return the calls in 100 that went to the upstreams that fail."""
+    bad = sum(context.last[name] for name in context.bad)
+    return 100 * bad / sum(context.last.values())
+
+
+@then(
+    'at most {most:d} in 100 of the calls of the last 5 seconds went to the '
+    'failing ones'
+)
+def check_most(context, most):
+    """Check the share of the failing upstreams."""
+    assert find_share(context) <= most, context.last
+
+
+@then(
+    'at least {least:d} in 100 of the calls of the last 5 seconds went to '
+    'the failing ones'
+)
+def check_least(context, least):
+    """Check that recovered upstreams are used."""
+    assert find_share(context) >= least, context.last
+
+
+@then(
+    'each upstream got at least {least:d} in 100 of the calls of the last 5 '
+    'seconds'
+)
+def check_each(context, least):
+    """Check that the calls are spread."""
+    whole = sum(context.last.values())
+    for name in context.loads:
+        assert 100 * context.last[name] >= least * whole, context.last
+
+
+@given('a share of failures after {count:d} failed calls')
+def fail_calls(context, count):
+    """Let calls fail, a tenth of a second apart."""
+    context.failures = decisions.FailureShare()
+    for number in range(count):
+        context.failures.note(True, 100 + number / 10)
+    context.now = 100 + count / 10
+
+
+@when('one call succeeds')
+def succeed(context):
+    """Let one call succeed."""
+    context.failures.note(False, context.now)
+
+
+@then('the share is above {least:f}')
+def check_share(context, least):
+    """Check the share."""
+    assert context.failures.find(context.now) > least, context.failures
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -19,6 +19,7 @@
 from oleanderknot.decisions.change_spread import ChangeSpread
 from oleanderknot.decisions.change_spread import limit_rides
 from oleanderknot.decisions.concurrency_limit import ConcurrencyLimit
+from oleanderknot.decisions.failure_share import FailureShare
 from oleanderknot.decisions.heartbeat_order import HeartbeatOrder
 from oleanderknot.decisions.home_key_check import check_home_key
 from oleanderknot.decisions.instance_load import estimate_wait_ms
@@ -93,6 +94,7 @@
 from oleanderknot.decisions.upstream_choice import choose
 
 __all__ = [
+    'FailureShare',
     'describe_line',
     'find_context',
     'find_lines',
--- a/oleanderknot/decisions/balanced_choice.py
+++ b/oleanderknot/decisions/balanced_choice.py
@@ -10,6 +10,16 @@
 # a place in its queue.
 LOCAL_PREFERENCE = 0.25
 
+# Load, as a share of the limit, that a call which is sure to fail counts as.
+# One that fails fast always looks idle; at this cost an upstream that fails a
+# quarter of its calls counts as full, and fewer calls stay there than are
+# needed to see that it has recovered.
+FAILURE_COST = 4.0
+
+# An upstream that fails this much more of its calls than the best one of its
+# group is left out, since two of a small sample may both be failing ones.
+OUTLIER_SHARE = 0.2
+
 # Upstreams that are compared of each kind; more would make all nodes choose
 # the same one by reports of the same age.
 SAMPLE = 2
@@ -39,12 +49,15 @@
         return admitting[0] if admitting else None
     best = min(rate(item, tried) for item in admitting)
     group = [item for item in admitting if rate(item, tried) == best]
+    least = min(item.failing for item in group)
+    group = [item for item in group if item.failing <= least + OUTLIER_SHARE]
     near = [item for item in group if item.local]
     far = [item for item in group if not item.local]
     return min(
         (*sample(near, draw), *sample(far, draw)),
         key=lambda item: (
             upstream_choice.score(item)
+            + FAILURE_COST * item.failing
             + (0.0 if item.local else LOCAL_PREFERENCE)
         ),
     )
--- a/oleanderknot/decisions/instance_load.py
+++ b/oleanderknot/decisions/instance_load.py
@@ -4,6 +4,7 @@
 
 from oleanderknot import model
 from oleanderknot.decisions import admission_level
+from oleanderknot.decisions import failure_share
 
 MAX_LEVEL = admission_level.MAX_LEVEL
 
@@ -34,6 +35,7 @@
         in_flight: Calls that the upstream's node reported last.
         reported_at: Monotonic time in seconds of the last report.
         levels: Admission level and time of its report in seconds, by route.
+        failures: Calls of this node that failed there.
     """
 
     limit: int
@@ -43,6 +45,9 @@
     levels: dict[str, tuple[float, float]] = dataclasses.field(
         default_factory=dict
     )
+    failures: failure_share.FailureShare = dataclasses.field(
+        default_factory=failure_share.FailureShare
+    )
 
     def take_report(self, report: model.LoadReport, now: float) -> None:
         """Take a load report.
--- a/oleanderknot/decisions/upstream_choice.py
+++ b/oleanderknot/decisions/upstream_choice.py
@@ -16,6 +16,7 @@
         in_flight: Calls that it is thought to have, by its last report.
         limit: Concurrency limit that it reported last; its slots at first.
         level: Admission level that it is thought to have, from 0 to 4.
+        failing: Share of the calls there that are thought to fail.
     """
 
     instance: str
@@ -25,6 +26,7 @@
     in_flight: float
     limit: int
     level: float
+    failing: float = 0.0
 
 
 def score(candidate: Candidate) -> float:
--- a/oleanderknot/tasks/routed_dispatcher.py
+++ b/oleanderknot/tasks/routed_dispatcher.py
@@ -35,6 +35,20 @@
     )
 )
 
+# Failures that speak against an upstream or the way to it. A call that was
+# not admitted, or not answered in time, speaks only of its load.
+FAILURE_RULES = frozenset(
+    (
+        model.Rule.CONNECTION_LOST,
+        model.Rule.CONNECTION_REFUSED,
+        model.Rule.UPSTREAM_CUT,
+        model.Rule.UPSTREAM_REFUSED,
+    )
+)
+
+# Lowest status by which an upstream says that it failed.
+SERVER_ERROR = 500
+
 # Another node has no more time than this one.
 FINAL_RULES = (model.Rule.DEADLINE, model.Rule.UPSTREAM_TIMEOUT)
 
@@ -188,11 +202,16 @@
     ) -> None:
         """Keep what an answer or a refusal says about an instance."""
         now = time.monotonic()
+        load = self.chooser.loads.loads[instance]
         if result.is_ok():
+            outcome = result.ok
             self.chooser.suspicions.note_answer(instance)
+            load.failures.note(outcome.status >= SERVER_ERROR, now)
         else:
-            self.chooser.suspicions.note_failure(instance, result.error, now)
-        outcome = result.ok if result.is_ok() else result.error
+            outcome = result.error
+            self.chooser.suspicions.note_failure(instance, outcome, now)
+            if outcome.rule in FAILURE_RULES:
+                load.failures.note(True, now)
         self.chooser.loads.take_reports(instance, outcome.reports, now)
 
     def refuse_early(self, call: model.Call) -> model.Refusal:
--- a/oleanderknot/tasks/upstream_chooser.py
+++ b/oleanderknot/tasks/upstream_chooser.py
@@ -86,7 +86,13 @@
         )
 
     def has_own_room(self, call: model.Call, priority: float) -> bool:
-        """Return whether the own upstream would start a call at once."""
+        """Return whether the own upstream would start a call at once.
+
+        One that fails calls is compared with the others.
+        """
+        known = self.loads.loads.get(self.identity.instance)
+        if known is not None and known.failures.share:
+            return False
         return (
             call.service == self.runner.service
             and not self.runner.leaving
@@ -112,6 +118,7 @@
             level=self.runner.find_call_level(call)
             if own
             else load.find_level(call.route, now),
+            failing=load.failures.find(now),
         )
 
     def find_service_level(self, service: str, route: str) -> float:
