Let no new request in while a node ends

Change: 2.5 s after the signal, when the platform has had the time to take the node out, it closes its listener and idle connections and finishes what it has taken. The log stream can be closed, as its handler does at the end.

--- a/features/platform_changes.feature
+++ b/features/platform_changes.feature
@@ -77,6 +77,13 @@
     And the waiting client gets status 200
     And the node of "two" exits with status 0
 
+  Scenario: A node that is told to stop under load answers all it has taken
+    Guards against requests that are taken until the process ends, and cut.
+    When clients of "two" send GET "/page/1?delay_ms=700" on new connections all the time
+    And the node of "two" gets SIGTERM
+    Then the node of "two" exits with status 0
+    And every request that a back end ran was answered to its client
+
   Scenario: A node whose settings have changed goes on serving
     Guards against a signal that ends the process.
     When a client of "two" sends POST "/order/1?delay_ms=700" as "g1" and waits
--- /dev/null
+++ b/features/steps/platform_stop_steps.py
@@ -0,0 +1,89 @@
+"""Steps about nodes that stop while clients go on."""
+
+import http.client
+import itertools
+import threading
+import time
+
+from behave import then
+from behave import when
+
+from features.support import wait
+
+# Ten requests of 700 ms are in flight at any time.
+PAUSE_S = 0.07
+
+
+class SteadyClients:
+    """Sends requests at a steady pace until it is stopped.
+
+    Attributes:
+        answers: Status by request id.
+        sent: Ids of all requests.
+    """
+
+    def __init__(self, fleet, name, target):
+        self.fleet = fleet
+        self.name = name
+        self.target = target
+        self.answers = {}
+        self.sent = []
+        self.stopped = threading.Event()
+        self.threads = []
+        self.pacer = threading.Thread(target=self.run)
+        self.pacer.start()
+
+    def run(self):
+        """Start one request after each pause."""
+        for number in itertools.count():
+            if self.stopped.wait(PAUSE_S):
+                return
+            thread = threading.Thread(
+                target=self.send, args=('load-%d' % number,)
+            )
+            thread.start()
+            self.threads.append(thread)
+
+    def send(self, request_id):
+        """Send one request on a connection of its own."""
+        self.sent.append(request_id)
+        try:
+            status, _, _ = self.fleet.send(
+                self.name, self.target, request_id=request_id, wait_ms=2000
+            )
+        except (OSError, http.client.HTTPException):
+            return
+        self.answers[request_id] = status
+
+    def stop(self):
+        """Send no more, and wait for the answers."""
+        self.stopped.set()
+        self.pacer.join()
+        for thread in self.threads:
+            thread.join()
+
+
+@when(
+    'clients of "{name}" send GET "{target}" on new connections all the time'
+)
+def start_clients(context, name, target):
+    """Send requests in the background until the scenario looks at them."""
+    context.clients = SteadyClients(context.fleet, name, target)
+    context.add_cleanup(context.clients.stop)
+    wait.wait_until(
+        lambda: len(context.clients.answers) >= 3, 'requests are answered'
+    )
+
+
+@then('every request that a back end ran was answered to its client')
+def check_answers(context):
+    """Compare the runs of the back ends with the answers."""
+    time.sleep(1.0)
+    context.clients.stop()
+    ran = {run['id'] for run in context.fleet.list_runs()}
+    lost = [
+        request_id
+        for request_id in context.clients.sent
+        if request_id in ran and context.clients.answers.get(request_id) != 200
+    ]
+    assert not lost, lost
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -147,7 +147,6 @@
         withdrawal = asyncio.create_task(self.finder.withdraw())
         withdrawal.add_done_callback(task_log.log_failure)
         await self.drain(started + self.settings.grace - CLOSE_S)
-        self.requests.close_idle()
         self.membership.change_own(state=model.MemberState.LEFT)
         for task in (*self.background, withdrawal):
             task.cancel()
@@ -205,13 +204,18 @@
     async def drain(self, until: float) -> None:
         """Wait until clients have left and no request is in flight.
 
+        Clients that still come after the platform has had the time to take
+        this node out are not let in: their requests could not end before
+        the process does.
+
         Args:
             until: Monotonic time in seconds at which the wait ends.
         """
-        earliest = time.monotonic() + UNREADY_S
+        # With little time, half of it is left for what is in flight.
+        await asyncio.sleep(min(UNREADY_S, (until - time.monotonic()) / 2))
+        self.requests.close_idle()
         while time.monotonic() < until:
-            busy = self.requests.active or self.own.runner.running
-            if not busy and time.monotonic() >= earliest:
+            if not self.requests.active and not self.own.runner.running:
                 return
             await asyncio.sleep(0.05)
         life_log.log_event(
--- a/oleanderknot/tasks/log_stream.py
+++ b/oleanderknot/tasks/log_stream.py
@@ -37,6 +37,10 @@
             self.size += len(data)
         self.flush()
 
+    def close(self) -> None:
+        """Write what can be written; called when the process ends."""
+        self.flush()
+
     def flush(self) -> None:
         """Write what the descriptor takes now."""
         while self.pending:
