Test old admission levels by single calls

Nodes raise a level that they have not heard of for a while, and passed the raised level on in their own reports as news, so that each node of the chain let whole bursts through until the first answer came back. Change: reports carry levels that were reported; what a level may have become by now lets one call through every half second, to each service and route.

--- a/features/platform_choice.feature
+++ b/features/platform_choice.feature
@@ -32,3 +32,24 @@
     Given a share of failures after 20 failed calls
     When one call succeeds
     Then the share is above 0.5
+
+  Scenario Outline: What a level may have become is not passed on as news
+    Guards against guesses that each node of a chain takes for a report and
+    raises further.
+    Given an upstream that reported level 0.5 at time 2 and one that reported 0.25 at time 2
+    Then the levels of their service at time <now> are <known> reported and <risen> by now
+
+    Examples:
+      | now | known | risen |
+      | 2.0 | 0.5   | 0.5   |
+      | 4.1 | 0.5   | 2.5   |
+      | 5.7 | 4.0   | 4.0   |
+
+  Scenario: Only single requests test a level that was reported long ago
+    Guards against trees of calls that all start at once, and all fail, when
+    the report about a deep service has become old.
+    Given an upstream whose route needs a service that reported 0.5 and may admit 2.9 by now
+    When 200 requests of class 2 arrive
+    Then 1 of them is let through
+    When 200 requests of class 0 arrive
+    Then between 80 and 120 of them are let through
--- a/features/steps/platform_choice_steps.py
+++ b/features/steps/platform_choice_steps.py
@@ -9,6 +9,8 @@
 from behave import when
 
 from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.tasks import chain_level
 
 PLACES = 30
 
@@ -134,3 +136,58 @@
 def check_share(context, least):
     """Check the share."""
     assert context.failures.find(context.now) > least, context.failures
+
+
+@then(
+    'the levels of their service at time {now:f} are {known:f} reported and '
+    '{risen:f} by now'
+)
+def check_levels(context, now, known, risen):
+    """Check what was reported and what may hold."""
+    found = context.view.find_service_levels(
+        's', 'r', context.service_members, now
+    )
+    assert [round(level, 3) for level in found] == [known, risen], found
+
+
+@given(
+    'an upstream whose route needs a service that reported {known:f} and may '
+    'admit {risen:f} by now'
+)
+def build_chain(context, known, risen):
+    """Build what a node knows about the services below its upstream."""
+    context.chain = chain_level.ChainLevel()
+    context.chain.find_service_levels = lambda service, route: (known, risen)
+    context.chain.calls.count('r', [('deep', 'inner')])
+
+
+@when('{count:d} requests of class {number:d} arrive')
+def check_requests(context, count, number):
+    """Ask whether each of the requests may start."""
+    rng = random.Random(7)
+    context.passed = 0
+    for _ in range(count):
+        call = model.Call(
+            service='s',
+            method='GET',
+            path='/',
+            headers=[],
+            request_class=model.RequestClass(number),
+            deadline=1.0,
+            trace_id='%032x' % rng.getrandbits(128),
+            span_id='r',
+            route='r',
+        )
+        context.passed += context.chain.check(call) is None
+
+
+@then('{count:d} of them is let through')
+def check_passed(context, count):
+    """Check the exact number."""
+    assert context.passed == count, context.passed
+
+
+@then('between {least:d} and {most:d} of them are let through')
+def check_passed_between(context, least, most):
+    """Check a range."""
+    assert least <= context.passed <= most, context.passed
--- a/features/steps/platform_decision_steps.py
+++ b/features/steps/platform_decision_steps.py
@@ -151,10 +151,10 @@
 @then('the level of their service at time {now:d} is {level:f}')
 def check_service_level(context, now, level):
     """Check the level of the service."""
-    found = context.view.find_service_level(
+    found = context.view.find_service_levels(
         's', 'r', context.service_members, float(now)
     )
-    assert found == level, found
+    assert found == (level, level), found
 
 
 @when(
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -57,6 +57,7 @@
 from oleanderknot.decisions.policy_table import match_route
 from oleanderknot.decisions.policy_table import PolicyTable
 from oleanderknot.decisions.priority import rank
+from oleanderknot.decisions.probe_pace import ProbePace
 from oleanderknot.decisions.probe_schedule import ProbeSchedule
 from oleanderknot.decisions.probe_step import ProbeAction
 from oleanderknot.decisions.probe_step import ProbeStep
@@ -94,6 +95,7 @@
 from oleanderknot.decisions.upstream_choice import choose
 
 __all__ = [
+    'ProbePace',
     'FailureShare',
     'describe_line',
     'find_context',
--- a/oleanderknot/decisions/instance_load.py
+++ b/oleanderknot/decisions/instance_load.py
@@ -70,8 +70,23 @@
         age = max(0.0, now - self.reported_at)
         return self.in_flight * 0.5 ** (age / IN_FLIGHT_HALF_LIFE_S)
 
+    def find_known_level(self, route: str, now: float) -> float:
+        """Return the admission level that the upstream has reported.
+
+        Args:
+            route: Path prefix of the route.
+            now: Monotonic time in seconds.
+
+        Returns:
+            A level from 0 to 4; 4 when the report is so old that it says
+            nothing any more.
+        """
+        if self.find_level(route, now) >= MAX_LEVEL:
+            return MAX_LEVEL
+        return self.levels[route][0]
+
     def find_level(self, route: str, now: float) -> float:
-        """Return the admission level that the upstream is thought to have.
+        """Return the admission level that the upstream may have by now.
 
         Args:
             route: Path prefix of the route.
--- a/oleanderknot/decisions/load_view.py
+++ b/oleanderknot/decisions/load_view.py
@@ -20,12 +20,14 @@
 
     Attributes:
         loads: Load by instance.
-        levels: Time in seconds and level found last, by service and route.
+        levels: Time in seconds and levels found last, by service and route.
     """
 
     def __init__(self) -> None:
         self.loads: dict[str, instance_load.InstanceLoad] = {}
-        self.levels: dict[tuple[str, str], tuple[float, float]] = {}
+        self.levels: dict[
+            tuple[str, str], tuple[float, tuple[float, float]]
+        ] = {}
 
     def find(self, member: model.Member) -> instance_load.InstanceLoad:
         """Return the load of an instance, starting from its slots."""
@@ -53,14 +55,14 @@
             for report in reports:
                 load.take_report(report, now)
 
-    def find_service_level(
+    def find_service_levels(
         self,
         service: str,
         route: str,
         members: collections.abc.Iterable[model.Member],
         now: float,
-    ) -> float:
-        """Return the highest level among the upstreams of a service.
+    ) -> tuple[float, float]:
+        """Return the highest levels among the upstreams of a service.
 
         A call that one upstream admits is admitted by the service. Only the
         newest reports count: a node hears less of far upstreams, and an old
@@ -73,27 +75,30 @@
             now: Monotonic time in seconds.
 
         Returns:
-            A level from 0 to 4; 4 when nothing is known.
+            The level that was reported and the one that may hold by now, from
+            0 to 4; 4 when nothing is known.
         """
         kept = self.levels.get((service, route))
         if kept is not None and now - kept[0] < KEEP_S:
             return kept[1]
         heard = [
-            (load.levels[route][1], load.find_level(route, now))
+            (
+                load.levels[route][1],
+                load.find_known_level(route, now),
+                load.find_level(route, now),
+            )
             for load in map(self.find, list_admitting(members))
             if route in load.levels
         ]
-        newest = max((reported_at for reported_at, _ in heard), default=0.0)
-        level = max(
-            (
-                level
-                for reported_at, level in heard
-                if newest - reported_at <= NEWEST_S
-            ),
-            default=instance_load.MAX_LEVEL,
+        newest = max((item[0] for item in heard), default=0.0)
+        counting = [item for item in heard if newest - item[0] <= NEWEST_S]
+        top = instance_load.MAX_LEVEL
+        levels = (
+            max((known for _, known, _ in counting), default=top),
+            max((risen for _, _, risen in counting), default=top),
         )
-        self.levels[(service, route)] = (now, level)
-        return level
+        self.levels[(service, route)] = (now, levels)
+        return levels
 
 
 def list_admitting(
--- a/oleanderknot/node/control_mode.py
+++ b/oleanderknot/node/control_mode.py
@@ -67,5 +67,5 @@
         record=seen.recorder.record,
         begin=seen.tracing.begin,
     )
-    runner.deeper.find_service_level = built.chooser.find_service_level
+    runner.deeper.find_service_levels = built.chooser.find_service_levels
     return built
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -265,8 +265,8 @@
             run=self.own.run,
             rng=self.rng,
         )
-        self.own.runner.deeper.find_service_level = (
-            self.dispatcher.chooser.find_service_level
+        self.own.runner.deeper.find_service_levels = (
+            self.dispatcher.chooser.find_service_levels
         )
         self.build_listeners()
 
--- a/oleanderknot/tasks/chain_level.py
+++ b/oleanderknot/tasks/chain_level.py
@@ -1,16 +1,18 @@
 """Admission level of the services below the own upstream."""
 
 import collections.abc
+import time
 
 from oleanderknot import decisions
 from oleanderknot import model
 
-LevelFunction = collections.abc.Callable[[str, str], float]
+# Returns the level that was reported, and the one that may hold by now.
+LevelsFunction = collections.abc.Callable[[str, str], tuple[float, float]]
 
 
-def assume_top_level(service: str, route: str) -> float:
-    """Return the level of a service about which nothing is known."""
-    return decisions.MAX_LEVEL
+def assume_top_levels(service: str, route: str) -> tuple[float, float]:
+    """Return the levels of a service about which nothing is known."""
+    return decisions.MAX_LEVEL, decisions.MAX_LEVEL
 
 
 class ChainLevel:
@@ -18,13 +20,16 @@
 
     Attributes:
         calls: Services that each route has called.
-        find_service_level: Returns the admission level of another service
-            for a route, as this node knows it.
+        find_service_levels: Returns the admission levels of another service
+            for a route, as this node knows them.
+        pace: Spaces the requests that test a level which was reported long
+            ago.
     """
 
     def __init__(self) -> None:
         self.calls = decisions.RouteCalls()
-        self.find_service_level: LevelFunction = assume_top_level
+        self.find_service_levels: LevelsFunction = assume_top_levels
+        self.pace = decisions.ProbePace()
 
     def count(
         self,
@@ -34,22 +39,21 @@
         """Count a call that has ended, with the services it has called."""
         self.calls.count(call.route, called)
 
-    def find(self, route: str) -> float:
-        """Return the lowest level of the services that a route needs.
+    def find(self, route: str) -> tuple[float, float]:
+        """Return the lowest levels of the services that a route needs.
 
         Args:
             route: Path prefix of the route.
 
         Returns:
-            A level from 0 to 4; 4 when the route needs no other service.
+            The level that was reported and the one that may hold by now, from
+            0 to 4; 4 when the route needs no other service.
         """
         needed = self.calls.list_needed(route)
         if not needed:
-            return decisions.MAX_LEVEL
-        return min(
-            self.find_service_level(service, inner)
-            for service, inner in needed
-        )
+            return decisions.MAX_LEVEL, decisions.MAX_LEVEL
+        found = [self.find_service_levels(*item) for item in needed]
+        return min(item[0] for item in found), min(item[1] for item in found)
 
     def is_leaf(self, route: str) -> bool:
         """Return whether a route is known to need no other service."""
@@ -59,11 +63,13 @@
 
     def check(self, call: model.Call) -> model.Refusal | None:
         """Return the refusal of a call that a deeper service would refuse."""
-        level = self.find(call.route)
-        if level >= decisions.MAX_LEVEL:
+        known, risen = self.find(call.route)
+        if known >= decisions.MAX_LEVEL:
             return None
         priority = decisions.rank(call.request_class, call.trace_id)
-        if priority < level:
+        if priority < known:
+            return None
+        if priority < risen and self.pace.take(call.route, time.monotonic()):
             return None
         refusal = model.build_refusal(
             call,
@@ -71,5 +77,5 @@
             model.Rule.EARLY_REFUSAL,
             'a service that the call needs does not admit this class now',
         )
-        refusal.retry_after_ms = decisions.estimate_wait_ms(priority, level)
+        refusal.retry_after_ms = decisions.estimate_wait_ms(priority, known)
         return refusal
--- a/oleanderknot/tasks/dispatcher.py
+++ b/oleanderknot/tasks/dispatcher.py
@@ -240,7 +240,7 @@
             call,
             self.members,
             self.policy,
-            self.chooser.find_service_level(call.service, call.route),
+            self.chooser.find_service_levels(call.service, call.route)[0],
         )
 
     def count_retry(self, call: model.Call) -> None:
--- a/oleanderknot/tasks/routed_dispatcher.py
+++ b/oleanderknot/tasks/routed_dispatcher.py
@@ -220,5 +220,5 @@
             call,
             self.members,
             self.policy,
-            self.chooser.find_service_level(call.service, call.route),
+            self.chooser.find_service_levels(call.service, call.route)[0],
         )
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -149,13 +149,14 @@
     def find_level(self, route: str) -> float:
         """Return the level at which a route's whole chain admits calls.
 
-        It is the lowest of the own level and those of the services that the
-        route calls in at least half of its requests.
+        It is the lowest of the own level and those that were reported of the
+        services that the route calls in at least half of its requests. What
+        these may admit by now is no news and must not be passed on as such.
 
         Args:
             route: Path prefix of the route.
         """
-        return min(self.admission.find_level(), self.deeper.find(route))
+        return min(self.admission.find_level(), self.deeper.find(route)[0])
 
     def build_report(self, call: model.Call) -> model.LoadReport:
         """Build the load report for a call's route."""
--- a/oleanderknot/tasks/upstream_chooser.py
+++ b/oleanderknot/tasks/upstream_chooser.py
@@ -24,6 +24,7 @@
         runner: Runs calls at the own upstream.
         rng: Source of randomness.
         loads: Load of other upstreams.
+        pace: Spaces the calls that test a level which was reported long ago.
         suspicions: Instances that have just failed a call.
         shed_inner: Whether levels also hold for calls of requests that an
             upstream already works on.
@@ -50,6 +51,7 @@
         self.rng = rng
         self.loads = decisions.LoadView()
         self.suspicions = decisions.LocalSuspicion()
+        self.pace = decisions.ProbePace()
 
     def choose(
         self, call: model.Call, tried: collections.abc.Set[str]
@@ -81,10 +83,36 @@
             tried=tried,
             draw=self.rng.randrange,
         )
+        if choice is None:
+            choice = self.pick_probe(candidates, call, priority, tried, now)
         return (
             None if choice is None else self.members.members[choice.instance]
         )
 
+    def pick_probe(
+        self,
+        candidates: list[decisions.Candidate],
+        call: model.Call,
+        priority: float,
+        tried: collections.abc.Set[str],
+        now: float,
+    ) -> decisions.Candidate | None:
+        """Choose an upstream that may admit more than it has reported."""
+        risen = [
+            item
+            for item in candidates
+            if item.instance != self.identity.instance
+            and priority
+            < self.loads.loads[item.instance].find_level(call.route, now)
+        ]
+        if not risen or not self.pace.take((call.service, call.route), now):
+            return None
+        for item in risen:
+            item.level = decisions.MAX_LEVEL
+        return self.pick(
+            risen, priority=priority, tried=tried, draw=self.rng.randrange
+        )
+
     def has_own_room(self, call: model.Call, priority: float) -> bool:
         """Return whether the own upstream would start a call at once.
 
@@ -117,13 +145,18 @@
             limit=load.limit,
             level=self.runner.find_call_level(call)
             if own
-            else load.find_level(call.route, now),
+            else load.find_known_level(call.route, now),
             failing=load.failures.find(now),
         )
 
-    def find_service_level(self, service: str, route: str) -> float:
-        """Return the admission level of a service for a route."""
-        return self.loads.find_service_level(
+    def find_service_levels(
+        self, service: str, route: str
+    ) -> tuple[float, float]:
+        """Return the admission levels of a service for a route.
+
+        They are the one that was reported and the one that may hold by now.
+        """
+        return self.loads.find_service_levels(
             service,
             route,
             self.members.list_service(service),
