Reserve a quarter of each class while places are scarce

Change: a quarter of the requests of each class, chosen by id, is handled as if it were of the first class, at every node alike.

--- a/features/platform_choice.feature
+++ b/features/platform_choice.feature
@@ -59,3 +59,9 @@
     Given an upstream that ends 10 calls a second and requests of 4 calls each, 5 a second
     When they come for 60 seconds
     Then at least 60 in 100 of its calls belonged to requests that ended whole
+
+  Scenario: No class is left without any share
+    Guards against a class that starves while a service lacks places.
+    When 4000 requests with other ids come
+    Then between 23 and 27 in 100 of them belong to the reserved share
+    And their ranks are spread evenly
--- a/features/steps/platform_choice_steps.py
+++ b/features/steps/platform_choice_steps.py
@@ -263,3 +263,32 @@
     useful = sum(context.served[trace_id] for trace_id in context.whole)
     whole = sum(context.served.values())
     assert 100 * useful >= least * whole, (useful, whole)
+
+
+@when('{count:d} requests with other ids come')
+def make_traces(context, count):
+    """Make the trace ids of requests."""
+    rng = random.Random(12)
+    context.traces = ['%032x' % rng.getrandbits(128) for _ in range(count)]
+
+
+@then(
+    'between {least:d} and {most:d} in 100 of them belong to the reserved '
+    'share'
+)
+def check_reserved(context, least, most):
+    """Check the size of the reserved share."""
+    context.reserved = [
+        item for item in context.traces if decisions.is_reserved(item)
+    ]
+    share = 100 * len(context.reserved) / len(context.traces)
+    assert least <= share <= most, share
+
+
+@then('their ranks are spread evenly')
+def check_ranks(context):
+    """Check that the reserved share is no better or worse in rank."""
+    order = model.RequestClass.ORDER
+    ranks = [decisions.rank(order, item) - order for item in context.reserved]
+    mean = sum(ranks) / len(ranks)
+    assert 0.45 < mean < 0.55, mean
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -57,6 +57,7 @@
 from oleanderknot.decisions.policy_table import match_route
 from oleanderknot.decisions.policy_table import PolicyTable
 from oleanderknot.decisions.priority import find_band
+from oleanderknot.decisions.priority import is_reserved
 from oleanderknot.decisions.priority import rank
 from oleanderknot.decisions.probe_pace import ProbePace
 from oleanderknot.decisions.probe_schedule import ProbeSchedule
@@ -97,6 +98,7 @@
 
 __all__ = [
     'find_band',
+    'is_reserved',
     'ProbePace',
     'FailureShare',
     'describe_line',
--- a/oleanderknot/decisions/priority.py
+++ b/oleanderknot/decisions/priority.py
@@ -8,6 +8,12 @@
 # the share of a class that is admitted moves by more than an eighth.
 BANDS = 8
 
+# Share of the requests of each class that are handled as if they were of the
+# first one. The platform counts a kind of request as starved that is served
+# less than a quarter as often as all; while a service lacks places for
+# minutes, the first class alone would take them all.
+RESERVED_SHARE = 0.25
+
 
 def rank(request_class: model.RequestClass, trace_id: str) -> float:
     """Return the priority number; the lowest is shed last.
@@ -35,3 +41,13 @@
             ``rank``, so that a band holds neighbours in rank.
     """
     return int(trace_id[-8:], 16) * BANDS // HASH_SPAN
+
+
+def is_reserved(trace_id: str) -> bool:
+    """Return whether a trace belongs to the reserved share of its class.
+
+    Args:
+        trace_id: 32 hexadecimal digits; the first 8 are used, which say
+            nothing about the rank.
+    """
+    return int(trace_id[:8], 16) < RESERVED_SHARE * HASH_SPAN
--- a/oleanderknot/tasks/routed_ingress.py
+++ b/oleanderknot/tasks/routed_ingress.py
@@ -157,7 +157,10 @@
     if route is not None:
         longest_s = route.timeout_s + TIMEOUT_GRACE_S
         wait_s = longest_s if wait_s is None else min(wait_s, longest_s)
+    trace_id = build_trace_id(facts.request_id)
     priority = 0 if route is None else route.priority
+    if decisions.is_reserved(trace_id):
+        priority = 0
     return model.Call(
         service=service,
         method=request.method,
@@ -165,7 +168,7 @@
         headers=facts.headers,
         request_class=model.RequestClass(min(priority, TOP_CLASS)),
         deadline=request.received_at + (wait_s or 0.0),
-        trace_id=build_trace_id(facts.request_id),
+        trace_id=trace_id,
         span_id=facts.request_id,
         idempotent=route is not None and route.idempotent,
         route='' if route is None else route.name,
