--- a/features/platform_choice.feature
+++ b/features/platform_choice.feature
@@ -60,6 +60,12 @@
     When they come for 60 seconds
     Then at least 60 in 100 of its calls belonged to requests that ended whole
 
+  Scenario: A deep call does not go before a request of a better band
+    Guards against a kind of request that always wins because its calls are
+    deeper.
+    Given calls that wait in one class: band 3 at depth 3, band 1 at depth 2, band 1 at depth 3
+    Then they are served in the order 1/3, 1/2, 3/3
+
   Scenario: No class is left without any share
     Guards against a class that starves while a service lacks places.
     When 4000 requests with other ids come
--- a/features/steps/platform_choice_steps.py
+++ b/features/steps/platform_choice_steps.py
@@ -292,3 +292,30 @@
     ranks = [decisions.rank(order, item) - order for item in context.reserved]
     mean = sum(ranks) / len(ranks)
     assert 0.45 < mean < 0.55, mean
+
+
+@given('calls that wait in one class: {text}')
+def queue_calls(context, text):
+    """Queue calls that are described by band and depth."""
+    context.queue = decisions.AdmissionQueue(capacity=20)
+    for part in text.split(', '):
+        _, band, _, _, depth = part.split(' ')
+        entry = decisions.QueuedCall(
+            request_class=model.RequestClass.ORDER,
+            depth=int(depth),
+            arrived_at=1.0,
+            deadline=9.0,
+            expected_s=0.1,
+            band=int(band),
+            token='%s/%s' % (band, depth),
+        )
+        context.queue.push(entry, 1.0)
+
+
+@then('they are served in the order {text}')
+def check_queue_order(context, text):
+    """Take all calls out of the queue."""
+    found = []
+    while context.queue.size:
+        found.append(context.queue.pop(1.0)[0].token)
+    assert found == text.split(', '), found
--- a/oleanderknot/decisions/admission_queue.py
+++ b/oleanderknot/decisions/admission_queue.py
@@ -22,7 +22,7 @@
 
 
 class AdmissionQueue:
-    """Orders waiting calls by class, then depth, then band, then age.
+    """Orders waiting calls by class, then band, then depth, then age.
 
     The band is the same for all calls of a request, so under overload all
     calls of some requests are served and others fail at their first one. By
@@ -34,7 +34,7 @@
 
     Attributes:
         capacity: Most calls that may wait.
-        groups: Waiting calls, oldest first, by class, negative depth and band.
+        groups: Waiting calls, oldest first, by class, band and negative depth.
         size: Calls that wait.
         over_since: Monotonic time in seconds since which the oldest call
             has waited too long; None when it has not.
@@ -164,4 +164,4 @@
 
 def find_key(entry: queued_call.QueuedCall) -> tuple[int, int, int]:
     """Return the group of a call; lower groups are served first."""
-    return int(entry.request_class), -entry.depth, entry.band
+    return int(entry.request_class), entry.band, -entry.depth
