Split the drain and the pages from the node of a platform

The application of a platform's node built its pages and waited for the drain itself; both are functions of their own now.

--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -6,7 +6,6 @@
 import time
 
 import aiomisc
-import prometheus_client
 
 from oleanderknot import border
 from oleanderknot import decisions
@@ -16,6 +15,8 @@
 from oleanderknot.node import incarnation
 from oleanderknot.node import life_log
 from oleanderknot.node import own_upstream
+from oleanderknot.node import platform_pages
+from oleanderknot.node import sidecar_drain
 from oleanderknot.node import sidecar_gauges
 from oleanderknot.node import sidecar_recorder
 from oleanderknot.tasks import client_listener
@@ -38,11 +39,6 @@
 from oleanderknot.tasks import task_log
 from oleanderknot.tasks import traffic_policies
 
-# The platform asks once a second and takes a node out after two misses, so
-# clients may send new requests for this long after the node stops to be
-# ready.
-UNREADY_S = 2.5
-
 # Part of the time until SIGKILL that is left for closing connections.
 CLOSE_S = 0.7
 
@@ -50,8 +46,6 @@
 # cycles, and the default of 700 searches several times for each request.
 COLLECT_AFTER = (20000, 20, 20)
 
-METRICS_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
-
 DIALECT = http_dialect.HttpDialect(
     read_request=platform.message_headers.read_request,
     read_answer=platform.message_headers.read_answer,
@@ -146,7 +140,11 @@
         self.requests.finish()
         withdrawal = asyncio.create_task(self.finder.withdraw())
         withdrawal.add_done_callback(task_log.log_failure)
-        await self.drain(started + self.settings.grace - CLOSE_S)
+        await sidecar_drain.drain(
+            requests=self.requests,
+            runs=self.own.runner,
+            until=started + self.settings.grace - CLOSE_S,
+        )
         self.membership.change_own(state=model.MemberState.LEFT)
         for task in (*self.background, withdrawal):
             task.cancel()
@@ -201,30 +199,6 @@
             needs_restart=not same,
         )
 
-    async def drain(self, until: float) -> None:
-        """Wait until clients have left and no request is in flight.
-
-        Clients that still come after the platform has had the time to take
-        this node out are not let in: their requests could not end before
-        the process does.
-
-        Args:
-            until: Monotonic time in seconds at which the wait ends.
-        """
-        # With little time, half of it is left for what is in flight.
-        await asyncio.sleep(min(UNREADY_S, (until - time.monotonic()) / 2))
-        self.requests.close_idle()
-        while time.monotonic() < until:
-            if not self.requests.active and not self.own.runner.running:
-                return
-            await asyncio.sleep(0.05)
-        life_log.log_event(
-            'drain_ended',
-            'requests were in flight when the drain ended',
-            requests=self.requests.active,
-            runs=self.own.runner.running,
-        )
-
     def build_tasks(self) -> None:
         """Build the tasks and connect them by their message functions."""
         settings = self.settings
@@ -290,8 +264,12 @@
                 end=self.own.end,
             )
         )
-        self.readiness = self.build_listener(self.answer_readiness)
-        self.metrics = self.build_listener(self.answer_metrics)
+        self.readiness = self.build_listener(
+            platform_pages.build_readiness_page(self.is_ready)
+        )
+        self.metrics = self.build_listener(
+            platform_pages.build_metrics_page(self.recorder)
+        )
 
     def build_listener(
         self, handle: client_listener.HandleFunction
@@ -347,22 +325,9 @@
             running.add_done_callback(task_log.log_failure)
             self.background.append(running)
 
-    async def answer_metrics(
-        self, request: model.HttpRequest
-    ) -> model.HttpResponse:
-        """Return the metrics as text."""
-        return model.HttpResponse(
-            status=200,
-            headers=[(b'Content-Type', METRICS_TYPE)],
-            content=self.recorder.format_metrics(),
-        )
-
-    async def answer_readiness(
-        self, request: model.HttpRequest
-    ) -> model.HttpResponse:
-        """Say whether clients may send requests to this node."""
-        ready = not self.stopping and self.policies.policy is not None
-        return model.HttpResponse(status=200 if ready else 503)
+    def is_ready(self) -> bool:
+        """Return whether clients may send requests to this node."""
+        return not self.stopping and self.policies.policy is not None
 
     def take_gossip(
         self, connection: peer_connection.PeerConnection, message: wire.Gossip
