Log the level and the rank that refused a call early

The line of an early refusal named the service but not what decided; it now gives the call's rank and the level that was reported. Features of shedding and of explaining pass.

--- a/oleanderknot/tasks/chain_level.py
+++ b/oleanderknot/tasks/chain_level.py
@@ -75,7 +75,8 @@
             call,
             model.Verdict.NOT_RUN,
             model.Rule.EARLY_REFUSAL,
-            'a service that the call needs does not admit this class now',
+            'a service that the call needs does not admit this class now'
+            ' (rank %.2f, level %.2f)' % (priority, known),
         )
         refusal.retry_after_ms = decisions.estimate_wait_ms(priority, known)
         return refusal
--- a/oleanderknot/tasks/early_refusal.py
+++ b/oleanderknot/tasks/early_refusal.py
@@ -34,8 +34,11 @@
         call.ticket = max(stops)
     elif taking:
         rule = model.Rule.EARLY_REFUSAL
-        detail = 'no upstream of %s admits this class now' % call.service
         priority = decisions.rank(call.request_class, call.trace_id)
+        detail = (
+            'no upstream of %s admits this class now (rank %.2f, level %.2f)'
+            % (call.service, priority, level)
+        )
         wait_ms = decisions.estimate_wait_ms(priority, level)
     else:
         rule = model.Rule.NO_UPSTREAM
