Remember upstreams whose departure came before their heartbeats

A node that had just started acknowledged the departure of its upstream, which it had not seen yet, forgot it, and 2.1 s later took a late heartbeat of that upstream for a new one. Change: departures of upstreams that are not in use are kept, and heartbeats of the starts that they end are ignored; each is logged.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -89,6 +89,22 @@
     And a heartbeat of "i-1" started at 1000 with sequence 9 arrives
     Then it is ignored
 
+  Scenario Outline: A node that has just started remembers who has left
+    Guards against a late heartbeat that brings back an upstream whose
+    departure was acknowledged before its first heartbeat was seen.
+    Given no heartbeat yet
+    When "i-1" started at <left> leaves unseen
+    And a heartbeat of "<upstream>" started at <started> with sequence <sequence> arrives
+    Then it is <outcome>
+
+    Examples:
+      | left | upstream | started | sequence | outcome |
+      | 1000 | i-1      | 1000    | 21       | ignored |
+      | 1000 | i-1      | 2000    | 21       | taken   |
+      | 1000 | i-2      | 1000    | 21       | taken   |
+      | 0    | i-1      | 1000    | 21       | ignored |
+      | 0    | i-1      | 2000    | 1        | taken   |
+
   Scenario: Names of the wire stay in the adapter
     Guards against a product that depends on one platform's words.
     Then no source outside the adapter holds a name of the platform's wire
--- a/features/steps/platform_decision_steps.py
+++ b/features/steps/platform_decision_steps.py
@@ -258,6 +258,14 @@
     assert context.taken
 
 
+@given('no heartbeat yet')
+def start_empty_order(context):
+    """Build the order of a node that has just started."""
+    context.order = decisions.HeartbeatOrder(
+        service='s', host='127.0.0.1', port=1
+    )
+
+
 @when(
     'a heartbeat of "{upstream}" started at {started:d} with sequence '
     '{number:d} arrives'
@@ -285,6 +293,12 @@
     assert context.order.end(upstream, started)
 
 
+@when('"{upstream}" started at {started:d} leaves unseen')
+def end_unseen(context, upstream, started):
+    """Take the deregistration of an upstream that is not in use."""
+    assert not context.order.end(upstream, started)
+
+
 @then('it is {outcome}')
 def check_taken(context, outcome):
     """Check whether the last heartbeat told something new."""
--- a/oleanderknot/decisions/heartbeat_order.py
+++ b/oleanderknot/decisions/heartbeat_order.py
@@ -2,6 +2,13 @@
 
 from oleanderknot import model
 
+# A start begins to count its heartbeats anew; one that is lost or crosses the
+# departure of the start before it may make the second the first that is seen.
+FIRST_SEQUENCES = 2
+
+# Departures that are remembered; a node sees one for each start.
+MOST_DEPARTED = 100
+
 
 class HeartbeatOrder:
     """Follows the starts of the upstream at one address.
@@ -15,6 +22,8 @@
         port: TCP port of the upstream on this instance.
         current: Newest heartbeat; None before the first.
         gone: Whether the newest start has ended.
+        departed: Start in Unix milliseconds that has ended, by id of the
+            upstream; 0 when the departure did not say.
     """
 
     def __init__(self, *, service: str, host: str, port: int) -> None:
@@ -23,6 +32,7 @@
         self.port = port
         self.current: model.UpstreamReport | None = None
         self.gone = False
+        self.departed: dict[str, int] = {}
 
     def take(self, report: model.UpstreamReport) -> bool:
         """Take a heartbeat.
@@ -39,6 +49,8 @@
             self.port,
         ):
             return False
+        if self.has_departed(report):
+            return False
         current = self.current
         if current is not None:
             if report.started_ms < current.started_ms:
@@ -51,6 +63,24 @@
         self.gone = False
         return True
 
+    def has_departed(self, report: model.UpstreamReport) -> bool:
+        """Return whether a heartbeat is of a start that has ended.
+
+        A node that starts between a departure and a late heartbeat has no
+        other way to tell.
+        """
+        ended_ms = self.departed.get(report.upstream)
+        if ended_ms is None:
+            return False
+        if not ended_ms:
+            # Which start has ended is learned from its late heartbeat.
+            if report.sequence <= FIRST_SEQUENCES:
+                del self.departed[report.upstream]
+                return False
+            self.departed[report.upstream] = report.started_ms
+            return True
+        return report.started_ms <= ended_ms
+
     def end(self, upstream: str, started_ms: int) -> bool:
         """Take the deregistration of an upstream.
 
@@ -64,6 +94,9 @@
         """
         current = self.current
         if current is None or upstream != current.upstream:
+            self.departed[upstream] = started_ms
+            if len(self.departed) > MOST_DEPARTED:
+                del self.departed[next(iter(self.departed))]
             return False
         if started_ms and started_ms < current.started_ms:
             return False
--- a/oleanderknot/tasks/heartbeat_ingress.py
+++ b/oleanderknot/tasks/heartbeat_ingress.py
@@ -40,6 +40,18 @@
                 if order.end(upstream, started_ms):
                     log_upstream('upstream_gone', order.current)
                     end()
+                else:
+                    logging.info(
+                        'noted the departure of %s, which is not in use',
+                        upstream,
+                        extra={
+                            'call_fields': {
+                                'event': 'departure_noted',
+                                'upstream': upstream,
+                                'started_ms': started_ms,
+                            }
+                        },
+                    )
             else:
                 report = heartbeat.parse_heartbeat(upstream, request.content)
                 if order.take(report):
