Keep the own upstream preferred after a single failure

Cause: one failed call in a hundred was enough to compare the own upstream with others, which costs two messages and traffic between data centres. Change: it is compared once more than 15 % of its calls are thought to fail.

--- a/oleanderknot/tasks/upstream_chooser.py
+++ b/oleanderknot/tasks/upstream_chooser.py
@@ -10,6 +10,11 @@
 
 PickFunction = collections.abc.Callable[..., decisions.Candidate | None]
 
+# Share of failed calls up to which the own upstream is taken without a look
+# at the others. One failure in a row stays below it: single errors are common
+# and each call to another instance costs two more messages.
+OWN_FAILING_SHARE = 0.15
+
 # Priority number that every level admits.
 ALWAYS_ADMITTED = -1.0
 
@@ -119,7 +124,10 @@
         One that fails calls is compared with the others.
         """
         known = self.loads.loads.get(self.identity.instance)
-        if known is not None and known.failures.share:
+        if (
+            known is not None
+            and known.failures.find(time.monotonic()) > OWN_FAILING_SHARE
+        ):
             return False
         return (
             call.service == self.runner.service
