--- a/features/platform_changes.feature
+++ b/features/platform_changes.feature
@@ -83,6 +83,7 @@
     And the node of "two" gets SIGTERM
     Then the node of "two" exits with status 0
     And every request that a back end ran was answered to its client
+    And the log of "two" holds JSON lines only
 
   Scenario: A node whose settings have changed goes on serving
     Guards against a signal that ends the process.
--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -2,6 +2,7 @@
 
 import http.client
 import itertools
+import json
 import threading
 import time
 
@@ -87,3 +88,11 @@
         if request_id in ran and context.clients.answers.get(request_id) != 200
     ]
     assert not lost, lost
+
+
+@then('the log of "{name}" holds JSON lines only')
+def check_json(context, name):
+    """Check that the end of the process has written no plain text."""
+    text = context.fleet.sidecars[name].process.read_log()
+    for line in text.splitlines():
+        json.loads(line)
