--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -10,13 +10,13 @@
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot import platform
-from oleanderknot import wire
 from oleanderknot.node import control_mode
 from oleanderknot.node import incarnation
 from oleanderknot.node import listeners
 from oleanderknot.node import node_status
 from oleanderknot.node import operations
 from oleanderknot.node import order_assembly
+from oleanderknot.node import peer_intake
 from oleanderknot.node import platform_clients
 from oleanderknot.tasks import control_traffic
 from oleanderknot.tasks import drain
@@ -187,9 +187,13 @@
         return peer_handlers.PeerHandlers(
             run=self.operations.tracing.wrap(self.runner.run),
             query=lambda key, wait_s: self.orders.describe(key, wait_s),
-            gossip=self.take_gossip,
+            gossip=lambda peer, message: peer_intake.take_gossip(
+                self.membership, self.tickets, peer, message
+            ),
             policy=lambda peer, item: self.tickets.handle(peer, item),
-            opened=self.greet,
+            opened=lambda peer: peer_intake.greet(
+                self.pool, self.membership, self.tickets, peer
+            ),
             closed=self.forget_connection,
             count=self.operations.metrics.count,
             closing=lambda peer: self.pool.withdraw(peer),
@@ -300,24 +304,6 @@
             timeout_s=self.settings.drain_timeout_s,
         )
 
-    def take_gossip(
-        self, connection: peer_connection.PeerConnection, message: wire.Gossip
-    ) -> None:
-        """Take a membership message and the digest that rides on a probe.
-
-        Raises:
-            BadFrame: The message is malformed.
-        """
-        self.membership.handle(connection, message)
-        if message.policy is not None:
-            self.tickets.take_digest(connection, message.policy)
-
-    def greet(self, connection: peer_connection.PeerConnection) -> None:
-        """Take a connection whose handshake is done."""
-        self.pool.add(connection)
-        self.membership.greet(connection)
-        self.tickets.greet(connection)
-
     def forget_connection(
         self, connection: peer_connection.PeerConnection
     ) -> None:
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -15,6 +15,7 @@
 from oleanderknot.node import incarnation
 from oleanderknot.node import life_log
 from oleanderknot.node import own_upstream
+from oleanderknot.node import peer_intake
 from oleanderknot.node import platform_pages
 from oleanderknot.node import sidecar_drain
 from oleanderknot.node import sidecar_gauges
@@ -286,9 +287,13 @@
         return peer_handlers.PeerHandlers(
             run=self.own.run_call,
             query=refuse_query,
-            gossip=self.take_gossip,
+            gossip=lambda peer, message: peer_intake.take_gossip(
+                self.membership, self.policies, peer, message
+            ),
             policy=lambda peer, item: self.policies.handle(peer, item),
-            opened=self.greet,
+            opened=lambda peer: peer_intake.greet(
+                self.pool, self.membership, self.policies, peer
+            ),
             closed=self.forget_connection,
             count=self.recorder.count,
             closing=lambda peer: self.pool.withdraw(peer),
@@ -329,18 +334,6 @@
         """Return whether clients may send requests to this node."""
         return not self.stopping and self.policies.policy is not None
 
-    def take_gossip(
-        self, connection: peer_connection.PeerConnection, message: wire.Gossip
-    ) -> None:
-        """Take a membership message and the digest that rides on a probe.
-
-        Raises:
-            BadFrame: The message is malformed.
-        """
-        self.membership.handle(connection, message)
-        if message.policy is not None:
-            self.policies.take_digest(connection, message.policy)
-
     def forget_connection(
         self, connection: peer_connection.PeerConnection
     ) -> None:
@@ -349,12 +342,6 @@
         if not self.stopping:
             self.lost_peers.note_closed(connection)
 
-    def greet(self, connection: peer_connection.PeerConnection) -> None:
-        """Take a connection whose handshake is done."""
-        self.pool.add(connection)
-        self.membership.greet(connection)
-        self.policies.greet(connection)
-
 
 def split_address(address: str) -> tuple[str, int]:
     """Split ``ip:port``."""
