Find the levels of a service in one pass

Cause: the benchmark of decisions called a renamed function, and each report was raised three times since levels are told apart from what they may be.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -168,7 +168,7 @@
 
     def find(number: int) -> float:
         # As often as a node with 600 calls a second looks.
-        return view.find_service_level('inventory', '/', members, next(clock))
+        return view.find_service_levels('inventory', '/', members, next(clock))
 
     return time_calls(find, CALLS // 10)
 
--- a/oleanderknot/decisions/instance_load.py
+++ b/oleanderknot/decisions/instance_load.py
@@ -99,8 +99,18 @@
         if reported is None:
             return MAX_LEVEL
         level, reported_at = reported
-        age = max(0.0, now - reported_at - FRESH_S)
-        return min(MAX_LEVEL, level + LEVEL_RISE_PER_S * age)
+        return raise_level(level, now - reported_at)
+
+
+def raise_level(level: float, age_s: float) -> float:
+    """Return what a reported level may have become.
+
+    Args:
+        level: The level that was reported.
+        age_s: Seconds since the report.
+    """
+    rise = LEVEL_RISE_PER_S * max(0.0, age_s - FRESH_S)
+    return min(MAX_LEVEL, level + rise)
 
 
 def estimate_wait_ms(priority: float, level: float) -> int:
--- a/oleanderknot/decisions/load_view.py
+++ b/oleanderknot/decisions/load_view.py
@@ -82,21 +82,21 @@
         if kept is not None and now - kept[0] < KEEP_S:
             return kept[1]
         heard = [
-            (
-                load.levels[route][1],
-                load.find_known_level(route, now),
-                load.find_level(route, now),
-            )
+            load.levels[route]
             for load in map(self.find, list_admitting(members))
             if route in load.levels
         ]
-        newest = max((item[0] for item in heard), default=0.0)
-        counting = [item for item in heard if newest - item[0] <= NEWEST_S]
-        top = instance_load.MAX_LEVEL
-        levels = (
-            max((known for _, known, _ in counting), default=top),
-            max((risen for _, _, risen in counting), default=top),
-        )
+        newest = max((reported_at for _, reported_at in heard), default=0.0)
+        known = risen = instance_load.MAX_LEVEL if not heard else 0.0
+        for level, reported_at in heard:
+            if newest - reported_at > NEWEST_S:
+                continue
+            now_risen = instance_load.raise_level(level, now - reported_at)
+            risen = max(risen, now_risen)
+            if now_risen >= instance_load.MAX_LEVEL:
+                level = now_risen
+            known = max(known, level)
+        levels = (known, risen)
         self.levels[(service, route)] = (now, levels)
         return levels
 
