Make three checks independent of the machine's speed

Traced: all refusals are connection_lost, calls that were in flight at one of ten cuts 100 ms apart. With more load beside it the scenario got 266, 234, 207, 107 and then 77, 77 and 65 whole answers; a call that takes longer than the time between two cuts cannot end whole, so the bound asked for a fast machine. Nodes call on lost ones for 11 s, since a start took over 4 s in that run.

--- a/features/platform_changes.feature
+++ b/features/platform_changes.feature
@@ -66,8 +66,9 @@
     And "three" serves "/order/ready" and "/page/ready"
     When the store has the faults "silent"
     And the nodes "one" and "two" are killed and started
-    Then "three" serves "/page/1" within 8 seconds
-    And "one" serves "/order/2" within 3 seconds
+    And "one" and "two" have started again
+    Then "three" serves "/page/1" within 6 seconds
+    And "one" serves "/order/2" within 6 seconds
 
   Scenario: A node that was told to stop finishes its requests
     Guards against a payment cut off by planned work.
--- a/features/steps/platform_change_steps.py
+++ b/features/steps/platform_change_steps.py
@@ -86,6 +86,17 @@
         context.fleet.restart(item)
 
 
+@when('"{first}" and "{second}" have started again')
+def wait_for_starts(context, first, second):
+    """Wait until new processes have said that they have started."""
+    for name in (first, second):
+        item = context.fleet.sidecars[name]
+        wait.wait_until(
+            lambda item=item: '"started"' in item.process.read_log(),
+            '%s starts' % name,
+        )
+
+
 @then('"{name}" serves "{target}" within {limit_s:d} seconds')
 def check_served_soon(context, name, target, limit_s):
     """Wait until a request is served, and check how long it took."""
--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -11,6 +11,10 @@
 
 from features.support import wait
 
+# Statuses that end a request that a back end has run: its own answer, or that
+# the time of the request has passed.
+ENDINGS = (200, 504)
+
 # Ten requests of 700 ms are in flight at any time.
 PAUSE_S = 0.07
 
@@ -85,7 +89,8 @@
     lost = [
         request_id
         for request_id in context.clients.sent
-        if request_id in ran and context.clients.answers.get(request_id) != 200
+        if request_id in ran
+        and context.clients.answers.get(request_id) not in ENDINGS
     ]
     assert not lost, lost
 
--- a/features/whole_answers.feature
+++ b/features/whole_answers.feature
@@ -13,10 +13,19 @@
     Examples:
       | count | fault                                | share |
       | 400   | messages arrive out of order         | 0     |
-      | 400   | connections are cut again and again  | 1     |
       | 400   | messages arrive late                 | 100   |
       | 400   | open connections go silent           | 1     |
 
+  Scenario: Callers while connections are cut again and again, and after that
+    Guards against a path that stays broken when the cuts have ended.
+    Given an upstream of "patterns" behind a fault proxy
+    And a node "front" behind a fault proxy
+    When 400 callers download their own patterns from node "front" while connections are cut again and again
+    Then no caller got a short, mixed or foreign answer
+    When 40 callers download their own patterns from node "front" while nothing fails
+    Then no caller got a short, mixed or foreign answer
+    And at least 100 of 100 callers got their whole answer
+
   Scenario: Answers of an earlier connection and unknown numbers are dropped
     Guards against a late answer that meets a reused call number.
     Given a peer that answers with the numbers and sessions of other calls
--- a/oleanderknot/tasks/lost_peers.py
+++ b/oleanderknot/tasks/lost_peers.py
@@ -8,9 +8,10 @@
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import task_log
 
-# A killed node is back after a second or two, and learns who else there is
-# only from the store or from a node that calls on it.
-PAUSES_S = (0.5, 1.0, 1.0, 2.0, 2.0)
+# A killed node is back after one or two seconds, on a busy machine after five,
+# and learns who else there is only from the store or from a node that calls on
+# it.
+PAUSES_S = (0.5, 1.0, 1.0, 1.5, 1.5, 1.5, 2.0, 2.0)
 
 # Nodes that try on the average. With 1,220 nodes, attempts of all of them
 # would keep a node that has just started from its requests.
