Let calls of running work wait longer in a full queue

Cause: the queue of an overloaded upstream refused a call after 0.1 s, or twice its service time, whatever had been spent on it. Change: calls of running work may wait three times as long.

--- a/features/decisions_overload.feature
+++ b/features/decisions_overload.feature
@@ -61,6 +61,18 @@
     And the queue refused "a, b" as queue_delay
     And at time 0.14 the queue runs "e, d, c"
 
+  Scenario: A call of running work waits longer than a new request
+    Guards against orders whose last call is refused after a short wait, which
+    wastes all the work above it.
+    Given an admission queue of 10 calls
+    When these calls are queued at time 0
+      | name  | class | depth |
+      | root  | ORDER | 0     |
+      | inner | ORDER | 2     |
+    And calls "a" are queued at time 0.15
+    Then the queue refused "root" as queue_delay
+    And at time 0.16 the queue runs "inner, a"
+
   Scenario: A full queue refuses the least important call
     Given an admission queue of 2 calls
     When these calls are queued at time 0
--- a/oleanderknot/decisions/admission_queue.py
+++ b/oleanderknot/decisions/admission_queue.py
@@ -18,6 +18,10 @@
 MAX_DELAY_S = 0.1
 MAX_DELAY_CALLS = 2.0
 
+# How much longer a call of running work may wait. Its refusal wastes the work
+# of all services above, while a refused request of a customer has cost nothing.
+INNER_PATIENCE = 3.0
+
 Dropped = list[tuple[queued_call.QueuedCall, model.Rule]]
 
 
@@ -134,8 +138,7 @@
             group = self.groups[key]
             while group:
                 entry = group[0]
-                longest = max(MAX_DELAY_S, MAX_DELAY_CALLS * entry.expected_s)
-                if now - entry.arrived_at <= longest:
+                if now - entry.arrived_at <= find_longest_delay(entry):
                     break
                 group.popleft()
                 late = entry.is_hopeless(now)
@@ -162,6 +165,12 @@
             del self.groups[key]
 
 
+def find_longest_delay(entry: queued_call.QueuedCall) -> float:
+    """Return the seconds after which a call is refused under overload."""
+    longest = max(MAX_DELAY_S, MAX_DELAY_CALLS * entry.expected_s)
+    return longest * INNER_PATIENCE if entry.depth else longest
+
+
 def find_key(entry: queued_call.QueuedCall) -> tuple[int, int, int]:
     """Return the group of a call; lower groups are served first."""
     return int(entry.request_class), entry.band, -entry.depth
