Refuse waiting calls while their refusal can still be heard

Cause: a call waited in the queue until its deadline, at which the node of the caller gives up as well and must say that the call may have run. Change: it is refused once it can no longer end in time, 20 ms before the deadline at the latest.

--- a/features/decisions_overload.feature
+++ b/features/decisions_overload.feature
@@ -127,3 +127,10 @@
     Guards against an old report that keeps an idle upstream without work.
     Given the load of an upstream that reported level 1.5 at time 0
     Then it is thought to have 8 calls at time 0 and 2 calls at time 1
+
+  Scenario: A waiting call is refused while its refusal can still be heard
+    Guards against a request that was never run and whose client is told that
+    it may have run, because its node gave up first.
+    Given an admission with one place that is taken by calls of 200 ms
+    When a call with 400 ms left waits for it
+    Then it is refused as deadline, not run, at least 150 ms before its deadline
--- a/oleanderknot/tasks/admission.py
+++ b/oleanderknot/tasks/admission.py
@@ -9,6 +9,10 @@
 # Entries of the queue for each slot.
 QUEUE_SHARE = 2
 
+# Time for a refusal to reach the node of the caller, which gives up at the
+# deadline and then cannot tell whether the call has run.
+REFUSAL_S = 0.02
+
 DETAILS = {
     model.Rule.LEVEL: 'the upstream is overloaded and admits only calls that'
     ' matter more',
@@ -131,9 +135,10 @@
     async def wait(
         self, call: model.Call, entry: decisions.QueuedCall
     ) -> Place | model.Refusal:
-        """Wait in the queue, at most until the deadline."""
+        """Wait in the queue while the call can still end in time."""
         future = entry.token
-        timer = self.loop.call_at(call.deadline, self.expire, entry)
+        latest = call.deadline - max(REFUSAL_S, entry.expected_s)
+        timer = self.loop.call_at(latest, self.expire, entry)
         try:
             outcome = await future
         except asyncio.CancelledError:
@@ -157,7 +162,7 @@
         self.queue.remove(entry)
 
     def expire(self, entry: decisions.QueuedCall) -> None:
-        """Refuse a call whose deadline passes while it waits."""
+        """Refuse a call that can no longer end before its deadline."""
         self.queue.remove(entry)
         self.drop([(entry, model.Rule.DEADLINE)])
 
