Let no call wait for a node that cannot be reached

Change: a node whose connection fell silent or could not be opened is left out of the choice and dialled again in the background every 0.5 s; a service of which no node can be reached is refused at once. An attempt takes at most 0.5 s.

--- a/features/platform_changes.feature
+++ b/features/platform_changes.feature
@@ -59,6 +59,15 @@
     And the node of "one" is killed and started
     Then the node of "one" answers 503 and never 404 until it is ready
 
+  Scenario: Calls do not wait for a node that cannot be reached
+    Guards against a partition in which each call waits for an attempt to
+    connect that must fail, and its client is told too late.
+    When the node of "two" is paused
+    And a client of "one" sends "/order/" for 3.5 seconds
+    Then after 2.0 seconds each one was refused with 503 within 0.3 seconds
+    When the node of "two" goes on
+    Then "one" serves "/order/again" again
+
   Scenario: Nodes that were killed while the store is away are found again
     Guards against a restarted node that its peers take for dead until the
     store is back.
--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -3,6 +3,7 @@
 import http.client
 import itertools
 import json
+import signal
 import threading
 import time
 
@@ -101,3 +102,42 @@
     text = context.fleet.sidecars[name].process.read_log()
     for line in text.splitlines():
         json.loads(line)
+
+
+@when('the node of "{name}" is paused')
+def pause_node(context, name):
+    """Stop a node; its sockets stay open."""
+    context.fleet.sidecars[name].process.send(signal.SIGSTOP)
+
+
+@when('the node of "{name}" goes on')
+def resume_node(context, name):
+    """Let a paused node go on."""
+    context.fleet.sidecars[name].process.send(signal.SIGCONT)
+
+
+@when('a client of "{name}" sends "{prefix}" for {span_s:g} seconds')
+def send_for(context, name, prefix, span_s):
+    """Send requests one after another and keep when and how each ended."""
+    start = time.monotonic()
+    context.ends = []
+    number = 0
+    while (begun := time.monotonic()) < start + span_s:
+        number += 1
+        status, _, _ = context.fleet.send(
+            name, prefix + str(number), request_id='s%d' % number
+        )
+        ended = time.monotonic()
+        context.ends.append((begun - start, status, ended - begun))
+        time.sleep(0.05)
+
+
+@then(
+    'after {after_s:g} seconds each one was refused with {status:d} within'
+    ' {longest_s:g} seconds'
+)
+def check_refusals(context, after_s, status, longest_s):
+    """Check the requests that were sent late enough."""
+    late = [item for item in context.ends if item[0] >= after_s]
+    wrong = [item for item in late if item[1] != status or item[2] > longest_s]
+    assert late and not wrong, (len(late), wrong)
--- a/oleanderknot/tasks/peer_pool.py
+++ b/oleanderknot/tasks/peer_pool.py
@@ -15,9 +15,14 @@
 IDLE_S = 60.0
 IDLE_CHECK_S = 5.0
 
-# The brief's sizes give 1 ms for a connection; a lost SYN is sent again
-# after one second, so a longer wait would only hide a dead path.
-CONNECT_TIMEOUT_S = 1.0
+# The brief's sizes give 1 ms for a connection and 70 ms for a round trip
+# between regions; a lost SYN is sent again after one second, so a longer wait
+# would only hide a dead path.
+CONNECT_TIMEOUT_S = 0.5
+
+# Pause between two attempts to reach a node that was lost. Each costs two
+# packets; a node that is back is found as fast as a heartbeat would tell.
+REDIAL_S = 0.5
 
 # A wrong certificate fails at each attempt, several times a second.
 TLS_LOG_PERIOD_S = 30
@@ -36,6 +41,8 @@
         open: All connections with a finished handshake. Two nodes that dial
             each other at once have two; the older one ends when idle.
         dialling: Running attempts to connect, by instance.
+        lost: Loop time in seconds of the last sign that an instance cannot
+            be reached, by instance.
     """
 
     def __init__(
@@ -53,6 +60,7 @@
         self.connections: dict[str, peer_connection.PeerConnection] = {}
         self.open: set[peer_connection.PeerConnection] = set()
         self.dialling: dict[str, asyncio.Task] = {}
+        self.lost: dict[str, float] = {}
         self.emptied = asyncio.Event()
 
     def find(
@@ -95,24 +103,46 @@
             return connection
         task = self.dialling.get(member.instance)
         if task is None:
-            task = asyncio.create_task(
-                self.dial(
-                    member.host,
-                    member.peer_port,
-                    (member.instance, 0 if any_life else member.incarnation),
-                )
-            )
-            self.dialling[member.instance] = task
-            task.add_done_callback(
-                lambda done: self.finish_dialling(member.instance, done)
-            )
+            task = self.start_dialling(member, any_life)
         return await asyncio.shield(task)
 
+    def start_dialling(
+        self, member: model.Member, any_life: bool = False
+    ) -> asyncio.Task:
+        """Start an attempt to connect; see ``connect``."""
+        task = asyncio.create_task(
+            self.dial(
+                member.host,
+                member.peer_port,
+                (member.instance, 0 if any_life else member.incarnation),
+            )
+        )
+        self.dialling[member.instance] = task
+        task.add_done_callback(
+            lambda done: self.finish_dialling(member.instance, done)
+        )
+        return task
+
     def finish_dialling(self, instance: str, task: asyncio.Task) -> None:
-        """Forget an attempt and mark its error as seen."""
+        """Forget an attempt and keep in mind that it has failed."""
         self.dialling.pop(instance, None)
-        if not task.cancelled():
-            task.exception()
+        if not task.cancelled() and task.exception() is not None:
+            self.lost[instance] = asyncio.get_running_loop().time()
+
+    def is_lost(self, member: model.Member) -> bool:
+        """Return whether calls should not wait for a connection to a node.
+
+        The node is dialled again in the background, so that the calls that
+        meet a path that is cut do not each wait for an attempt.
+        """
+        instance = member.instance
+        lost_at = self.lost.get(instance)
+        if lost_at is None or instance in self.connections:
+            return False
+        now = asyncio.get_running_loop().time()
+        if now - lost_at >= REDIAL_S and instance not in self.dialling:
+            self.start_dialling(member)
+        return True
 
     async def dial(
         self, host: str, port: int, target: tuple[str, int]
@@ -170,6 +200,7 @@
         """Take a connection whose handshake is done, whoever dialled it."""
         self.open.add(connection)
         self.connections[connection.peer.instance] = connection
+        self.lost.pop(connection.peer.instance, None)
 
     def withdraw(self, connection: peer_connection.PeerConnection) -> None:
         """Give a connection no more calls."""
@@ -182,17 +213,29 @@
         self.withdraw(connection)
         self.open.discard(connection)
         if connection.silent:
-            # What silenced it may have silenced others that are idle.
-            for other in self.open:
-                other.watch.expect()
+            self.note_silent(connection)
         if not self.open:
             self.emptied.set()
 
+    def note_silent(self, connection: peer_connection.PeerConnection) -> None:
+        """Take a connection that ended because it had gone silent."""
+        # What silenced it may have silenced others that are idle.
+        for other in self.open:
+            other.watch.expect()
+        peer = connection.peer
+        if peer is not None and peer.instance not in self.connections:
+            # The next call may find out at once whether a new one works.
+            now = asyncio.get_running_loop().time()
+            self.lost[peer.instance] = now - REDIAL_S
+
     async def run(self) -> None:
         """Close connections that nobody needs, until cancelled."""
         while True:
             await asyncio.sleep(IDLE_CHECK_S)
             oldest = asyncio.get_running_loop().time() - IDLE_S
+            for instance, lost_at in list(self.lost.items()):
+                if lost_at < oldest:
+                    del self.lost[instance]
             for connection in list(self.open):
                 if connection.used_at < oldest and connection.is_idle():
                     connection.graceful_close.start()
--- a/oleanderknot/tasks/routed_dispatcher.py
+++ b/oleanderknot/tasks/routed_dispatcher.py
@@ -95,6 +95,7 @@
             rng=rng,
             shed_inner=False,
             pick=decisions.choose_balanced,
+            is_lost=pool.is_lost,
         )
 
     async def dispatch(
@@ -216,6 +217,19 @@
 
     def refuse_early(self, call: model.Call) -> model.Refusal:
         """Refuse a call that no upstream would admit."""
+        taking = [
+            member
+            for member in self.members.list_service(call.service)
+            if member.state in decisions.ADMITTING_STATES
+        ]
+        if taking and all(map(self.pool.is_lost, taking)):
+            return model.build_refusal(
+                call,
+                model.Verdict.NOT_RUN,
+                model.Rule.NO_UPSTREAM,
+                'none of %d upstreams of %s can be reached'
+                % (len(taking), call.service),
+            )
         return early_refusal.build_early_refusal(
             call,
             self.members,
--- a/oleanderknot/tasks/upstream_chooser.py
+++ b/oleanderknot/tasks/upstream_chooser.py
@@ -9,6 +9,7 @@
 from oleanderknot.tasks import runner
 
 PickFunction = collections.abc.Callable[..., decisions.Candidate | None]
+LostFunction = collections.abc.Callable[[model.Member], bool]
 
 # Share of failed calls up to which the own upstream is taken without a look
 # at the others. One failure in a row stays below it: single errors are common
@@ -34,6 +35,7 @@
         shed_inner: Whether levels also hold for calls of requests that an
             upstream already works on.
         pick: Chooses one of several upstreams.
+        is_lost: Returns whether a node cannot be reached at the moment.
     """
 
     def __init__(
@@ -46,7 +48,9 @@
         rng: random.Random,
         shed_inner: bool = True,
         pick: PickFunction = decisions.choose,
+        is_lost: LostFunction = lambda member: False,
     ) -> None:
+        self.is_lost = is_lost
         self.shed_inner = shed_inner
         self.pick = pick
         self.identity = identity
@@ -81,6 +85,7 @@
             for member in self.members.list_service(call.service)
             if member.state in decisions.ADMITTING_STATES
             and self.policy.takes_work(member.instance)
+            and not self.is_lost(member)
         ]
         choice = self.pick(
             candidates,
