Let inner calls on a platform wait no longer than requests

Cause: with a wait three times as long, calls of running work were answered late in several of the up to eight steps of a request, so that more requests missed their time than were saved by a refusal less. Change: the patience is given to the admission; nodes of a platform keep 1.

--- a/features/steps/overload_decision_steps.py
+++ b/features/steps/overload_decision_steps.py
@@ -146,6 +146,18 @@
     context.dropped = []
 
 
+@given(
+    'an admission queue of {count:d} calls in which inner calls wait'
+    ' {patience:g} times as long'
+)
+def make_patient_queue(context, count, patience):
+    """Make a queue that keeps calls of running work longer."""
+    context.queue = decisions.AdmissionQueue(
+        capacity=count, inner_patience=patience
+    )
+    context.dropped = []
+
+
 def push(context, name, now, *, cls='BROWSING', depth=0, deadline=9.0, s=0.0):
     """Queue one call."""
     entry = decisions.QueuedCall(
--- a/oleanderknot/decisions/admission_queue.py
+++ b/oleanderknot/decisions/admission_queue.py
@@ -18,10 +18,6 @@
 MAX_DELAY_S = 0.1
 MAX_DELAY_CALLS = 2.0
 
-# How much longer a call of running work may wait. Its refusal wastes work of
-# all services above; a refused request of a customer has cost nothing.
-INNER_PATIENCE = 3.0
-
 Dropped = list[tuple[queued_call.QueuedCall, model.Rule]]
 
 
@@ -43,10 +39,13 @@
         over_since: Monotonic time in seconds since which the oldest call
             has waited too long; None when it has not.
         overloaded: Whether that has lasted long enough to change the order.
+        inner_patience: How many times as long a call of running work may
+            wait as a new request.
     """
 
-    def __init__(self, *, capacity: int) -> None:
+    def __init__(self, *, capacity: int, inner_patience: float = 1.0) -> None:
         self.capacity = capacity
+        self.inner_patience = inner_patience
         self.groups: dict[
             tuple[int, int, int], collections.deque[queued_call.QueuedCall]
         ] = {}
@@ -138,7 +137,7 @@
             group = self.groups[key]
             while group:
                 entry = group[0]
-                if now - entry.arrived_at <= find_longest_delay(entry):
+                if now - entry.arrived_at <= self.find_longest_delay(entry):
                     break
                 group.popleft()
                 late = entry.is_hopeless(now)
@@ -149,6 +148,11 @@
                 del self.groups[key]
         return dropped
 
+    def find_longest_delay(self, entry: queued_call.QueuedCall) -> float:
+        """Return the seconds after which overload refuses a call."""
+        longest = max(MAX_DELAY_S, MAX_DELAY_CALLS * entry.expected_s)
+        return longest * self.inner_patience if entry.depth else longest
+
     def take(
         self, key: tuple[int, int, int], *, oldest: bool
     ) -> queued_call.QueuedCall:
@@ -165,12 +169,6 @@
             del self.groups[key]
 
 
-def find_longest_delay(entry: queued_call.QueuedCall) -> float:
-    """Return the seconds after which a call is refused under overload."""
-    longest = max(MAX_DELAY_S, MAX_DELAY_CALLS * entry.expected_s)
-    return longest * INNER_PATIENCE if entry.depth else longest
-
-
 def find_key(entry: queued_call.QueuedCall) -> tuple[int, int, int]:
     """Return the group of a call; lower groups are served first."""
     return int(entry.request_class), entry.band, -entry.depth
--- a/oleanderknot/tasks/admission.py
+++ b/oleanderknot/tasks/admission.py
@@ -9,6 +9,10 @@
 # Entries of the queue for each slot.
 QUEUE_SHARE = 2
 
+# How many times as long a call of running work may wait as a new request. Its
+# refusal wastes the work of all services above.
+INNER_PATIENCE = 3.0
+
 # Time for a refusal to reach the node of the caller, which gives up at the
 # deadline and then cannot tell whether the call has run.
 REFUSAL_S = 0.02
@@ -61,6 +65,7 @@
         warm: bool = False,
         shed_inner: bool = True,
         sole_sender: bool = False,
+        inner_patience: float = INNER_PATIENCE,
     ) -> None:
         self.shed_inner = shed_inner
         self.sole_sender = sole_sender
@@ -70,7 +75,9 @@
         self.limit = decisions.ConcurrencyLimit(
             slots=slots, now=now, warm=warm
         )
-        self.queue = decisions.AdmissionQueue(capacity=QUEUE_SHARE * slots)
+        self.queue = decisions.AdmissionQueue(
+            capacity=QUEUE_SHARE * slots, inner_patience=inner_patience
+        )
         self.times = decisions.ServiceTimes()
         self.running = 0
 
