Refuse requests early when a needed service cannot be reached

Change: the levels of a service are those of the upstreams that can be reached, and 0 when there is none.

--- a/features/platform_choice.feature
+++ b/features/platform_choice.feature
@@ -45,6 +45,19 @@
       | 4.1 | 0.5   | 2.5   |
       | 5.7 | 4.0   | 4.0   |
 
+  Scenario Outline: A service that cannot be reached admits nothing
+    Guards against requests that start although a service that they need is
+    behind a partition, and fail after the work above it was done.
+    Given a node that knows two upstreams of a service, both open
+    When <lost> of them cannot be reached
+    Then the node takes the levels of the service for <level>
+
+    Examples:
+      | lost | level |
+      | 0    | 4.0   |
+      | 1    | 4.0   |
+      | 2    | 0.0   |
+
   Scenario: Only single requests test a level that was reported long ago
     Guards against trees of calls that all start at once, and all fail, when
     the report about a deep service has become old.
--- a/features/steps/platform_choice_steps.py
+++ b/features/steps/platform_choice_steps.py
@@ -11,6 +11,7 @@
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot.tasks import chain_level
+from oleanderknot.tasks import upstream_chooser
 
 PLACES = 30
 
@@ -150,6 +151,50 @@
     assert [round(level, 3) for level in found] == [known, risen], found
 
 
+@given('a node that knows two upstreams of a service, both open')
+def build_chooser(context):
+    """Build the choice of a node and the records of two others."""
+    context.lost = set()
+    members = decisions.MemberTable()
+    members.merge(
+        model.Member(
+            instance=name,
+            incarnation=1,
+            version=1,
+            state=model.MemberState.TAKING,
+            data_centre='dc1',
+            host='127.0.0.1',
+            peer_port=1,
+            service='s',
+            slots=10,
+        )
+        for name in ('a', 'b')
+    )
+    context.chooser = upstream_chooser.UpstreamChooser(
+        identity=model.NodeIdentity(
+            instance='own', incarnation=1, data_centre='dc1'
+        ),
+        members=members,
+        policy=decisions.PolicyTable(),
+        runner=None,
+        rng=random.Random(1),
+        is_lost=lambda member: member.instance in context.lost,
+    )
+
+
+@when('{count:d} of them cannot be reached')
+def lose(context, count):
+    """Let some of the upstreams be out of reach."""
+    context.lost = set(['a', 'b'][:count])
+
+
+@then('the node takes the levels of the service for {level:f}')
+def check_lost_levels(context, level):
+    """Check the level that was reported and the one that may hold."""
+    found = context.chooser.find_service_levels('s', 'r')
+    assert found == (level, level), found
+
+
 @given(
     'an upstream whose route needs a service that reported {known:f} and may '
     'admit {risen:f} by now'
--- a/oleanderknot/decisions/load_view.py
+++ b/oleanderknot/decisions/load_view.py
@@ -71,21 +71,21 @@
         Args:
             service: Name of the service.
             route: Path prefix of the route.
-            members: Records of the service's instances.
+            members: Records of the service's instances that can be reached.
             now: Monotonic time in seconds.
 
         Returns:
             The level that was reported and the one that may hold by now, from
-            0 to 4; 4 when nothing is known.
+            0 to 4; 4 when nothing was reported, and 0 when no upstream is
+            left.
         """
         kept = self.levels.get((service, route))
         if kept is not None and now - kept[0] < KEEP_S:
             return kept[1]
-        heard = [
-            load.levels[route]
-            for load in map(self.find, list_admitting(members))
-            if route in load.levels
-        ]
+        taking = [self.find(item) for item in list_admitting(members)]
+        if not taking:
+            return 0.0, 0.0
+        heard = [load.levels[route] for load in taking if route in load.levels]
         newest = max((reported_at for _, reported_at in heard), default=0.0)
         known = risen = instance_load.MAX_LEVEL if not heard else 0.0
         for level, reported_at in heard:
--- a/oleanderknot/tasks/upstream_chooser.py
+++ b/oleanderknot/tasks/upstream_chooser.py
@@ -167,11 +167,16 @@
     ) -> tuple[float, float]:
         """Return the admission levels of a service for a route.
 
-        They are the one that was reported and the one that may hold by now.
+        They are the one that was reported and the one that may hold by now;
+        both are 0 when none of its upstreams can be reached.
         """
         return self.loads.find_service_levels(
             service,
             route,
-            self.members.list_service(service),
+            [
+                member
+                for member in self.members.list_service(service)
+                if not self.is_lost(member)
+            ],
             time.monotonic(),
         )
