--- a/oleanderknot/node/own_upstream.py
+++ b/oleanderknot/node/own_upstream.py
@@ -27,7 +27,7 @@
 # deployments take 1.3 times as long beyond 0.95.
 USABLE_SHARE = 0.94
 
-# Inner calls wait no longer than requests of clients. A request of the platform
+# Inner calls wait no longer than requests of clients. A request of a platform
 # makes up to eight calls one after the other within 1.2 to 1.5 s, and long
 # waits in several of them cost more requests than refusals do.
 INNER_PATIENCE = 1.0
