Log lost nodes and measure queue, upstream and store

Cause: an operator could not see from the log that a node took another one for unreachable, nor from the metrics how long calls waited in the queue, at the upstream or for the store. Change: lines peer_lost and peer_regained (at most 20 a second), histograms of queue, upstream and store, gauges of nodes by state, lost nodes, queue and repeats left. What is lost moves from the pool into a type of its own.

--- a/features/platform_changes.feature
+++ b/features/platform_changes.feature
@@ -65,8 +65,10 @@
     When the node of "two" is paused
     And a client of "one" sends "/order/" for 3.5 seconds
     Then after 2.0 seconds each one was refused with 503 within 0.3 seconds
+    And "one" logs "peer_lost"
     When the node of "two" goes on
     Then "one" serves "/order/again" again
+    And "one" logs "peer_regained"
 
   Scenario: Nodes that were killed while the store is away are found again
     Guards against a restarted node that its peers take for dead until the
@@ -107,6 +109,12 @@
     When a client of "one" sends GET "/page/1" as "h1"
     Then the metrics of "one" hold "oleanderknot_decisions_total"
     And the metrics of "one" hold "oleanderknot_request_seconds_bucket"
+    And the metrics of "one" hold "oleanderknot_upstream_seconds_bucket"
+    And the metrics of "one" hold "oleanderknot_queue_seconds_bucket"
+    And the metrics of "one" hold "oleanderknot_store_seconds_bucket{call="
+    And the metrics of "one" hold "oleanderknot_nodes_taking 2.0"
+    And the metrics of "one" hold "oleanderknot_nodes_lost 0.0"
+    And the metrics of "one" hold "oleanderknot_repeats_left"
     And the metrics of "one" hold "oleanderknot_policy_version 1.0"
 
   Scenario: A refused request is found in the log by its id
--- a/oleanderknot/decisions/repeat_budget.py
+++ b/oleanderknot/decisions/repeat_budget.py
@@ -69,5 +69,16 @@
         Returns:
             Whether the repeat may be sent.
         """
-        minimum = int(self.share * self.slack / max(1, nodes))
-        return self.find(service).take(now, self.share * self.ratio, minimum)
+        return self.find(service).take(
+            now, self.share * self.ratio, self.find_minimum(nodes)
+        )
+
+    def find_left(self, service: str, now: float, nodes: int) -> int:
+        """Return how many repeats may be sent now; see ``take``."""
+        return self.find(service).find_left(
+            now, self.share * self.ratio, self.find_minimum(nodes)
+        )
+
+    def find_minimum(self, nodes: int) -> int:
+        """Return this node's share of the slack."""
+        return int(self.share * self.slack / max(1, nodes))
--- a/oleanderknot/decisions/retry_budget.py
+++ b/oleanderknot/decisions/retry_budget.py
@@ -63,3 +63,14 @@
         bucket[2] += 1
         self.retries += 1
         return True
+
+    def find_left(self, now: float, ratio: float, minimum: int) -> int:
+        """Return how many retries the budget has room for.
+
+        Args:
+            now: Monotonic time in seconds.
+            ratio: Retries allowed as a share of the successes.
+            minimum: Retries allowed whatever the successes.
+        """
+        self.advance(now)
+        return max(0, int(minimum + ratio * self.successes) - self.retries)
--- a/oleanderknot/node/own_upstream.py
+++ b/oleanderknot/node/own_upstream.py
@@ -73,13 +73,16 @@
         )
         self.runner = runners.Runner(
             chains=chains,
-            build_admission=build_admission,
+            build_admission=lambda slots, warm=False: build_admission(
+                slots, warm, recorder.queues.observe
+            ),
             build_client=lambda host, port, slots: upstream_pool.UpstreamPool(
                 host=host,
                 port=port,
                 upstream=self.upstream,
                 dialect=dialect,
                 may_repeat=self.may_repeat,
+                measure=recorder.upstreams.observe,
             ),
         )
         self.runner.leaf_bonus = LEAF_BONUS
@@ -163,7 +166,11 @@
         )
 
 
-def build_admission(slots: int, warm: bool = False) -> admission.Admission:
+def build_admission(
+    slots: int,
+    warm: bool = False,
+    measure_wait: admission.MeasureFunction = admission.ignore_time,
+) -> admission.Admission:
     """Build the admission of an upstream whose only sender is this node."""
     return admission.Admission(
         slots=max(1, int(slots * USABLE_SHARE)),
@@ -171,4 +178,5 @@
         shed_inner=False,
         sole_sender=True,
         inner_patience=INNER_PATIENCE,
+        measure_wait=measure_wait,
     )
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -206,6 +206,7 @@
         self.store = platform.RowStore(
             url='http://' + settings.store.address,
             timeout_s=settings.store.timeout,
+            measure=self.recorder.measure_store,
         )
         self.watch = store_watch.StoreWatch()
         self.own = own_upstream.OwnUpstream(
--- a/oleanderknot/node/sidecar_gauges.py
+++ b/oleanderknot/node/sidecar_gauges.py
@@ -3,6 +3,7 @@
 import time
 import typing
 
+from oleanderknot import model
 from oleanderknot.node import sidecar_recorder
 from oleanderknot.tasks import json_formatter
 
@@ -16,6 +17,12 @@
     """Return the function that reads each gauge, by name."""
     runner = node.own.runner
     return {
+        **build_state_gauges(node),
+        'nodes_lost': lambda: len(node.pool.reach.since),
+        'queue_size': lambda: runner.admission.queue.size,
+        'repeats_left': lambda: node.own.repeats.find_left(
+            runner.service, time.monotonic(), len(node.members.members)
+        ),
         'policy_version': lambda: node.policies.version,
         'requests_active': lambda: node.requests.active,
         'runs_active': lambda: runner.running,
@@ -28,3 +35,19 @@
         ),
         'log_lines_dropped': json_formatter.count_dropped_lines,
     }
+
+
+def build_state_gauges(
+    node: 'sidecar_application.SidecarApplication',
+) -> dict[str, sidecar_recorder.GaugeFunction]:
+    """Return the function that counts the known nodes in each state."""
+
+    def build(state: model.MemberState) -> sidecar_recorder.GaugeFunction:
+        return lambda: sum(
+            member.state is state for member in node.members.members.values()
+        )
+
+    return {
+        'nodes_' + state.name.lower(): build(state)
+        for state in model.MemberState
+    }
--- a/oleanderknot/node/sidecar_recorder.py
+++ b/oleanderknot/node/sidecar_recorder.py
@@ -41,6 +41,9 @@
         registry: What the metrics address serves.
         requests: Seconds from a request to its answer.
         runs: Seconds that a call spent at this node's upstream and queue.
+        queues: Seconds that calls spent in the queue, of those that waited.
+        upstreams: Seconds from a send to the upstream to its answer.
+        stores: Seconds from a call to the store to its answer, by call.
         refusals: Limits the lines about calls that ended badly.
         answers: Limits the lines about the others.
     """
@@ -70,6 +73,30 @@
             registry=self.registry,
         )
 
+        self.queues = prometheus_client.Histogram(
+            'oleanderknot_queue_seconds',
+            'Time in the queue of the calls that had to wait.',
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
+        self.upstreams = prometheus_client.Histogram(
+            'oleanderknot_upstream_seconds',
+            'Time from a send to the own upstream to its answer.',
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
+        self.stores = prometheus_client.Histogram(
+            'oleanderknot_store_seconds',
+            'Time of a call to the store.',
+            labelnames=('call',),
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
+
+    def measure_store(self, call: str, seconds: float) -> None:
+        """Take the time of a call to the store."""
+        self.stores.labels(call).observe(seconds)
+
     def collect(self) -> collections.abc.Iterator[core.Metric]:
         """Give the counters and gauges; called by the metrics library."""
         decided = core.CounterMetricFamily(
--- a/oleanderknot/platform/row_store.py
+++ b/oleanderknot/platform/row_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import collections.abc
+import time
 
 import aiohttp
 from expression import Error
@@ -16,6 +17,9 @@
 # Time in seconds that a feed's answer may take beyond the wait asked for.
 FEED_MARGIN_S = 1.5
 
+# Takes the name of a call and the seconds until its answer or fault.
+MeasureFunction = collections.abc.Callable[[str, float], None]
+
 
 class Row(loose_model.LooseModel):
     """A row of the store.
@@ -52,11 +56,18 @@
 
     Attributes:
         http: HTTP side.
+        measure: Takes the time of each call.
     """
 
     def __init__(
-        self, *, url: str, timeout_s: float, local_host: str | None = None
+        self,
+        *,
+        url: str,
+        timeout_s: float,
+        local_host: str | None = None,
+        measure: MeasureFunction = lambda name, seconds: None,
     ) -> None:
+        self.measure = measure
         self.http = http_client.HttpClient(
             url=url, timeout_s=timeout_s, local_host=local_host
         )
@@ -77,7 +88,7 @@
         query = {'table': table, 'part': '', 'limit': str(limit)}
         if start:
             query['from'] = start
-        result = await self.http.request('GET', '/v1/rows-get', params=query)
+        result = await self.send('read', 'GET', '/v1/rows-get', params=query)
         return result.bind(parse_rows)
 
     async def follow(
@@ -99,7 +110,8 @@
             'after': str(after),
             'waitMs': str(int(wait_s * 1000)),
         }
-        result = await self.http.request(
+        result = await self.send(
+            'follow',
             'GET',
             '/v1/rows-feed',
             params=query,
@@ -129,9 +141,11 @@
             be seconds later.
         """
         place = {'table': table, 'part': ''}
-        result = await self.http.post(
+        result = await self.send(
+            'commit',
+            'POST',
             '/v1/rows-tx',
-            {
+            json={
                 'expected': [
                     {**place, 'key': key, 'rowVersion': version}
                     for key, version in (expected or {}).items()
@@ -149,6 +163,15 @@
         )
         return result.map(lambda content: None)
 
+    async def send(
+        self, name: str, method: str, path: str, **arguments: object
+    ) -> Result[bytes, model.PlatformFault]:
+        """Send a request and measure it; see ``HttpClient.request``."""
+        started = time.monotonic()
+        result = await self.http.request(method, path, **arguments)
+        self.measure(name, time.monotonic() - started)
+        return result
+
     async def close(self) -> None:
         """Close all connections."""
         await self.http.close()
--- a/oleanderknot/tasks/admission.py
+++ b/oleanderknot/tasks/admission.py
@@ -1,6 +1,7 @@
 """Admits calls to the own upstream."""
 
 import asyncio
+import collections.abc
 import dataclasses
 
 from oleanderknot import decisions
@@ -17,6 +18,9 @@
 # deadline and then cannot tell whether the call has run.
 REFUSAL_S = 0.02
 
+# Takes seconds.
+MeasureFunction = collections.abc.Callable[[float], None]
+
 DETAILS = {
     model.Rule.LEVEL: 'the upstream is overloaded and admits only calls that'
     ' matter more',
@@ -41,6 +45,10 @@
     reported: bool = False
 
 
+def ignore_time(seconds: float) -> None:
+    """Take a time that nobody measures."""
+
+
 class Admission:
     """Owns the places, the queue and the admission level of the upstream.
 
@@ -56,6 +64,7 @@
             refusals then do not come from too many calls at once, and a
             lower limit would only leave its slots unused; the level falls
             instead.
+        measure_wait: Takes the seconds that a call spent in the queue.
     """
 
     def __init__(
@@ -66,7 +75,9 @@
         shed_inner: bool = True,
         sole_sender: bool = False,
         inner_patience: float = INNER_PATIENCE,
+        measure_wait: MeasureFunction = ignore_time,
     ) -> None:
+        self.measure_wait = measure_wait
         self.shed_inner = shed_inner
         self.sole_sender = sole_sender
         self.loop = asyncio.get_running_loop()
@@ -153,6 +164,7 @@
             raise
         finally:
             timer.cancel()
+            self.measure_wait(self.loop.time() - entry.arrived_at)
         if isinstance(outcome, Place):
             return outcome
         return self.refuse(call, outcome)
--- a/oleanderknot/tasks/peer_pool.py
+++ b/oleanderknot/tasks/peer_pool.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import ssl
+import time
 
 from absl import logging
 
 from oleanderknot import model
 from oleanderknot.tasks import peer_connection
 from oleanderknot.tasks import peer_handlers
+from oleanderknot.tasks import reachability
 
 # A connection that has carried nothing for this long is closed: with 1,200
 # nodes each would otherwise end with a connection to every other one.
@@ -41,8 +43,7 @@
         open: All connections with a finished handshake. Two nodes that dial
             each other at once have two; the older one ends when idle.
         dialling: Running attempts to connect, by instance.
-        lost: Loop time in seconds of the last sign that an instance cannot
-            be reached, by instance.
+        reach: Nodes that could not be reached.
     """
 
     def __init__(
@@ -60,7 +61,7 @@
         self.connections: dict[str, peer_connection.PeerConnection] = {}
         self.open: set[peer_connection.PeerConnection] = set()
         self.dialling: dict[str, asyncio.Task] = {}
-        self.lost: dict[str, float] = {}
+        self.reach = reachability.Reachability()
         self.emptied = asyncio.Event()
 
     def find(
@@ -126,8 +127,8 @@
     def finish_dialling(self, instance: str, task: asyncio.Task) -> None:
         """Forget an attempt and keep in mind that it has failed."""
         self.dialling.pop(instance, None)
-        if not task.cancelled() and task.exception() is not None:
-            self.lost[instance] = asyncio.get_running_loop().time()
+        if not task.cancelled() and (error := task.exception()):
+            self.reach.note_lost(instance, str(error), time.monotonic())
 
     def is_lost(self, member: model.Member) -> bool:
         """Return whether calls should not wait for a connection to a node.
@@ -136,11 +137,11 @@
         meet a path that is cut do not each wait for an attempt.
         """
         instance = member.instance
-        lost_at = self.lost.get(instance)
-        if lost_at is None or instance in self.connections:
+        tried_at = self.reach.tried_at.get(instance)
+        if tried_at is None or instance in self.connections:
             return False
-        now = asyncio.get_running_loop().time()
-        if now - lost_at >= REDIAL_S and instance not in self.dialling:
+        waited = time.monotonic() - tried_at
+        if waited >= REDIAL_S and instance not in self.dialling:
             self.start_dialling(member)
         return True
 
@@ -200,7 +201,7 @@
         """Take a connection whose handshake is done, whoever dialled it."""
         self.open.add(connection)
         self.connections[connection.peer.instance] = connection
-        self.lost.pop(connection.peer.instance, None)
+        self.reach.note_reached(connection.peer.instance)
 
     def withdraw(self, connection: peer_connection.PeerConnection) -> None:
         """Give a connection no more calls."""
@@ -225,17 +226,18 @@
         peer = connection.peer
         if peer is not None and peer.instance not in self.connections:
             # The next call may find out at once whether a new one works.
-            now = asyncio.get_running_loop().time()
-            self.lost[peer.instance] = now - REDIAL_S
+            self.reach.note_lost(
+                peer.instance,
+                'its connection went silent',
+                time.monotonic() - REDIAL_S,
+            )
 
     async def run(self) -> None:
         """Close connections that nobody needs, until cancelled."""
         while True:
             await asyncio.sleep(IDLE_CHECK_S)
             oldest = asyncio.get_running_loop().time() - IDLE_S
-            for instance, lost_at in list(self.lost.items()):
-                if lost_at < oldest:
-                    del self.lost[instance]
+            self.reach.forget(time.monotonic() - IDLE_S)
             for connection in list(self.open):
                 if connection.used_at < oldest and connection.is_idle():
                     connection.graceful_close.start()
--- /dev/null
+++ b/oleanderknot/tasks/reachability.py
@@ -0,0 +1,85 @@
+"""Remembers which nodes could not be reached, and logs each change."""
+
+import time
+
+from absl import logging
+
+from oleanderknot import decisions
+
+# Log lines a second; a partition loses all nodes behind it at once.
+LINES_PER_S = 20
+
+
+class Reachability:
+    """What a node knows from its own attempts to reach others.
+
+    Attributes:
+        since: Monotonic time in seconds of the first sign that an instance
+            cannot be reached, by instance.
+        tried_at: Monotonic time in seconds of the last attempt, by instance.
+        sampler: Limits the log lines.
+    """
+
+    def __init__(self) -> None:
+        self.since: dict[str, float] = {}
+        self.tried_at: dict[str, float] = {}
+        self.sampler = decisions.LogSampler(per_second=LINES_PER_S)
+
+    def note_lost(self, instance: str, detail: str, tried_at: float) -> None:
+        """Note that an instance could not be reached.
+
+        Args:
+            instance: The instance.
+            detail: One English phrase for operators.
+            tried_at: Monotonic time in seconds that counts as the last
+                attempt.
+        """
+        self.tried_at[instance] = tried_at
+        now = time.monotonic()
+        if instance in self.since:
+            return
+        self.since[instance] = now
+        if self.sampler.take(now):
+            logging.warning(
+                '%s cannot be reached: %s',
+                instance,
+                detail,
+                extra=self.describe('peer_lost', instance, 0.0),
+            )
+
+    def note_reached(self, instance: str) -> None:
+        """Note that a connection to an instance works."""
+        since = self.since.pop(instance, None)
+        if since is None:
+            return
+        del self.tried_at[instance]
+        now = time.monotonic()
+        if self.sampler.take(now):
+            logging.info(
+                '%s is reached again',
+                instance,
+                extra=self.describe('peer_regained', instance, now - since),
+            )
+
+    def forget(self, before: float) -> None:
+        """Forget instances that nobody has tried to reach since.
+
+        Args:
+            before: Monotonic time in seconds.
+        """
+        for instance, tried_at in list(self.tried_at.items()):
+            if tried_at < before:
+                del self.tried_at[instance], self.since[instance]
+
+    def describe(
+        self, event: str, instance: str, lost_s: float
+    ) -> dict[str, object]:
+        """Return the fields of a log line."""
+        return {
+            'call_fields': {
+                'event': event,
+                'member': instance,
+                'lost_s': round(lost_s, 3),
+                'left_out': self.sampler.flush(),
+            }
+        }
--- a/oleanderknot/tasks/upstream_pool.py
+++ b/oleanderknot/tasks/upstream_pool.py
@@ -43,6 +43,7 @@
         dialect: Reads and writes headers.
         may_repeat: Takes one repeat of a call that the upstream turned away
             from the budget, and returns whether there was one.
+        measure: Takes the seconds from each send to its answer.
         idle: Connections without a request, the freshest last.
     """
 
@@ -54,7 +55,9 @@
         upstream: str,
         dialect: http_dialect.HttpDialect,
         may_repeat: collections.abc.Callable[[model.Call], bool],
+        measure: collections.abc.Callable[[float], None],
     ) -> None:
+        self.measure = measure
         self.may_repeat = may_repeat
         self.host = host
         self.port = port
@@ -202,7 +205,8 @@
             TimeoutError: The deadline passed first.
         """
         call.started = True
-        left_s = max(0.0, call.deadline - self.loop.time())
+        sent_at = self.loop.time()
+        left_s = max(0.0, call.deadline - sent_at)
         data = self.build_head(call, content, left_s) + content
         waiter = connection.request(
             data, call.span_id, head_only=call.method == 'HEAD'
@@ -215,6 +219,7 @@
             return await waiter
         finally:
             timer.cancel()
+            self.measure(self.loop.time() - sent_at)
 
     def build_head(
         self, call: model.Call, content: bytes, left_s: float
