Add a randomized soak with faults from outside

Cause: promises were checked one fault at a time; nothing looked for faults that come in series and overlap. It checks runs, refusals, answers, service, departures, the bound on repeats, recovery and the processes' logs. A node of a platform can now advertise another peer address, as other nodes already could, and stand-in back ends write a record that outlives them.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 lint: $(VENV)/.ready
 	$(VENV)/bin/ruff format --quiet --check .
 	$(VENV)/bin/ruff check --quiet .
-	$(VENV)/bin/flake8 oleanderknot features bench docs
+	$(VENV)/bin/flake8 oleanderknot features bench docs soak
 	PYTHONPATH=$(CURDIR) $(VENV)/bin/lint-imports --no-cache
 	$(PY) -m docs.pages --check
 
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -111,7 +111,14 @@
         )
 
     def start(
-        self, name: str, service: str, data_centre: str = 'dc1', **more: object
+        self,
+        name: str,
+        service: str,
+        data_centre: str = 'dc1',
+        *,
+        advertised: str | None = None,
+        record: str = '',
+        **more: object,
     ) -> sidecar.Sidecar:
         """Start a node and its back end.
 
@@ -119,6 +126,9 @@
             name: Name of the instance.
             service: Service of the back end.
             data_centre: Data centre of the instance.
+            advertised: Address that other nodes are told in place of the
+                node's own.
+            record: File that the back end writes its record to.
             more: Settings besides the usual ones.
 
         Returns:
@@ -137,6 +147,7 @@
             peers=addresses[3],
             metrics=addresses[4],
             backend_address=addresses[5],
+            record=record,
         )
         self.sidecars[name] = item
         content = {
@@ -147,6 +158,7 @@
                 'readiness': item.readiness,
                 'heartbeats': item.heartbeats,
                 'peers': item.peers,
+                'advertised_peers': advertised,
                 'metrics': item.metrics,
             },
             'upstream': {'service': service, 'address': item.backend_address},
@@ -184,6 +196,8 @@
             item.heartbeats,
             '--node',
             item.requests,
+            '--record',
+            item.record,
             *arguments,
         )
 
--- a/features/support/sidecar.py
+++ b/features/support/sidecar.py
@@ -19,6 +19,7 @@
         peers: Address for other nodes.
         metrics: Address for metrics.
         backend_address: Address of the back end.
+        record: File that the back end writes its record to; empty for none.
         process: The node.
         backend: The back end.
     """
@@ -32,5 +33,6 @@
     peers: str
     metrics: str
     backend_address: str
+    record: str = ''
     process: processes.Process | None = None
     backend: processes.Process | None = None
--- a/oleanderknot/border/sidecar_settings.py
+++ b/oleanderknot/border/sidecar_settings.py
@@ -45,6 +45,8 @@
         readiness: For the platform's questions whether the node is ready.
         heartbeats: For the heartbeats of the own upstream.
         peers: For other nodes.
+        advertised_peers: Address that other nodes are told; empty for that
+            of ``peers``. It differs where a proxy stands in between.
         metrics: For metrics; empty for none.
     """
 
@@ -52,6 +54,7 @@
     readiness: base.Address
     heartbeats: base.Address
     peers: base.Address
+    advertised_peers: base.Address | None = None
     metrics: base.Address | None = None
 
 
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -86,8 +86,11 @@
     async def start(self) -> None:
         """Start all tasks; called by aiomisc."""
         self.build_tasks()
-        host, port = split_address(self.settings.addresses.peers)
-        await self.peers.bind(host, port)
+        addresses = self.settings.addresses
+        await self.peers.bind(*split_address(addresses.peers))
+        host, port = split_address(
+            addresses.advertised_peers or addresses.peers
+        )
         self.membership = membership.Membership(
             table=self.members,
             own=model.Member(
@@ -105,7 +108,6 @@
         self.own.membership = self.membership
         self.start_background()
         await self.peers.start()
-        addresses = self.settings.addresses
         for listener, address in (
             (self.heartbeats, addresses.heartbeats),
             (self.requests, addresses.requests),
--- a/oleanderknot/standins/backend.py
+++ b/oleanderknot/standins/backend.py
@@ -31,6 +31,9 @@
     ``extra`` (a second answer follows), ``late`` (an answer to another
     request comes first) and ``unframed`` (no length).
 
+    With ``--record`` each arrival, run and acknowledged state is appended to
+    a file as one JSON line, which outlives the process.
+
     Attributes:
         runs: Id, method, target, calling service and deadline of each run.
         cancelled: Ids of runs whose connection closed.
@@ -48,10 +51,12 @@
         self.started_ms = int(time.time() * 1000)
         self.sequence = 0
         self.session: aiohttp.ClientSession | None = None
+        self.file = options.record and open(options.record, 'ab', buffering=0)
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
         self.session = aiohttp.ClientSession()
+        self.record('start')
         host, port = self.options.address.split(':')
         await asyncio.start_server(self.serve, host, int(port), backlog=1024)
         stop = asyncio.Event()
@@ -90,6 +95,19 @@
         async with self.session.post(url, json=content) as answer:
             return answer.status
 
+    def record(self, event: str, **fields: object) -> None:
+        """Append a line to the record, with the monotonic time in seconds."""
+        if not self.file:
+            return
+        line = {
+            'at': time.monotonic(),
+            'event': event,
+            'service': self.options.service,
+            'name': self.options.name,
+            **fields,
+        }
+        self.file.write(json.dumps(line).encode() + b'\n')
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -118,22 +136,23 @@
             writer.write(build_answer(200, '', json.dumps(content).encode()))
             return True
         request_id = headers.get('request-id', '')
+        self.record('arrival', id=request_id)
         if query.get('fault') == 'shed':
             writer.write(
                 b'HTTP/1.1 503 Full\r\nRequest-Id: %b\r\nNot-Executed: 1\r\n'
                 b'Content-Length: 0\r\n\r\n' % request_id.encode()
             )
             return True
-        self.runs.append(
-            {
-                'id': request_id,
-                'method': method,
-                'target': target,
-                'caller': headers.get('calling-service', ''),
-                'deadline_ms': headers.get('deadline-milliseconds', ''),
-                'expected': headers.get('expected-instance', ''),
-            }
-        )
+        run = {
+            'id': request_id,
+            'method': method,
+            'target': target,
+            'caller': headers.get('calling-service', ''),
+            'deadline_ms': headers.get('deadline-milliseconds', ''),
+            'expected': headers.get('expected-instance', ''),
+        }
+        self.runs.append(run)
+        self.record('run', **run)
         work = asyncio.create_task(self.work(request_id, query, reader))
         if not await work:
             self.cancelled.append(request_id)
@@ -197,7 +216,9 @@
         if path == '/-/state':
             self.state = query['value']
             self.sequence += 1
-            return await self.report()
+            status = await self.report()
+            self.record('state', state=self.state, status=status)
+            return status
         if path == '/-/report':
             return await self.report(
                 **{
@@ -231,6 +252,7 @@
     parser.add_argument('--control', required=True)
     parser.add_argument('--node', required=True)
     parser.add_argument('--slots', type=int, default=50)
+    parser.add_argument('--record', default='')
     asyncio.run(Backend(options=parser.parse_args()).run())
 
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real processes, faults from outside, promises checked."""
--- /dev/null
+++ b/soak/http_attempt.py
@@ -0,0 +1,83 @@
+"""Sends one request over a connection of a client."""
+
+import asyncio
+import time
+
+from soak import sent_request
+
+# Longest wait of a client, which also bounds the wait for a connection.
+PATIENCE_S = 3.0
+
+
+async def send(
+    request: sent_request.SentRequest,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    body: bytes,
+) -> bool:
+    """Send a request, keep what came back, and tell if the way can be kept.
+
+    Args:
+        request: The request; its outcome is written into it.
+        reader: Answers of the connection.
+        writer: Requests of the connection.
+        body: Body of the request.
+
+    Returns:
+        Whether the connection may carry another request.
+    """
+    head = (
+        '%s %s HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\n'
+        'Deadline-Milliseconds: %d\r\nContent-Length: %d\r\n\r\n'
+    ) % (
+        request.method,
+        request.target,
+        request.request_id,
+        PATIENCE_S * 1000,
+        len(body),
+    )
+    try:
+        writer.write(head.encode() + body)
+        await writer.drain()
+        request.sent_at = time.monotonic()
+        return await read_answer(request, reader)
+    except asyncio.IncompleteReadError as error:
+        # Bytes of an answer that ends early are no answer.
+        request.error = 'closed after %d bytes' % len(error.partial)
+        request.status = 0
+    except OSError as error:
+        request.error = repr(error)
+        request.status = 0
+    return False
+
+
+async def read_answer(
+    request: sent_request.SentRequest, reader: asyncio.StreamReader
+) -> bool:
+    """Read one answer and compare it with what the request asked for."""
+    head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+    line, *rest = head.split('\r\n')
+    headers = {}
+    for item in rest:
+        name, _, value = item.partition(': ')
+        headers[name.lower()] = value
+    body = await reader.readexactly(int(headers.get('content-length', 0)))
+    request.status = int(line.split(' ')[1])
+    request.mistake = find_mistake(request, headers, body)
+    return headers.get('connection') != 'close'
+
+
+def find_mistake(
+    request: sent_request.SentRequest, headers: dict[str, str], body: bytes
+) -> str:
+    """Return how an answer differs from the whole own one."""
+    answered = headers.get('request-id', request.request_id)
+    if answered != request.request_id:
+        return 'answer to %s' % answered
+    if request.status != 200:
+        return ''
+    if headers.get('response-signature') != 's-' + request.request_id:
+        return 'success without the own receipt'
+    if len(body) != request.size:
+        return '%d bytes in place of %d' % (len(body), request.size)
+    return ''
--- /dev/null
+++ b/soak/run_checks.py
@@ -0,0 +1,133 @@
+"""Checks what back ends ran against what clients sent and were told."""
+
+import collections
+
+from soak import backend_event
+from soak import sent_request
+from soak import world
+
+# Seconds after an acknowledged departure within which work may still begin.
+DRAIN_BOUND_S = 2.0
+
+# Statuses that promise that a request has not run.
+NOT_RUN = (429, 503)
+
+
+def check_runs(
+    sent: list[sent_request.SentRequest],
+    events: list[backend_event.BackendEvent],
+    services: dict[str, str],
+) -> list[str]:
+    """Check each run, and the number of runs of each request.
+
+    Args:
+        sent: All requests of clients.
+        events: What the back ends recorded, in order of time.
+        services: Service of the back end of each instance.
+
+    Returns:
+        The promises that were broken, one sentence each.
+    """
+    findings = []
+    known = {item.request_id: item for item in sent}
+    runs = collections.Counter()
+    for event in events:
+        if event.event != 'run' or event.target.endswith('/ready'):
+            continue
+        runs[event.request_id] += 1
+        root = event.request_id.partition('.')[0]
+        request = known.get(root)
+        if request is None:
+            findings.append('%s ran and no client sent it' % event.request_id)
+        elif root == event.request_id:
+            findings += check_run(request, event, services)
+    for item in sent:
+        count = runs[item.request_id]
+        if count > 1 and not item.repeatable:
+            findings.append('%s ran %d times' % (item.request_id, count))
+        if count and item.status in NOT_RUN and not item.repeatable:
+            findings.append(
+                '%s was told %d and ran' % (item.request_id, item.status)
+            )
+    return findings
+
+
+def check_run(
+    request: sent_request.SentRequest,
+    event: backend_event.BackendEvent,
+    services: dict[str, str],
+) -> list[str]:
+    """Check that a request ran as it was sent and where it belongs."""
+    found = (event.service, event.method, event.target, event.caller)
+    right = (
+        request.service,
+        request.method,
+        request.target,
+        services[request.instance],
+    )
+    if found == right:
+        return []
+    return ['%s ran as %s, sent as %s' % (event.request_id, found, right)]
+
+
+def check_drains(events: list[backend_event.BackendEvent]) -> list[str]:
+    """Check that no work begins at back ends that have left."""
+    findings = []
+    left: dict[str, float] = {}
+    for event in events:
+        if event.event == 'start':
+            left.pop(event.name, None)
+        elif event.event == 'state' and event.status == 200:
+            if event.state == 'draining':
+                left.setdefault(event.name, event.at)
+            else:
+                left.pop(event.name, None)
+        elif event.event == 'run' and event.name in left:
+            late_s = event.at - left[event.name]
+            if late_s > DRAIN_BOUND_S:
+                findings.append(
+                    '%s ran at %s %.2f s after its departure was acknowledged'
+                    % (event.request_id, event.name, late_s)
+                )
+    return findings
+
+
+def check_budget(events: list[backend_event.BackendEvent]) -> list[str]:
+    """Check the repeats of each service in every window.
+
+    Requests count in the window, the one before it or the one half a window
+    before it, whichever has most.
+    """
+    findings = []
+    for service in world.SERVICES:
+        first: list[float] = []
+        again: list[float] = []
+        seen = set()
+        for event in events:
+            if event.event == 'arrival' and event.service == service:
+                times = again if event.request_id in seen else first
+                times.append(event.at)
+                seen.add(event.request_id)
+        for end in again:
+            repeats = count_between(again, end)
+            requests = max(
+                count_between(first, end - back_s)
+                for back_s in (
+                    0.0,
+                    world.REPEAT_WINDOW_S / 2,
+                    world.REPEAT_WINDOW_S,
+                )
+            )
+            bound = world.REPEAT_RATIO * requests + world.REPEAT_SLACK
+            if repeats > bound:
+                findings.append(
+                    '%s got %d repeats in a window, allowed are %.0f'
+                    % (service, repeats, bound)
+                )
+                break
+    return findings
+
+
+def count_between(times: list[float], end: float) -> int:
+    """Count the moments of the window that ends at a moment."""
+    return sum(end - world.REPEAT_WINDOW_S < at <= end for at in times)
