--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -83,7 +83,7 @@
 
 def build_departure():
     """Build the acknowledgement of a departure."""
-    return build_event('state', at=1.0, state='draining', status=200)
+    return build_event('state', at=1.0, state='draining')
 
 
 RECORDS = {
--- a/oleanderknot/standins/backend.py
+++ b/oleanderknot/standins/backend.py
@@ -39,6 +39,7 @@
         cancelled: Ids of runs whose connection closed.
         finished: Ids of runs that came to their end.
         state: What heartbeats say.
+        told: State that the node acknowledged last.
     """
 
     def __init__(self, *, options: argparse.Namespace) -> None:
@@ -46,7 +47,7 @@
         self.runs: list[dict[str, str]] = []
         self.cancelled: list[str] = []
         self.finished: list[str] = []
-        self.state = 'ready'
+        self.state = self.told = 'ready'
         self.upstream = 'i-%s' % options.name
         self.started_ms = int(time.time() * 1000)
         self.sequence = 0
@@ -76,13 +77,14 @@
 
     async def report(self, **changes: object) -> int:
         """Send one heartbeat and return the status of its answer."""
+        state = self.state
         content = {
             'service': self.options.service,
             'address': self.options.address,
             'zone': 'dc1',
             'version': 'v1',
             'slots': self.options.slots,
-            'state': self.state,
+            'state': state,
             'coldRemaining': '0ms',
             'sequence': self.sequence,
             'born': self.started_ms,
@@ -93,6 +95,9 @@
             self.upstream,
         )
         async with self.session.post(url, json=content) as answer:
+            if answer.status == 200 and state != self.told:
+                self.told = state
+                self.record('state', state=state)
             return answer.status
 
     def record(self, event: str, **fields: object) -> None:
@@ -216,9 +221,7 @@
         if path == '/-/state':
             self.state = query['value']
             self.sequence += 1
-            status = await self.report()
-            self.record('state', state=self.state, status=status)
-            return status
+            return await self.report()
         if path == '/-/report':
             return await self.report(
                 **{
--- a/soak/backend_event.py
+++ b/soak/backend_event.py
@@ -20,7 +20,6 @@
         caller: Calling service of a run.
         state: State that the node has acknowledged, ``draining`` or
             ``ready``.
-        status: Status of the acknowledgement.
     """
 
     at: float
@@ -32,7 +31,6 @@
     target: str = ''
     caller: str = ''
     state: str = ''
-    status: int = 0
 
 
 def read_events(folder: pathlib.Path) -> list[BackendEvent]:
--- a/soak/run_checks.py
+++ b/soak/run_checks.py
@@ -77,7 +77,7 @@
     for event in events:
         if event.event == 'start':
             left.pop(event.name, None)
-        elif event.event == 'state' and event.status == 200:
+        elif event.event == 'state':
             if event.state == 'draining':
                 left.setdefault(event.name, event.at)
             else:
