--- a/features/run.py
+++ b/features/run.py
@@ -46,7 +46,8 @@
         file = feature['location'].partition(':')[0]
         for element in feature.get('elements', ()):
             if element['type'] != 'background':
-                name = '%s: %s' % (file, element['name'])
+                # Names of examples may end with a space.
+                name = '%s: %s' % (file, element['name'].strip())
                 results.append((name, element['status']))
     return results
 
--- a/features/steps/platform_log_steps.py
+++ b/features/steps/platform_log_steps.py
@@ -2,12 +2,16 @@
 
 import collections
 import json
+import time
 
 from behave import then
 from behave import when
 
 from features.support import wait
 
+# Pause between two requests of a surge.
+PAUSE_S = 0.04
+
 
 def read_lines(context, name):
     """Return the whole JSON lines of a node so far."""
@@ -54,7 +58,10 @@
     ' refused'
 )
 def send_refused(context, name, count, prefix):
-    """Send requests one after the other."""
+    """Send requests over more than two seconds.
+
+    Refusals from before may have used up the lines of the present second.
+    """
     wait.wait_until(
         lambda: list_events(context, name, 'reloaded'), 'the node reloads'
     )
@@ -66,6 +73,7 @@
             request_id='f%d' % number,
         )
         assert status == 503, status
+        time.sleep(PAUSE_S)
 
 
 @then(
