--- a/oleanderknot/node/own_upstream.py
+++ b/oleanderknot/node/own_upstream.py
@@ -23,8 +23,8 @@
 LEAF_BONUS = 1.0
 
 # Share of its slots that an upstream is given calls for. Some upstreams slow
-# down when they are nearly full: the deep service of both deployments takes 1.3
-# times as long beyond 0.95 of its slots.
+# down when they are nearly full: the deep service of both deployments takes
+# 1.3 times as long beyond 0.95 of its slots.
 USABLE_SHARE = 0.94
 
 # Inner calls wait no longer than requests of clients. A request of a platform
--- a/oleanderknot/tasks/peer_pool.py
+++ b/oleanderknot/tasks/peer_pool.py
@@ -17,9 +17,9 @@
 IDLE_S = 60.0
 IDLE_CHECK_S = 5.0
 
-# The brief's sizes give 1 ms for a connection, and regions are up to 35 ms apart
-# one way; a lost SYN is sent again after one second, so a longer wait would
-# only hide a dead path.
+# The brief's sizes give 1 ms for a connection, and regions are up to 35 ms
+# apart one way; a lost SYN is sent again after one second, so a longer wait
+# would only hide a dead path.
 CONNECT_TIMEOUT_S = 0.5
 
 # Pause between two attempts to reach a node that was lost. Each costs two
