Bound answers without an end and never send an id twice on a connection

Cause: an upstream that refused a call and wrote the refusal once more on the kept connection had it taken for the answer to the repeat of the same call, since both carry the same id: the order ran twice. An answer without an end was kept in memory until the deadline, in a head, in trailers and in a body. Change: a connection remembers the ids that it has carried and is not used for one of them again. Bytes outside the body of an answer, the body, the sum of all incomplete bodies and the number of unexpected responses are bounded; an answer that exceeds a bound ends as "may have run" at once. The connection moved to a folder of its own, transport, and the platform's store is spoken to with it too, so the same bounds hold for the store's answers.

--- /dev/null
+++ b/features/faulty_upstreams.feature
@@ -0,0 +1,53 @@
+Feature: Bytes that a faulty upstream sends cost no other request anything
+
+  Background:
+    Given a platform with the routes
+      | name  | prefix  | kind   | service   |
+      | page  | /page/  | safe   | catalogue |
+      | order | /order/ | unsafe | orders    |
+    And the instance "one" with a back end of "catalogue"
+    And the instance "two" with a back end of "orders"
+    And "one" serves "/order/ready" and "/page/ready"
+
+  Scenario: A refusal that is sent once more is not taken for a later answer
+    Guards against "not run" for an order that runs, or its second run, when
+    an upstream repeats an earlier refusal on a kept connection.
+    When a client of "one" sends POST "/order/1?fault=refuse_first&delay_ms=100" as each of
+      | a1 |
+      | a2 |
+      | a3 |
+      | a4 |
+    Then each of them got status 200 and ran once
+
+  Scenario Outline: An answer without an end is given up and bounded in memory
+    Guards against a node that keeps what arrives until its memory is full, or
+    whose caller hears of it only at the deadline.
+    When 20 clients of "one" send POST "/order/1?fault=<fault>" at once
+    Then all of them get status 502 before 4 s have passed
+    And "two" used at most 160 MB of memory
+    When a client of "one" sends GET "/page/1?size=7" as "b1"
+    Then it gets status 200 and 7 bytes
+    When a client of "one" sends POST "/order/2?size=9" as "b2"
+    Then it gets status 200 and 9 bytes
+
+    Examples:
+      | fault              |
+      | endless_bytes      |
+      | endless_status     |
+      | endless_header     |
+      | endless_headers    |
+      | endless_chunk_size |
+      | endless_chunks     |
+      | endless_trailers   |
+      | endless_length     |
+      | endless_unframed   |
+      | endless_interim    |
+      | endless_foreign    |
+
+  Scenario: A hundred slow answers without an end are given up in time
+    Guards against connections that stay in use as long as bytes arrive.
+    When 100 clients of "one" send POST "/order/1?fault=endless_length&pace_ms=50" at once
+    Then all of them get status 502, 503 or 504 before 4 s have passed
+    And "two" used at most 160 MB of memory
+    When a client of "one" sends POST "/order/2?size=9" as "c1"
+    Then it gets status 200 and 9 bytes
--- /dev/null
+++ b/features/steps/faulty_upstream_steps.py
@@ -0,0 +1,77 @@
+"""Steps about bytes that faulty upstreams send."""
+
+import collections
+import concurrent.futures
+import pathlib
+import re
+import time
+
+from behave import then
+from behave import when
+
+# Deadline of the requests; their route ends them after 2 s.
+DEADLINE_MS = 8000
+
+
+def send_all(context, name, target, request_ids, workers):
+    """Send a POST request for each id, several at once; keep the statuses."""
+    started = time.monotonic()
+    with concurrent.futures.ThreadPoolExecutor(workers) as pool:
+        answers = pool.map(
+            lambda request_id: context.fleet.send(
+                name,
+                target,
+                method='POST',
+                request_id=request_id,
+                wait_ms=DEADLINE_MS,
+            ),
+            request_ids,
+        )
+        context.statuses = {
+            request_id: answer[0]
+            for request_id, answer in zip(request_ids, answers, strict=True)
+        }
+    context.duration_s = time.monotonic() - started
+
+
+@when('a client of "{name}" sends POST "{target}" as each of')
+def send_each(context, name, target):
+    """Send a request under each id of the table, one after the other."""
+    request_ids = [*context.table.headings]
+    request_ids += [row[0] for row in context.table]
+    send_all(context, name, target, request_ids, 1)
+
+
+@then('each of them got status 200 and ran once')
+def check_each(context):
+    """Check status and number of runs of each request."""
+    runs = collections.Counter(run['id'] for run in context.fleet.list_runs())
+    found = {
+        request_id: (status, runs[request_id])
+        for request_id, status in context.statuses.items()
+    }
+    assert set(found.values()) == {(200, 1)}, found
+
+
+@when('{count:d} clients of "{name}" send POST "{target}" at once')
+def send_at_once(context, count, name, target):
+    """Send several requests at the same time."""
+    request_ids = ['e%d' % index for index in range(count)]
+    send_all(context, name, target, request_ids, count)
+
+
+@then('all of them get status {allowed} before {seconds:d} s have passed')
+def check_all(context, allowed, seconds):
+    """Check the statuses of all requests and when the last one ended."""
+    found = collections.Counter(context.statuses.values())
+    assert set(map(str, found)) <= set(re.findall('[0-9]+', allowed)), found
+    assert context.duration_s < seconds, context.duration_s
+
+
+@then('"{name}" used at most {limit:d} MB of memory')
+def check_memory(context, name, limit):
+    """Check the peak of the resident memory of a node."""
+    pid = context.fleet.sidecars[name].process.popen.pid
+    status = pathlib.Path('/proc/%d/status' % pid).read_text()
+    peak_mb = int(re.search('VmHWM:\\s+([0-9]+)', status)[1]) / 1024
+    assert peak_mb <= limit, peak_mb
--- a/oleanderknot/platform/http_client.py
+++ b/oleanderknot/platform/http_client.py
@@ -1,11 +1,17 @@
 """HTTP client that the clients of the platform's services share."""
 
-import aiohttp
+import asyncio
+import collections.abc
+import json as json_format
+import ssl
+import urllib.parse
+
 from expression import Error
 from expression import Ok
 from expression import Result
 
 from oleanderknot import model
+from oleanderknot import transport
 
 # Fault kind by response status; 429 and 503 mean that nothing was executed.
 FAULT_KIND_BY_STATUS = {
@@ -19,6 +25,12 @@
 # Largest part of a response body that is quoted in a fault.
 MAX_DETAIL_BYTES = 200
 
+# Largest number of requests in progress to one service.
+MAX_CONCURRENT_REQUESTS = 16
+
+# Time after which an idle connection is not reused.
+MAX_IDLE_S = 15.0
+
 
 class HttpClient:
     """Sends requests to one service of the platform.
@@ -28,55 +40,165 @@
 
     Attributes:
         url: Base URL of the service.
-        session: Session with the connection pool.
+        timeout_s: Default time for a request and its response, in seconds.
+        local_host: IP address that connections are opened from; None for
+            any.
+        idle: Connections without a request, the most recently used last.
+        budget: Bounds the memory of incomplete responses.
     """
 
     def __init__(
         self, *, url: str, timeout_s: float, local_host: str | None = None
     ) -> None:
         self.url = url.rstrip('/')
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=16, local_addr=local_host and (local_host, 0)
-            ),
-            timeout=aiohttp.ClientTimeout(total=timeout_s),
-        )
+        self.timeout_s = timeout_s
+        self.local_host = local_host
+        self.parts = urllib.parse.urlsplit(self.url)
+        self.idle: list[transport.ResponseConnection] = []
+        self.budget = transport.ReceiveBudget()
+        self.slots = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
 
     async def request(
-        self, method: str, path: str, **arguments: object
+        self,
+        method: str,
+        path: str,
+        *,
+        params: collections.abc.Mapping[str, str] | None = None,
+        json: object = None,
+        data: bytes = b'',
+        timeout_s: float | None = None,
     ) -> Result[bytes, model.PlatformFault]:
         """Send a request.
 
         Args:
             method: HTTP method.
             path: Path below the base URL.
-            arguments: Further keyword arguments of
-                ``aiohttp.ClientSession.request``.
+            params: Query parameters.
+            json: Value to send as JSON; None to send ``data``.
+            data: Body to send.
+            timeout_s: Time for the request; None for the default.
 
         Returns:
             The body of the response, or the fault.
         """
-        try:
-            async with self.session.request(
-                method, self.url + path, **arguments
-            ) as response:
-                content = await response.read()
-        except aiohttp.ClientConnectorError as error:
-            return build_error(model.FaultKind.NOT_SENT, str(error))
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            return build_error(
-                model.FaultKind.UNKNOWN,
-                'no response from %s: %r' % (self.url, error),
+        if params:
+            path = '%s?%s' % (path, urllib.parse.urlencode(params))
+        content_type = b'application/octet-stream'
+        if json is not None:
+            data = json_format.dumps(json).encode()
+            content_type = b'application/json'
+        head = self.build_head(method, path, content_type, len(data))
+        async with self.slots:
+            result = await self.exchange(
+                head + data,
+                repeatable=method == 'GET',
+                timeout_s=self.timeout_s if timeout_s is None else timeout_s,
             )
-        if response.status >= 400:
-            return build_error(
-                FAULT_KIND_BY_STATUS.get(
-                    response.status, model.FaultKind.UNKNOWN
+        return result.bind(self.interpret_answer)
+
+    def build_head(
+        self, method: str, path: str, content_type: bytes, size: int
+    ) -> bytes:
+        """Build the head of a request."""
+        lines = [
+            b'%b %b HTTP/1.1'
+            % (method.encode(), (self.parts.path + path).encode()),
+            b'Host: ' + self.parts.netloc.encode(),
+            b'Accept: */*',
+        ]
+        if size or method != 'GET':
+            lines.append(b'Content-Type: ' + content_type)
+            lines.append(b'Content-Length: %d' % size)
+        return b'\r\n'.join(lines) + b'\r\n\r\n'
+
+    async def exchange(
+        self, data: bytes, *, repeatable: bool, timeout_s: float
+    ) -> Result[transport.RawAnswer, model.PlatformFault]:
+        """Send a request and wait for its response.
+
+        A repeatable request is sent once more on a new connection if a
+        reused one ended, since servers close idle connections.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        while True:
+            connection = self.take_idle(loop.time())
+            reused = connection is not None
+            if connection is None:
+                try:
+                    connection = await self.connect(deadline)
+                except (OSError, TimeoutError) as error:
+                    return build_error(
+                        model.FaultKind.NOT_SENT,
+                        'cannot connect to %s: %r' % (self.url, error),
+                    )
+            done = False
+            try:
+                async with asyncio.timeout_at(deadline):
+                    answer = await connection.request(data, '')
+                done = True
+                return Ok(answer)
+            except transport.ConnectionCutError as error:
+                if not (reused and repeatable):
+                    return build_error(
+                        model.FaultKind.UNKNOWN,
+                        'no response from %s: %s' % (self.url, error),
+                    )
+            except TimeoutError:
+                return build_error(
+                    model.FaultKind.UNKNOWN,
+                    'no response from %s within %.1f s'
+                    % (self.url, timeout_s),
+                )
+            finally:
+                if done and connection.reusable and not connection.closed:
+                    self.idle.append(connection)
+                else:
+                    connection.abort()
+
+    async def connect(self, deadline: float) -> transport.ResponseConnection:
+        """Open a connection.
+
+        Args:
+            deadline: Loop time in seconds by which it must be open.
+
+        Raises:
+            OSError: The service cannot be reached.
+            TimeoutError: It did not answer in time.
+        """
+        secure = self.parts.scheme == 'https'
+        async with asyncio.timeout_at(deadline):
+            _, connection = await asyncio.get_running_loop().create_connection(
+                lambda: transport.ResponseConnection(
+                    decode_headers=decode_headers, budget=self.budget
                 ),
-                '%s returned status %d: %s'
-                % (self.url, response.status, content[:MAX_DETAIL_BYTES]),
+                self.parts.hostname,
+                self.parts.port or (443 if secure else 80),
+                ssl=ssl.create_default_context() if secure else None,
+                local_addr=self.local_host and (self.local_host, 0),
             )
-        return Ok(content)
+        return connection
+
+    def take_idle(self, now: float) -> transport.ResponseConnection | None:
+        """Take the most recently used idle connection that is usable."""
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.is_usable(now, MAX_IDLE_S):
+                return connection
+            connection.abort()
+        return None
+
+    def interpret_answer(
+        self, answer: transport.RawAnswer
+    ) -> Result[bytes, model.PlatformFault]:
+        """Return the body of a response, or the fault of its status."""
+        if answer.status < 400:
+            return Ok(answer.content)
+        return build_error(
+            FAULT_KIND_BY_STATUS.get(answer.status, model.FaultKind.UNKNOWN),
+            '%s returned status %d: %s'
+            % (self.url, answer.status, answer.content[:MAX_DETAIL_BYTES]),
+        )
 
     async def post(
         self, path: str, value: object
@@ -85,8 +207,22 @@
         return await self.request('POST', path, json=value)
 
     async def close(self) -> None:
-        """Close all connections."""
-        await self.session.close()
+        """Close the idle connections."""
+        while self.idle:
+            self.idle.pop().transport.close()
+
+
+def decode_headers(headers: model.Headers) -> model.ResponseMetadata:
+    """Build the metadata of a response, of which only the body is used."""
+    return model.ResponseMetadata(
+        request_id='',
+        signed=False,
+        not_run=False,
+        upstream='',
+        encoded=False,
+        idle_timeout_s=None,
+        headers=headers,
+    )
 
 
 def build_error(
--- a/oleanderknot/platform/row_store_client.py
+++ b/oleanderknot/platform/row_store_client.py
@@ -3,8 +3,8 @@
 import base64
 import collections.abc
 import time
+import typing
 
-import aiohttp
 from expression import Error
 from expression import Ok
 from expression import Result
@@ -115,9 +115,7 @@
             'GET',
             '/v1/rows-feed',
             params=query,
-            timeout=aiohttp.ClientTimeout(
-                total=wait_s + FEED_TIMEOUT_MARGIN_S
-            ),
+            timeout_s=wait_s + FEED_TIMEOUT_MARGIN_S,
         )
         return result.bind(parse_rows)
 
@@ -166,7 +164,7 @@
         return result.map(lambda content: None)
 
     async def send(
-        self, name: str, method: str, path: str, **arguments: object
+        self, name: str, method: str, path: str, **arguments: typing.Any
     ) -> Result[bytes, model.PlatformFault]:
         """Send a request and time it; see ``HttpClient.request``."""
         started = time.monotonic()
--- a/oleanderknot/standins/backend.py
+++ b/oleanderknot/standins/backend.py
@@ -7,6 +7,7 @@
 import signal
 import time
 import urllib.parse
+import weakref
 
 import aiohttp
 
@@ -21,6 +22,40 @@
     b'Content-Length: 100\r\n\r\nshort',
 }
 
+SIGNED_HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nResponse-Signature: s\r\n'
+
+# Start of a response, and bytes that follow it without end until the
+# connection closes, by fault.
+ENDLESS_RESPONSES = {
+    'endless_bytes': (b'', b'z' * 4096),
+    'endless_status': (b'HTTP/1.1 200 ', b'O' * 4096),
+    'endless_header': (SIGNED_HEAD + b'X-Long: ', b'x' * 4096),
+    'endless_headers': (SIGNED_HEAD, b'X-Many: 1\r\n' * 400),
+    'endless_chunk_size': (
+        SIGNED_HEAD + b'Transfer-Encoding: chunked\r\n\r\n5;x=',
+        b'y' * 4096,
+    ),
+    'endless_chunks': (
+        SIGNED_HEAD + b'Transfer-Encoding: chunked\r\n\r\n',
+        b'1000\r\n' + b'b' * 4096 + b'\r\n',
+    ),
+    'endless_trailers': (
+        SIGNED_HEAD + b'Transfer-Encoding: chunked\r\n\r\n0\r\n',
+        b'X-Many: 1\r\n' * 400,
+    ),
+    'endless_length': (
+        SIGNED_HEAD + b'Content-Length: 99999999999\r\n\r\n',
+        b'b' * 4096,
+    ),
+    'endless_unframed': (SIGNED_HEAD + b'\r\n', b'b' * 4096),
+    'endless_interim': (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 100),
+    'endless_foreign': (
+        b'',
+        b'HTTP/1.1 200 OK\r\nRequest-Id: another\r\n'
+        b'Content-Length: 0\r\n\r\n' * 50,
+    ),
+}
+
 
 class Backend:
     """Serves requests as their query strings specify and records each run.
@@ -30,8 +65,11 @@
     through the node, ``times`` times. The faults are those of
     ``CLOSING_RESPONSES`` and ``shed`` (503, not run), ``fail`` (500),
     ``unsigned`` (no signature header), ``extra`` (a second response follows),
-    ``late`` (a response to another request is sent first) and ``unframed``
-    (no content length).
+    ``late`` (a response to another request is sent first), ``unframed`` (no
+    content length), ``refuse_first`` (the first arrival of an id is shed, and
+    the refusal is sent once more when the next request arrives on the same
+    connection) and those of ``ENDLESS_RESPONSES``. With ``pace_ms`` an
+    endless response pauses between its parts.
 
     With ``--record`` each process start, arrival, run and acknowledged state
     is appended to a file as one JSON line, which outlives the process.
@@ -41,6 +79,8 @@
             instance of each run.
         cancelled: Request ids of runs whose connection was closed.
         finished: Request ids of runs that completed.
+        refused: Ids whose first arrival was shed by ``refuse_first``.
+        refusals: Refusal to send once more, by connection.
         state: State reported in heartbeats.
         acknowledged_state: Last state that the node acknowledged.
     """
@@ -50,6 +90,10 @@
         self.runs: list[dict[str, str]] = []
         self.cancelled: list[str] = []
         self.finished: list[str] = []
+        self.refused: set[str] = set()
+        self.refusals: weakref.WeakKeyDictionary[
+            asyncio.StreamWriter, bytes
+        ] = weakref.WeakKeyDictionary()
         self.state = self.acknowledged_state = 'ready'
         self.upstream = 'i-%s' % options.name
         self.started_ms = int(time.time() * 1000)
@@ -151,11 +195,17 @@
             return True
         request_id = headers.get('request-id', '')
         self.record('arrival', id=request_id)
+        writer.write(self.refusals.pop(writer, b''))
         if query.get('fault') == 'shed':
-            writer.write(
-                b'HTTP/1.1 503 Full\r\nRequest-Id: %b\r\nNot-Executed: 1\r\n'
-                b'Content-Length: 0\r\n\r\n' % request_id.encode()
-            )
+            writer.write(build_refusal(request_id))
+            return True
+        if (
+            query.get('fault') == 'refuse_first'
+            and request_id not in self.refused
+        ):
+            self.refused.add(request_id)
+            self.refusals[writer] = build_refusal(request_id)
+            writer.write(self.refusals[writer])
             return True
         run = {
             'id': request_id,
@@ -172,8 +222,24 @@
             self.cancelled.append(request_id)
             return False
         self.finished.append(request_id)
+        if query.get('fault', '') in ENDLESS_RESPONSES:
+            await self.write_endless(writer, request_id, query)
+            return False
         return self.write_response(writer, request_id, query)
 
+    async def write_endless(
+        self, writer: asyncio.StreamWriter, request_id: str, query: dict
+    ) -> None:
+        """Write a response without an end until the connection closes."""
+        start, part = ENDLESS_RESPONSES[query['fault']]
+        if b'%b' in start:
+            start %= request_id.encode()
+        writer.write(start)
+        while not writer.is_closing():
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(int(query.get('pace_ms', 0)) / 1000)
+
     async def work(
         self, request_id: str, query: dict, reader: asyncio.StreamReader
     ) -> bool:
@@ -245,6 +311,14 @@
         }
 
 
+def build_refusal(request_id: str) -> bytes:
+    """Build the response to a request that is shed."""
+    return (
+        b'HTTP/1.1 503 Full\r\nRequest-Id: %b\r\nNot-Executed: 1\r\n'
+        b'Content-Length: 0\r\n\r\n' % request_id.encode()
+    )
+
+
 def build_response(status: int, request_id: str, body: bytes) -> bytes:
     """Build a response with a signature header."""
     return (
--- a/oleanderknot/tasks/upstream_pool.py
+++ b/oleanderknot/tasks/upstream_pool.py
@@ -8,11 +8,9 @@
 from expression import Result
 
 from oleanderknot import model
+from oleanderknot import transport
 from oleanderknot.tasks import call_refusal
 from oleanderknot.tasks import http_dialect
-from oleanderknot.tasks import raw_answer
-from oleanderknot.tasks import upstream_connection
-from oleanderknot.tasks import upstream_cut
 
 # The upstream is on the same machine, so a connection that is not established
 # after this time has met a full accept queue, and a lost SYN is retransmitted
@@ -49,6 +47,7 @@
             answer or failure.
         idle: Connections without a request, the most recently used last.
         opened: Number of attempts to open a connection.
+        budget: Bounds the memory of incomplete answers.
     """
 
     def __init__(
@@ -68,14 +67,13 @@
         self.upstream = upstream
         self.dialect = dialect
         self.loop = asyncio.get_running_loop()
-        self.idle: collections.deque[
-            upstream_connection.UpstreamConnection
-        ] = collections.deque()
+        self.idle: collections.deque[transport.ResponseConnection] = (
+            collections.deque()
+        )
         self.opened = 0
+        self.budget = transport.ReceiveBudget()
 
-    async def connect(
-        self, deadline: float
-    ) -> upstream_connection.UpstreamConnection:
+    async def connect(self, deadline: float) -> transport.ResponseConnection:
         """Open a connection.
 
         Args:
@@ -89,8 +87,9 @@
         latest = min(deadline, self.loop.time() + CONNECT_TIMEOUT_S)
         async with asyncio.timeout_at(latest):
             _, connection = await self.loop.create_connection(
-                lambda: upstream_connection.UpstreamConnection(
-                    decode_headers=self.dialect.parse_response_headers
+                lambda: transport.ResponseConnection(
+                    decode_headers=self.dialect.parse_response_headers,
+                    budget=self.budget,
                 ),
                 self.host,
                 self.port,
@@ -98,19 +97,28 @@
         return connection
 
     def take_idle(
-        self, now: float, max_idle_s: float
-    ) -> upstream_connection.UpstreamConnection | None:
-        """Take the most recently used idle connection that is usable."""
-        while self.idle:
+        self, now: float, max_idle_s: float, request_id: str
+    ) -> transport.ResponseConnection | None:
+        """Take the most recently used idle connection that is usable.
+
+        A faulty upstream may send an earlier refusal once more. On the
+        connection that carried it, it would pass for the answer to the
+        repeat of the same request, which may run.
+        """
+        skipped = []
+        found = None
+        while self.idle and found is None:
             connection = self.idle.pop()
-            if connection.is_usable(now, max_idle_s):
-                return connection
-            connection.transport.close()
-        return None
+            if not connection.is_usable(now, max_idle_s):
+                connection.transport.close()
+            elif request_id in connection.sent_ids:
+                skipped.append(connection)
+            else:
+                found = connection
+        self.idle.extend(reversed(skipped))
+        return found
 
-    def release(
-        self, connection: upstream_connection.UpstreamConnection
-    ) -> None:
+    def release(self, connection: transport.ResponseConnection) -> None:
         """Return a connection to the pool, or close it if not reusable."""
         if not connection.reusable or connection.closed:
             connection.transport.close()
@@ -161,7 +169,7 @@
         max_idle_s = (
             MAX_IDLE_S if call.idempotent else MAX_IDLE_NON_IDEMPOTENT_S
         )
-        connection = self.take_idle(now, max_idle_s)
+        connection = self.take_idle(now, max_idle_s, call.span_id)
         if connection is None:
             try:
                 connection = await self.connect(call.deadline)
@@ -176,7 +184,7 @@
         try:
             answer = await self.send(connection, call, content)
             done = True
-        except upstream_cut.UpstreamCutError as error:
+        except transport.ConnectionCutError as error:
             return call_refusal.refuse(
                 call,
                 model.Verdict.MAY_HAVE_RUN,
@@ -200,14 +208,14 @@
 
     async def send(
         self,
-        connection: upstream_connection.UpstreamConnection,
+        connection: transport.ResponseConnection,
         call: model.Call,
         content: bytes,
-    ) -> raw_answer.RawAnswer:
+    ) -> transport.RawAnswer:
         """Send a request on a connection and wait for the answer.
 
         Raises:
-            UpstreamCutError: The connection ended first.
+            ConnectionCutError: The connection ended first.
             TimeoutError: The deadline passed first.
         """
         call.started = True
@@ -246,7 +254,7 @@
         return b''.join(parts)
 
     def interpret_answer(
-        self, call: model.Call, answer: raw_answer.RawAnswer
+        self, call: model.Call, answer: transport.RawAnswer
     ) -> Result[model.Answer, model.Refusal]:
         """Convert an answer of the upstream to the outcome of the call."""
         metadata = answer.metadata
--- a/oleanderknot/tasks/raw_answer.py
+++ b/oleanderknot/transport/raw_answer.py
@@ -1,4 +1,4 @@
-"""HTTP response of an upstream as received from its connection."""
+"""HTTP response as received from its connection."""
 
 import dataclasses
 
@@ -7,7 +7,7 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RawAnswer:
-    """Complete response of an upstream.
+    """Complete response of a server.
 
     Attributes:
         status: HTTP status code.
--- a/oleanderknot/tasks/upstream_connection.py
+++ b/oleanderknot/transport/response_connection.py
@@ -1,4 +1,4 @@
-"""One HTTP connection to the local upstream."""
+"""Client side of one HTTP connection."""
 
 import asyncio
 import collections.abc
@@ -7,18 +7,36 @@
 import httptools
 
 from oleanderknot import model
-from oleanderknot.tasks import raw_answer
-from oleanderknot.tasks import upstream_cut
+from oleanderknot.transport import connection_cut
+from oleanderknot.transport import raw_answer
+from oleanderknot.transport import receive_budget
 
 # Statuses of responses that never have a body (RFC 9110, section 6.4.1).
 BODILESS_STATUSES = (204, 304)
 
+# Largest number of bytes of one response outside its body: status line,
+# headers, chunk sizes and trailers. A faulty server may send these without
+# end, and the parser keeps them until they are complete.
+MAX_OVERHEAD_BYTES = 64 * 1024
+
+# Further overhead for each byte of the body. A chunk of one byte takes five
+# more for its size and line ends.
+MAX_OVERHEAD_PER_BODY_BYTE = 5
+
+# Largest number of responses to other requests, or with an interim status,
+# that precede the expected one.
+MAX_UNEXPECTED_RESPONSES = 16
+
+# Number of requests after which a connection is not reused, as it keeps the
+# ids of all of them.
+MAX_REQUESTS = 500
+
 DecodeFunction = collections.abc.Callable[
     [model.Headers], model.ResponseMetadata
 ]
 
 
-class UpstreamConnection(asyncio.Protocol):
+class ResponseConnection(asyncio.Protocol):
     """Owns one socket and carries one request at a time.
 
     A connection that receives data without a pending request, or after the
@@ -26,6 +44,14 @@
 
     Attributes:
         decode_headers: Decodes the headers of an answer.
+        budget: Counts the bytes of the answer in progress.
+        sent_ids: Ids of the requests sent so far. A server may send an
+            earlier answer again, so an id must not be sent twice.
+        overhead_bytes: Bytes received outside bodies since the answer in
+            progress began.
+        body_bytes: Size of the body in progress.
+        counted: Whether the budget counts the body in progress.
+        unexpected: Number of responses that preceded the expected one.
         waiter: Future of the answer to the current request; None while idle.
         request_id: Id of the current request.
         head_only: Whether the answer to the current request has no body.
@@ -37,8 +63,19 @@
         used: Whether a request has been answered on the connection.
     """
 
-    def __init__(self, *, decode_headers: DecodeFunction) -> None:
+    def __init__(
+        self,
+        *,
+        decode_headers: DecodeFunction,
+        budget: receive_budget.ReceiveBudget,
+    ) -> None:
         self.decode_headers = decode_headers
+        self.budget = budget
+        self.sent_ids: set[str] = set()
+        self.overhead_bytes = 0
+        self.body_bytes = 0
+        self.counted = False
+        self.unexpected = 0
         self.parser = httptools.HttpResponseParser(self)
         self.waiter: asyncio.Future[raw_answer.RawAnswer] | None = None
         self.loop = asyncio.get_running_loop()
@@ -68,10 +105,15 @@
 
         Returns:
             A future of the complete answer. It raises
-            ``UpstreamCutError`` if the connection ends first.
+            ``ConnectionCutError`` if the connection ends first.
         """
         self.waiter = self.loop.create_future()
         self.request_id = request_id
+        self.unexpected = 0
+        if request_id:
+            self.sent_ids.add(request_id)
+            if len(self.sent_ids) >= MAX_REQUESTS:
+                self.reusable = False
         self.head_only = head_only
         self.transport.write(data)
         return self.waiter
@@ -81,11 +123,21 @@
         if self.waiter is None:
             self.abort()
             return
+        self.overhead_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self.fail('the upstream sent bytes that are no answer: %s' % error)
+            self.fail('the server sent bytes that are no answer: %s' % error)
+            self.abort()
+            return
+        if self.overhead_bytes > (
+            MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BODY_BYTE * self.body_bytes
+        ):
+            self.fail('the server sent a head or trailers without end')
             self.abort()
+        elif self.body_bytes and self.waiter is not None:
+            self.counted = True
+            self.budget.hold(self.abort_oversized, self.body_bytes)
 
     def on_message_begin(self) -> None:
         """Start an answer; called by the parser."""
@@ -93,6 +145,7 @@
         self.parts: list[bytes] = []
         self.metadata: model.ResponseMetadata | None = None
         self.framed = False
+        self.body_bytes = 0
         if self.transport is not None and self.waiter is None:
             self.reusable = False
 
@@ -114,6 +167,8 @@
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body; called by the parser."""
         self.parts.append(data)
+        self.body_bytes += len(data)
+        self.overhead_bytes -= len(data)
 
     def on_message_complete(self) -> None:
         """Handle the end of an answer; called by the parser."""
@@ -125,11 +180,12 @@
         """Deliver a complete answer if it belongs to the current request."""
         status = self.parser.get_status_code()
         waiter = self.waiter
-        if status < 200 or waiter is None or waiter.done():
+        self.overhead_bytes = 0
+        self.stop_counting()
+        if waiter is None or waiter.done():
             return
-        if self.metadata.request_id != self.request_id:
-            # A late answer to an earlier request; the expected one follows.
-            self.reusable = False
+        if status < 200 or self.metadata.request_id != self.request_id:
+            self.handle_unexpected(status)
             return
         self.idle_since = self.loop.time()
         self.announced_idle_s = self.metadata.idle_timeout_s
@@ -149,6 +205,27 @@
             )
         )
 
+    def handle_unexpected(self, status: int) -> None:
+        """Skip an interim response, or a late one to an earlier request."""
+        if status >= 200:
+            self.reusable = False
+        self.unexpected += 1
+        if self.unexpected > MAX_UNEXPECTED_RESPONSES:
+            self.fail('the server sent only responses to other requests')
+            self.abort()
+
+    def stop_counting(self) -> None:
+        """Remove the answer in progress from the budget."""
+        if self.counted:
+            self.counted = False
+            self.budget.remove(self.abort_oversized)
+
+    def abort_oversized(self) -> None:
+        """Abort an answer whose body is too large; called by the budget."""
+        self.parts.clear()
+        self.fail('the body of the answer is too large')
+        self.abort()
+
     def connection_lost(self, error: Exception | None) -> None:
         """Complete or fail the current request; called by the event loop."""
         self.closed = True
@@ -161,16 +238,17 @@
         ):
             # A body without framing headers ends with the connection.
             self.finish()
-        self.fail('the upstream ended the connection: %s' % (error or 'end'))
+        self.fail('the server ended the connection: %s' % (error or 'end'))
 
     def fail(self, detail: str) -> None:
         """Fail the current request."""
+        self.stop_counting()
         waiter, self.waiter = self.waiter, None
         if waiter is not None and not waiter.done():
-            waiter.set_exception(upstream_cut.UpstreamCutError(detail))
+            waiter.set_exception(connection_cut.ConnectionCutError(detail))
 
     def is_usable(self, now: float, max_idle_s: float) -> bool:
-        """Return whether another request may be sent.
+        """Return whether another request with a new id may be sent.
 
         Args:
             now: Loop time in seconds.
@@ -186,5 +264,6 @@
     def abort(self) -> None:
         """Close the connection without sending buffered data."""
         self.reusable = False
+        self.closed = True
         if self.transport is not None:
             self.transport.abort()
