Import modules of a package when they are used

Durations are counted in plain histograms, and the metrics library is imported at the first scrape. New: python -m bench start.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
 
 # Modules of this package; each defines ``measure() -> list[figure.Figure]``.
 BENCHMARKS = (
+    'start',
     'latency',
     'footprint',
     'decisions',
--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -29,6 +29,14 @@
 
 
 BOUNDS = {
+    'start.cpu_ratio': Bound(
+        at_most=1.3,
+        source='a start takes 1.3 times the processor time of its libraries',
+    ),
+    'start.memory_ratio': Bound(
+        at_most=1.3,
+        source='a start takes 1.3 times the memory of its libraries',
+    ),
     'latency.added_p99': Bound(
         at_most=0.35, source='0.35 ms added to a call for 99 in 100'
     ),
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -3,6 +3,7 @@
 import base64
 import http.client
 import json
+import socket
 
 import yaml
 
@@ -182,6 +183,16 @@
             'sidecar-' + item.name, 'oleanderknot', 'sidecar', str(path)
         )
 
+    def wait_until_listening(self, item: sidecar.Sidecar) -> None:
+        """Wait until a sidecar accepts client connections."""
+        host, port = item.requests.split(':')
+
+        def connects() -> bool:
+            with socket.socket() as probe_socket:
+                return probe_socket.connect_ex((host, int(port))) == 0
+
+        self.system.wait_for(connects, 'listening address of ' + item.name)
+
     def restart_backend(self, item: sidecar.Sidecar, *arguments: str) -> None:
         """Start the back end process of a sidecar."""
         item.backend = self.system.start_process(
--- a/oleanderknot/node/control_mode.py
+++ b/oleanderknot/node/control_mode.py
@@ -13,6 +13,7 @@
 from oleanderknot.tasks import policy_check
 from oleanderknot.tasks import runner as runners
 from oleanderknot.tasks import unlimited_admission
+from oleanderknot.tasks import upstream_client
 
 
 def build_runner(
@@ -23,6 +24,7 @@
     """Build the task that runs calls at the local upstream."""
     built = runners.Runner(
         chains=chains,
+        build_client=upstream_client.UpstreamClient,
         build_admission=admission.Admission
         if settings.control
         else unlimited_admission.UnlimitedAdmission,
--- a/oleanderknot/node/platform_endpoints.py
+++ b/oleanderknot/node/platform_endpoints.py
@@ -2,13 +2,11 @@
 
 import collections.abc
 
-import prometheus_client
-
 from oleanderknot import model
 from oleanderknot.node import sidecar_recorder
 from oleanderknot.tasks import client_listener
 
-METRICS_CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
+METRICS_CONTENT_TYPE = b'text/plain; version=1.0.0; charset=utf-8'
 
 
 def build_readiness_handler(
--- a/oleanderknot/node/sidecar_recorder.py
+++ b/oleanderknot/node/sidecar_recorder.py
@@ -5,8 +5,6 @@
 import time
 
 from absl import logging
-import prometheus_client
-from prometheus_client import core
 
 from oleanderknot import border
 from oleanderknot import decisions
@@ -38,7 +36,6 @@
         totals: Counts since the start by name.
         decisions: Counts since the start by rule, route and verdict.
         gauges: Functions that read the gauges, by gauge name.
-        registry: Metrics served at the metrics address.
         requests: Seconds from a request to its answer.
         runs: Seconds that a call spent in the queue and at the upstream.
         queues: Seconds in the queue, for calls that had to wait.
@@ -60,71 +57,25 @@
         self.answer_sampler = decisions.LogSampler(
             per_second=settings.answers_per_s
         )
-        self.registry = prometheus_client.CollectorRegistry()
-        self.registry.register(self)
-        self.requests = prometheus_client.Histogram(
-            'oleanderknot_request_seconds',
-            'Time from a request of this instance to its answer.',
-            buckets=BUCKETS_S,
-            registry=self.registry,
-        )
-        self.runs = prometheus_client.Histogram(
-            'oleanderknot_run_seconds',
-            'Time of a call in the queue and at the own upstream.',
-            buckets=BUCKETS_S,
-            registry=self.registry,
-        )
-
-        self.queues = prometheus_client.Histogram(
-            'oleanderknot_queue_seconds',
-            'Time in the queue of the calls that had to wait.',
-            buckets=BUCKETS_S,
-            registry=self.registry,
-        )
-        self.upstreams = prometheus_client.Histogram(
-            'oleanderknot_upstream_seconds',
-            'Time from a send to the own upstream to its answer.',
-            buckets=BUCKETS_S,
-            registry=self.registry,
-        )
-        self.stores = prometheus_client.Histogram(
-            'oleanderknot_store_seconds',
-            'Time of a call to the store.',
-            labelnames=('call',),
-            buckets=BUCKETS_S,
-            registry=self.registry,
-        )
+        self.requests = decisions.Histogram(bounds=BUCKETS_S)
+        self.runs = decisions.Histogram(bounds=BUCKETS_S)
+        self.queues = decisions.Histogram(bounds=BUCKETS_S)
+        self.upstreams = decisions.Histogram(bounds=BUCKETS_S)
+        self.stores: dict[str, decisions.Histogram] = {}
 
     def measure_store(self, call: str, seconds: float) -> None:
         """Record the duration of a call to the store."""
-        self.stores.labels(call).observe(seconds)
-
-    def collect(self) -> collections.abc.Iterator[core.Metric]:
-        """Yield counters and gauges; called by the metrics library."""
-        decision_counter = core.CounterMetricFamily(
-            'oleanderknot_decisions',
-            'Decisions about calls.',
-            labels=('rule', 'route', 'verdict'),
-        )
-        for labels, number in self.decisions.items():
-            decision_counter.add_metric(labels, number)
-        yield decision_counter
-        events = core.CounterMetricFamily(
-            'oleanderknot_events', 'Other events.', labels=('event',)
-        )
-        for name, number in self.totals.items():
-            events.add_metric((name,), number)
-        yield events
-        for name, read in self.gauges.items():
-            yield core.GaugeMetricFamily(
-                'oleanderknot_' + name,
-                name.replace('_', ' ').capitalize() + '.',
-                value=read(),
-            )
+        if call not in self.stores:
+            self.stores[call] = decisions.Histogram(bounds=BUCKETS_S)
+        self.stores[call].observe(seconds)
 
     def format_metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self.registry)
+        # Imported when first scraped: with the HTTP server that it contains,
+        # the library takes a tenth of the processor time of a start.
+        from oleanderknot.node import sidecar_metrics
+
+        return sidecar_metrics.format_metrics(self)
 
     def count(self, name: str, number: int = 1) -> None:
         """Increase the counter of an event."""
--- a/oleanderknot/platform/__init__.py
+++ b/oleanderknot/platform/__init__.py
@@ -1,19 +1,16 @@
 """Clients, message formats and header names of the users' platform."""
 
-from oleanderknot.platform import heartbeat
-from oleanderknot.platform import message_headers
-from oleanderknot.platform import policy_document
-from oleanderknot.platform import ticket_filing
-from oleanderknot.platform.object_client import ObjectClient
-from oleanderknot.platform.row_store_client import RowStoreClient
-from oleanderknot.platform.table_client import TableClient
+from oleanderknot import lazy_exports
 
-__all__ = [
-    'heartbeat',
-    'message_headers',
-    'policy_document',
-    'ticket_filing',
-    'ObjectClient',
-    'RowStoreClient',
-    'TableClient',
-]
+# Public names by the module that defines them.
+MODULES = {
+    'heartbeat': (),
+    'message_headers': (),
+    'object_client': ('ObjectClient',),
+    'policy_document': (),
+    'row_store_client': ('RowStoreClient',),
+    'table_client': ('TableClient',),
+    'ticket_filing': (),
+}
+
+__all__, __getattr__ = lazy_exports.build_exports(__name__, MODULES)
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import time
+import typing
 
 from expression import Error
 from expression import Result
@@ -12,8 +13,10 @@
 from oleanderknot.tasks import admission
 from oleanderknot.tasks import dependency_levels
 from oleanderknot.tasks import notifying_body
-from oleanderknot.tasks import order_runner
-from oleanderknot.tasks import upstream_client
+
+if typing.TYPE_CHECKING:
+    from oleanderknot.tasks import order_runner
+    from oleanderknot.tasks import upstream_client
 
 # HTTP statuses with which an upstream sheds load.
 OVERLOAD_STATUSES = (429, 503)
@@ -23,7 +26,9 @@
 
 
 AdmissionFunction = collections.abc.Callable[..., admission.Admission]
-ClientFunction = collections.abc.Callable[..., upstream_client.UpstreamClient]
+ClientFunction = collections.abc.Callable[
+    ..., 'upstream_client.UpstreamClient'
+]
 PolicyCheckFunction = collections.abc.Callable[
     [model.Call], model.Refusal | None
 ]
@@ -58,19 +63,19 @@
         self,
         *,
         chains: decisions.ChainTable,
+        build_client: ClientFunction,
         build_admission: AdmissionFunction = admission.Admission,
-        build_client: ClientFunction = upstream_client.UpstreamClient,
     ) -> None:
         self.chains = chains
         self.build_admission = build_admission
         self.build_client = build_client
         self.downstream_level = dependency_levels.DependencyLevels()
         self.service = ''
-        self.client: upstream_client.UpstreamClient | None = None
+        self.client: 'upstream_client.UpstreamClient | None' = None
         self.admission = build_admission(slots=1)
         self.leaving = False
         self.running = 0
-        self.orders: order_runner.OrderRunner | None = None
+        self.orders: 'order_runner.OrderRunner | None' = None
         self.idle = asyncio.Event()
         self.idle.set()
         self.refused_leaving = 0
