Keep the budget of repeats beside the upstreams that receive them

Cause: each node used int(share * slack / nodes) of the shared slack with a share of 0.25 where a request begins, which is 0 on every deployment of the users; what was left was 0.05 of the few requests that one node sends. Change: the node beside an upstream counts the first calls and the repeats that reach it. Since every call passes such a node, the nodes of a service keep the bound without lending: USED_SHARE * (ratio * first calls + slack / upstreams) each. Calls say whether they are repeats, or belong to a repeated run; the latter are counted and not refused. A restarted node uses its slack after a whole window. Origins have no budget any more. Five random histories of crashes stay within the bound in every span of 10 s. Replaced test: the scenario on 13 nodes took the two shares as given; the new one asks for the same bound and for a lower limit too. The scenarios on the window use a slack of 5, of which four repeats are granted.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -39,16 +39,45 @@
     When 25 of 50 calls of each window are refused for 20 windows
     Then the level is between 0 and 3
 
-  Scenario: Repeats of all nodes together stay within the shared bound
-    Guards against a budget that holds at each node only.
-    Given 13 nodes with a shared bound of 0.2 and a slack of 47
-    When each counts 100 requests and asks for 100 repeats at its gateway and at its origin
-    Then all nodes together were granted at most 307 repeats
+  Scenario Outline: Repeats of a service stay within the shared bound and use it
+    Guards against a budget that holds at each node only, or that leaves most
+    of the allowed repeats unused where many nodes share them.
+    Given <nodes> upstreams of a service with a bound of 0.2 and a slack of <slack>
+    When they are sent <requests> first calls each and as many repeats as they allow
+    Then between <least> and <most> repeats were granted
+
+    Examples:
+      | nodes | slack | requests | least | most |
+      | 13    | 47    | 100      | 230   | 307  |
+      | 9     | 213   | 40       | 200   | 285  |
+      | 90    | 213   | 4        | 90    | 285  |
+
+  Scenario Outline: The bound on repeats holds over any span of its window
+    Guards against repeats beyond the bound when nodes die and start again, one
+    by one or all at once.
+    Given 9 upstreams of a service with a bound of 0.2 and a slack of 47
+    When seed <seed> plays 120 s of calls, repeats and crashes
+    Then no span of 10 s held more repeats than the bound allows
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+
+  Scenario: Calls of a repeated run are counted but not refused
+    Guards against a bound that is exceeded by what repeated runs call, or a
+    repeated run that is wasted since its calls are refused.
+    Given 1 upstreams of a service with a bound of 0.2 and a slack of 10
+    When it is sent 20 first calls and 30 calls of repeated runs
+    Then no repeat is granted
 
   Scenario Outline: The bound on repeats holds over the window of the settings
     Guards against repeats that are counted over another time than the
     platform counts them.
-    Given a budget of repeats over <window> seconds with a slack of 4
+    Given a budget of repeats over <window> seconds with a slack of 5
     When it grants all repeats of the slack at second 100.0
     Then it grants <count> repeats at second <now>
 
@@ -63,7 +92,7 @@
 
   Scenario: A changed window holds for repeats that were granted before
     Guards against bounds that only services without repeats learn of.
-    Given a budget of repeats over 10.0 seconds with a slack of 4
+    Given a budget of repeats over 10.0 seconds with a slack of 5
     When it grants all repeats of the slack at second 100.0
     And its window changes to 3.0 seconds
     Then it grants 0 repeats at second 102.0
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -167,7 +167,8 @@
             # Tests search for single log lines, so rate limiting must not
             # drop any.
             'log': {'refusals_per_s': 1000},
-            'retries': {'ratio': 0.2, 'slack': 40, 'window': '10s'},
+            # A node uses its part of the slack only after a whole window.
+            'retries': {'ratio': 0.2, 'slack': 40, 'window': '200ms'},
             **extra_settings,
         }
         path = self.system.folder / (name + '.yaml')
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -69,7 +69,7 @@
         'VERSION_LIST_BYTES_PER_S',
     ),
     'refutation': ('refute', 'split_claims'),
-    'repeat_budget': ('GATEWAY_SHARE', 'ORIGIN_SHARE', 'RepeatBudget'),
+    'repeat_budget': ('RepeatBudget',),
     'request_trace': ('describe_line', 'find_context', 'find_lines'),
     'retry_budget': ('RetryBudget',),
     'route_dependencies': ('RouteDependencies',),
--- a/oleanderknot/decisions/chain_account.py
+++ b/oleanderknot/decisions/chain_account.py
@@ -17,6 +17,7 @@
         route: Route of the request that the upstream runs.
         ticket: Ticket that set the policy of the chain.
         sampled: Whether the trace is recorded.
+        repeated: Whether a run of the trace was itself a repeat.
         remaining: Retries left for all outgoing calls together.
         requests: Number of requests of the trace that run at the upstream.
         outgoing: Number of outgoing calls that the upstream waits for.
@@ -34,6 +35,7 @@
     route: str
     ticket: int
     sampled: bool
+    repeated: bool = False
     remaining: int = 0
     requests: int = 0
     outgoing: int = 0
--- a/oleanderknot/decisions/repeat_budget.py
+++ b/oleanderknot/decisions/repeat_budget.py
@@ -1,41 +1,41 @@
-"""Limits the repeated requests of one node to each service."""
+"""Limits the repeated calls that reach one upstream."""
 
 from oleanderknot.decisions import retry_budget
 
-# Parts of the shared bound for repeats by the node that dispatches a request
-# (origin) and by the node beside the upstream (gateway). The rest is a margin:
-# nodes count whole seconds while the bound holds for any window of its length,
-# and calls made by repeated requests count as well.
-ORIGIN_SHARE = 0.25
-GATEWAY_SHARE = 0.5
+# Part of the shared bound that is used. The rest is a margin: whole seconds
+# are counted while the bound holds for any window of its length, and nodes may
+# disagree for a moment on the number of upstreams.
+USED_SHARE = 0.8
 
 
 class RepeatBudget:
-    """Counts requests and repeats by service.
+    """Counts first calls and repeats at the node beside an upstream.
 
-    Unlike a ``RetryBudget``, which counts in a single sliding window, this
-    keeps a budget for each service, and its bound covers all nodes.
+    Every call passes the node beside the upstream that it reaches, so the
+    nodes of a service together keep a bound on its repeats without talking to
+    each other. With F first calls at a node, N upstreams of the service, a
+    ratio R and a slack S, a node lets ``USED_SHARE * (R * F + S / N)`` repeats
+    through in a window, and all together ``USED_SHARE * (R * sum(F) + S)``.
 
-    All nodes together keep the bound without coordination: each one applies
-    the ratio to its own requests and uses an equal share of the slack.
+    A node that was restarted knows nothing of the repeats before. It uses its
+    part of the slack only after a whole window, so that processes which are
+    killed again and again do not exceed the bound.
 
     Attributes:
         ratio: Repeats allowed as a share of the requests.
-        slack: Repeats allowed in addition to the ratio, for all nodes
-            together.
-        share: Part of the shared bound that this budget may use.
-        window_s: Window of the bound in seconds.
-        budgets: Counts by service.
+        slack: Repeats allowed in addition to the ratio, for all upstreams of
+            the service together.
+        counts: First calls and repeats within the window.
+        started_at: Monotonic time in seconds from which repeats are counted.
     """
 
     def __init__(
-        self, *, ratio: float, slack: int, share: float, window_s: float
+        self, *, ratio: float, slack: int, window_s: float, started_at: float
     ) -> None:
         self.ratio = ratio
         self.slack = slack
-        self.share = share
-        self.window_s = window_s
-        self.budgets: dict[str, retry_budget.RetryBudget] = {}
+        self.counts = retry_budget.RetryBudget(window_s=window_s)
+        self.started_at = started_at
 
     def reconfigure(
         self, *, ratio: float, slack: int, window_s: float
@@ -43,49 +43,36 @@
         """Change the bounds and keep the counts."""
         self.ratio = ratio
         self.slack = slack
-        self.window_s = window_s
-        for budget in self.budgets.values():
-            budget.window_s = window_s
+        self.counts.window_s = window_s
 
-    def find_budget(self, service: str) -> retry_budget.RetryBudget:
-        """Return the budget of a service, created if new."""
-        budget = self.budgets.get(service)
-        if budget is None:
-            budget = self.budgets[service] = retry_budget.RetryBudget(
-                window_s=self.window_s
-            )
-        return budget
+    def count_first(self, now: float) -> None:
+        """Count a call that is sent to an upstream for the first time."""
+        self.counts.count_base(now)
 
-    def count_request(self, service: str, now: float) -> None:
-        """Count a request that is sent for the first time.
+    def count_nested(self, now: float) -> None:
+        """Count a call of a run that is itself a repeat."""
+        self.counts.count_retry(now)
 
-        Args:
-            service: Service that it goes to.
-            now: Monotonic time in seconds.
-        """
-        self.find_budget(service).count_base(now)
-
-    def take(self, service: str, now: float, nodes: int) -> bool:
+    def take(self, now: float, upstreams: int) -> bool:
         """Spend one repeat if the budget allows it.
 
         Args:
-            service: Service that it goes to.
             now: Monotonic time in seconds.
-            nodes: Nodes that share the slack.
+            upstreams: Upstreams of the service, which share the slack. Those
+                that cannot be reached count too, since they may serve others.
 
         Returns:
             Whether the repeat may be sent.
         """
-        return self.find_budget(service).take(
-            now, self.share * self.ratio, self.find_slack_share(nodes)
-        )
+        if self.find_remaining(now, upstreams) < 1:
+            return False
+        self.counts.count_retry(now)
+        return True
 
-    def find_remaining(self, service: str, now: float, nodes: int) -> int:
+    def find_remaining(self, now: float, upstreams: int) -> int:
         """Return the number of repeats left; arguments as in ``take``."""
-        return self.find_budget(service).find_remaining(
-            now, self.share * self.ratio, self.find_slack_share(nodes)
-        )
-
-    def find_slack_share(self, nodes: int) -> int:
-        """Return this node's share of the slack."""
-        return int(self.share * self.slack / max(1, nodes))
+        self.counts.advance(now)
+        bound = self.ratio * self.counts.successes
+        if now - self.started_at >= self.counts.window_s:
+            bound += self.slack / max(1, upstreams)
+        return max(0, int(USED_SHARE * bound) - self.counts.retries)
--- a/oleanderknot/decisions/retry_budget.py
+++ b/oleanderknot/decisions/retry_budget.py
@@ -9,9 +9,8 @@
 class RetryBudget:
     """Counts successes and retries in one-second buckets.
 
-    Unlike a ``RepeatBudget``, it does not distinguish services and knows of no
-    other nodes. A ``RepeatBudget`` uses one for each service and counts
-    requests in place of successes.
+    Unlike a ``RepeatBudget``, it knows of no other nodes. A ``RepeatBudget``
+    uses one to count first calls in place of successes.
 
     Attributes:
         window_s: Length of the sliding window in seconds.
@@ -61,13 +60,17 @@
         Returns:
             Whether the retry may run.
         """
-        bucket = self.advance(now)
+        self.advance(now)
         if self.retries >= minimum + ratio * self.successes:
             return False
-        bucket[2] += 1
-        self.retries += 1
+        self.count_retry(now)
         return True
 
+    def count_retry(self, now: float) -> None:
+        """Count a retry."""
+        self.advance(now)[2] += 1
+        self.retries += 1
+
     def find_remaining(self, now: float, ratio: float, minimum: int) -> int:
         """Return the number of retries left in the budget.
 
--- a/oleanderknot/model/__init__.py
+++ b/oleanderknot/model/__init__.py
@@ -34,6 +34,7 @@
     'platform_fault': ('FaultKind', 'PlatformFault'),
     'policy_digest': ('PolicyDigest',),
     'refusal': ('build_refusal', 'Refusal'),
+    'repeat_kind': ('RepeatKind',),
     'report_coverage': ('ReportCoverage',),
     'report_section': ('ReportSection',),
     'request_class': ('RequestClass',),
--- a/oleanderknot/model/call.py
+++ b/oleanderknot/model/call.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from oleanderknot.model import repeat_kind
 from oleanderknot.model import request_class as classes
 
 # Names and values of HTTP headers, in order.
@@ -30,6 +31,7 @@
         route: Path prefix of the policy route that matched.
         ticket: Number of the ticket that set the policy applied to the root.
         has_body: Whether the request carries a body.
+        repeat: Whether it counts as a repeat at its service.
         started: Whether it has been sent to this node's upstream.
         failed_attempts: Instance and rule of each failed attempt, for logging.
     """
@@ -50,5 +52,6 @@
     route: str = ''
     ticket: int = 0
     has_body: bool = False
+    repeat: repeat_kind.RepeatKind = repeat_kind.RepeatKind.FIRST
     started: bool = False
     failed_attempts: list[str] = dataclasses.field(default_factory=list)
--- a/oleanderknot/node/local_upstream.py
+++ b/oleanderknot/node/local_upstream.py
@@ -41,10 +41,11 @@
         runner: Runs calls at the upstream.
         heartbeat_filter: Separates new heartbeats from late and foreign ones.
         leaving: Reasons for which the upstream takes no new work.
-        repeat_budget: Budget for repeating calls that the upstream refused.
+        repeat_budget: Budget of the repeats that reach the upstream.
+        chains: Accounts of the requests that run at the upstream.
         upstream: Id of the upstream process that calls are sent to.
         recorder: Records the outcome of each call.
-        members: Known nodes; their number scales the repeat budget.
+        members: Known nodes; the upstreams of a service share its budget.
         membership: Publishes the record of this node; set at its start.
     """
 
@@ -62,6 +63,7 @@
         host, _, port = settings.upstream.address.rpartition(':')
         self.recorder = recorder
         self.members = members
+        self.chains = chains
         self.upstream = ''
         self.heartbeat_filter = decisions.HeartbeatFilter(
             service=settings.upstream.service, host=host, port=int(port)
@@ -69,8 +71,8 @@
         self.repeat_budget = decisions.RepeatBudget(
             ratio=settings.retries.ratio,
             slack=settings.retries.slack,
-            share=decisions.GATEWAY_SHARE,
             window_s=settings.retries.window,
+            started_at=time.monotonic(),
         )
         self.runner = runners.Runner(
             chains=chains,
@@ -82,7 +84,7 @@
                 port=port,
                 upstream=self.upstream,
                 dialect=dialect,
-                acquire_repeat=self.charge_repeat,
+                authorize_send=self.authorize_send,
                 record_latency=recorder.upstreams.observe,
             ),
         )
@@ -113,7 +115,6 @@
     ) -> Result[model.Answer, model.Refusal]:
         """Run a call at the local upstream and record its outcome."""
         started = time.monotonic()
-        self.repeat_budget.count_request(call.service, started)
         result = await self.runner.run(call, content, body)
         refusal = result.error if result.is_error() else None
         self.recorder.record_run(
@@ -124,16 +125,33 @@
         )
         return result
 
-    def charge_repeat(self, call: model.Call) -> bool:
-        """Return whether a refused call may be repeated; charge and record."""
-        nodes = len(self.members.members)
-        taken = self.repeat_budget.take(call.service, time.monotonic(), nodes)
-        if taken:
-            self.recorder.count('upstream.repeated')
-        else:
-            self.recorder.count('upstream.budget_spent')
+    def authorize_send(self, call: model.Call, resend: bool) -> bool:
+        """Count a send to the upstream, and return whether it is allowed.
+
+        Args:
+            call: The call.
+            resend: Whether the upstream has refused this call before.
+        """
+        now = time.monotonic()
+        if not resend and call.repeat is model.RepeatKind.FIRST:
+            self.repeat_budget.count_first(now)
+            return True
+        if not resend and call.repeat is model.RepeatKind.NESTED:
+            self.repeat_budget.count_nested(now)
+            return True
+        taken = self.repeat_budget.take(now, self.count_upstreams())
+        account = self.chains.find(call.trace_id)
+        if taken and account is not None:
+            account.repeated = True
+        self.recorder.count(
+            'upstream.repeated' if taken else 'upstream.budget_spent'
+        )
         return taken
 
+    def count_upstreams(self) -> int:
+        """Return the number of known upstreams of the service."""
+        return len(self.members.list_service(self.runner.service))
+
     async def apply_heartbeat(self, report: model.UpstreamHeartbeat) -> None:
         """Apply a new heartbeat of the local upstream."""
         own_member = self.membership.own
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -184,15 +184,11 @@
         Args:
             settings: The new settings.
         """
-        for budget in (
-            self.local_upstream.repeat_budget,
-            self.dispatcher.repeats,
-        ):
-            budget.reconfigure(
-                ratio=settings.retries.ratio,
-                slack=settings.retries.slack,
-                window_s=settings.retries.window,
-            )
+        self.local_upstream.repeat_budget.reconfigure(
+            ratio=settings.retries.ratio,
+            slack=settings.retries.slack,
+            window_s=settings.retries.window,
+        )
         self.recorder.refusal_sampler.per_second = settings.log.refusals_per_s
         self.recorder.answer_sampler.per_second = settings.log.answers_per_s
         fixed = (settings.addresses, settings.upstream, settings.store)
@@ -242,12 +238,6 @@
             members=self.members,
             runner=self.local_upstream.runner,
             pool=self.pool,
-            repeats=decisions.RepeatBudget(
-                ratio=settings.retries.ratio,
-                slack=settings.retries.slack,
-                share=decisions.ORIGIN_SHARE,
-                window_s=settings.retries.window,
-            ),
             record=self.recorder.record,
             run_local=self.local_upstream.run,
             rng=self.rng,
--- a/oleanderknot/node/sidecar_gauges.py
+++ b/oleanderknot/node/sidecar_gauges.py
@@ -22,7 +22,7 @@
         'queue_size': lambda: runner.admission.queue.size,
         'repeats_left': lambda: (
             node.local_upstream.repeat_budget.find_remaining(
-                runner.service, time.monotonic(), len(node.members.members)
+                time.monotonic(), node.local_upstream.count_upstreams()
             )
         ),
         'policy_version': lambda: node.policies.version,
--- a/oleanderknot/tasks/routed_dispatcher.py
+++ b/oleanderknot/tasks/routed_dispatcher.py
@@ -21,8 +21,8 @@
 # could retry later.
 MAX_ATTEMPTED_NODES = 4
 
-# Rules of refusals after which the call has reached no upstream. Repeats after
-# these are not charged to the budget, since the call cost no upstream work.
+# Rules of refusals after which the call has reached no upstream. The next
+# attempt after these is no repeat, since the call cost no upstream work.
 UNREACHED_RULES = frozenset(
     (
         model.Rule.CONNECTION_REFUSED,
@@ -32,6 +32,7 @@
         model.Rule.NO_UPSTREAM,
         model.Rule.QUEUE_DELAY,
         model.Rule.QUEUE_FULL,
+        model.Rule.RETRY_BUDGET,
     )
 )
 
@@ -63,7 +64,6 @@
         runner: Runs calls on the local upstream; used by the chooser.
         pool: Connections to other nodes.
         chooser: Chooses the upstream of each attempt by load.
-        repeats: Budget of calls that reach upstreams more than once.
         record: Counts and logs a decision.
         run_local: Runs a call on the local upstream.
     """
@@ -75,7 +75,6 @@
         members: decisions.MemberTable,
         runner: runner.Runner,
         pool: peer_pool.PeerPool,
-        repeats: decisions.RepeatBudget,
         record: dispatcher.RecordFunction,
         run_local: peer_handlers.RunFunction,
         rng: random.Random,
@@ -85,7 +84,6 @@
         self.policy = decisions.PolicyTable()
         self.runner = runner
         self.pool = pool
-        self.repeats = repeats
         self.record = record
         self.run_local = run_local
         self.chooser = upstream_chooser.UpstreamChooser(
@@ -117,13 +115,18 @@
         reached = 0
         may_have_run = False
         result: Result[model.Answer, model.Refusal] | None = None
-        self.repeats.count_request(call.service, time.monotonic())
         while len(tried) < MAX_ATTEMPTED_NODES:
             member = self.chooser.choose(call, tried)
             if member is None or member.instance in tried:
                 break
-            if result is not None and not self.acquire_repeat(call, reached):
-                break
+            if result is not None:
+                if time.monotonic() >= call.deadline:
+                    break
+                self.record(
+                    call, model.Rule.RETRIED, model.Verdict.NOT_RUN, ''
+                )
+            if reached:
+                call.repeat = model.RepeatKind.REPEAT
             tried.add(member.instance)
             result = await self.attempt(member, call, content)
             self.record_outcome(member.instance, result)
@@ -145,23 +148,6 @@
             result = Error(self.refuse_early(call))
         return dispatcher.include_earlier_attempts(result, may_have_run)
 
-    def acquire_repeat(self, call: model.Call, reached: int) -> bool:
-        """Return whether a call may be repeated; charge and record it."""
-        now = time.monotonic()
-        if now >= call.deadline:
-            return False
-        nodes = len(self.members.members)
-        if reached and not self.repeats.take(call.service, now, nodes):
-            self.record(
-                call,
-                model.Rule.RETRY_BUDGET,
-                model.Verdict.MAY_HAVE_RUN,
-                'the budget of repeats for %s is spent' % call.service,
-            )
-            return False
-        self.record(call, model.Rule.RETRIED, model.Verdict.NOT_RUN, '')
-        return True
-
     async def attempt(
         self, member: model.Member, call: model.Call, content: bytes
     ) -> Result[model.Answer, model.Refusal]:
--- a/oleanderknot/tasks/routed_ingress.py
+++ b/oleanderknot/tasks/routed_ingress.py
@@ -78,6 +78,8 @@
             return await exchange(call, request, metadata, route)
         call.request_class = account.request_class
         call.depth = account.depth + 1
+        if account.repeated:
+            call.repeat = model.RepeatKind.NESTED
         account.called.add((call.service, call.route))
         account.start_waiting(time.monotonic())
         try:
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -201,6 +201,8 @@
     ) -> Result[model.Answer, model.Refusal]:
         """Send an admitted call to the upstream."""
         account = self.chains.enter(call)
+        if call.repeat is not model.RepeatKind.FIRST:
+            account.repeated = True
         started = time.monotonic()
         waited_before_s = account.waited_s
         self.running += 1
--- a/oleanderknot/tasks/upstream_pool.py
+++ b/oleanderknot/tasks/upstream_pool.py
@@ -41,8 +41,9 @@
         port: TCP port of the upstream.
         upstream: Id of this run of the upstream; empty if unknown.
         dialect: Decodes and encodes headers.
-        acquire_repeat: Charges one repeat of a call that the upstream refused
-            to the budget, and returns whether the budget allowed it.
+        authorize_send: Called before each send with the call and whether the
+            upstream has refused it before. It counts the send and returns
+            whether the budget of repeats allows it.
         record_latency: Called after each send with the seconds until its
             answer or failure.
         idle: Connections without a request, the most recently used last.
@@ -57,11 +58,11 @@
         port: int,
         upstream: str,
         dialect: http_dialect.HttpDialect,
-        acquire_repeat: collections.abc.Callable[[model.Call], bool],
+        authorize_send: collections.abc.Callable[[model.Call, bool], bool],
         record_latency: collections.abc.Callable[[float], None],
     ) -> None:
         self.record_latency = record_latency
-        self.acquire_repeat = acquire_repeat
+        self.authorize_send = authorize_send
         self.host = host
         self.port = port
         self.upstream = upstream
@@ -149,6 +150,13 @@
             call may have run. A call that the upstream refused is sent again
             as long as the budget of repeats allows it.
         """
+        if not self.authorize_send(call, False):
+            return call_refusal.refuse(
+                call,
+                model.Verdict.NOT_RUN,
+                model.Rule.RETRY_BUDGET,
+                'the budget of repeats of the upstream is spent',
+            )
         sends = 0
         while True:
             sends += 1
@@ -158,7 +166,7 @@
                 or sends >= MAX_SENDS
                 or result.error.rule is not model.Rule.UPSTREAM_REFUSED
                 or self.loop.time() >= call.deadline
-                or not self.acquire_repeat(call)
+                or not self.authorize_send(call, True)
             ):
                 return result
 
--- a/oleanderknot/wire/gen/peer/ttypes.py
+++ b/oleanderknot/wire/gen/peer/ttypes.py
@@ -293,6 +293,7 @@
      - root_route
      - ticket
      - sampled
+     - repeat
 
     """
 
@@ -315,10 +316,11 @@
         'root_route',
         'ticket',
         'sampled',
+        'repeat',
     )
 
 
-    def __init__(self, service_name=None, method=None, path=None, headers=None, body=None, body_complete=None, request_class=None, depth=None, deadline_ms=None, deadline_epoch_ms=None, allowance=None, key=None, idempotent=None, trace_id=None, span_id=None, root_route=None, ticket=None, sampled=None,):
+    def __init__(self, service_name=None, method=None, path=None, headers=None, body=None, body_complete=None, request_class=None, depth=None, deadline_ms=None, deadline_epoch_ms=None, allowance=None, key=None, idempotent=None, trace_id=None, span_id=None, root_route=None, ticket=None, sampled=None, repeat=None,):
         self.service_name = service_name
         self.method = method
         self.path = path
@@ -337,6 +339,7 @@
         self.root_route = root_route
         self.ticket = ticket
         self.sampled = sampled
+        self.repeat = repeat
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -442,6 +445,11 @@
                     self.sampled = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I32:
+                    self.repeat = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -527,6 +535,10 @@
             oprot.writeFieldBegin('sampled', TType.BOOL, 18)
             oprot.writeBool(self.sampled)
             oprot.writeFieldEnd()
+        if self.repeat is not None:
+            oprot.writeFieldBegin('repeat', TType.I32, 19)
+            oprot.writeI32(self.repeat)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2531,6 +2543,7 @@
     (16, TType.STRING, 'root_route', 'UTF8', None, ),  # 16
     (17, TType.I64, 'ticket', None, None, ),  # 17
     (18, TType.BOOL, 'sampled', None, None, ),  # 18
+    (19, TType.I32, 'repeat', None, None, ),  # 19
 )
 all_structs.append(Head)
 Head.thrift_spec = (
--- a/oleanderknot/wire/peer.thrift
+++ b/oleanderknot/wire/peer.thrift
@@ -38,6 +38,7 @@
   16: string root_route
   17: i64 ticket
   18: bool sampled
+  19: i32 repeat
 }
 
 struct Head {
--- a/oleanderknot/wire/translate_call.py
+++ b/oleanderknot/wire/translate_call.py
@@ -7,6 +7,7 @@
 from oleanderknot.wire.gen.peer import ttypes
 
 REQUEST_CLASSES = tuple(model.RequestClass)
+REPEAT_KINDS = tuple(model.RepeatKind)
 VERDICTS = (model.Verdict.NOT_RUN, model.Verdict.MAY_HAVE_RUN)
 RULE_BY_VALUE = {rule.value: rule for rule in model.Rule}
 
@@ -67,6 +68,7 @@
         root_route=call.route,
         ticket=call.ticket,
         sampled=call.sampled,
+        repeat=call.repeat,
     )
 
 
@@ -127,6 +129,11 @@
     field_check.require(
         0 <= message.allowance < 1000, 'open message with an invalid allowance'
     )
+    # Nodes of the previous version send no kind.
+    repeat = message.repeat or 0
+    field_check.require(
+        0 <= repeat < len(REPEAT_KINDS), 'open message with an invalid repeat'
+    )
     field_check.require(
         message.deadline_ms >= 0, 'open message with a negative deadline'
     )
@@ -150,6 +157,7 @@
         sampled=message.sampled,
         route=message.root_route,
         ticket=message.ticket,
+        repeat=REPEAT_KINDS[repeat],
         has_body=bool(message.body) or not message.body_complete,
     )
 
