Let test nodes use their part of the slack at once

Cause: a node uses its part of the slack after a window, and the scenario on repeated refusals sends its first requests within 0.2 s of the start. Change: nodes of the tests have a window of 10 ms.

--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -168,7 +168,7 @@
             # drop any.
             'log': {'refusals_per_s': 1000},
             # A node uses its part of the slack only after a whole window.
-            'retries': {'ratio': 0.2, 'slack': 40, 'window': '200ms'},
+            'retries': {'ratio': 0.2, 'slack': 40, 'window': '10ms'},
             **extra_settings,
         }
         path = self.system.folder / (name + '.yaml')
