Let most nodes wait longer in one poll of the store

Change: the first node of a data centre waits 5 s, each further one 5 s more, up to 28 s. All of them are still answered at once when the policy changes; the first ones ask again soon after a silent store, and pass on what was missed.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -143,3 +143,19 @@
     Given a log stream into a pipe that nobody reads
     When 20000 lines are written
     Then all writes returned and dropped lines are counted
+
+  Scenario Outline: Nodes of a data centre share the polls of the store
+    Guards against calls to the store that grow with the number of nodes, or
+    a data centre in which every poll is long when none of them is answered.
+    Given a data centre of <nodes> nodes
+    Then together they poll an unchanged store at most <calls> times in 60 s
+    And one of them polls again within 5 s
+    When its first node is gone
+    Then one of them polls again within 5 s
+
+    Examples:
+      | nodes | calls |
+      | 1     | 12    |
+      | 6     | 33    |
+      | 39    | 110   |
+      | 244   | 600   |
--- a/features/steps/platform_decision_steps.py
+++ b/features/steps/platform_decision_steps.py
@@ -211,3 +211,35 @@
     """Check that the stream is bounded and counts the lines it drops."""
     assert context.log.size <= log_stream.MAX_PENDING_BYTES
     assert context.log.dropped > 0
+
+
+@given('a data centre of {count:d} nodes')
+def name_nodes(context, count):
+    """Name the nodes of a data centre."""
+    context.names = ['node-%03d' % index for index in range(count)]
+
+
+@when('its first node is gone')
+def remove_first(context):
+    """Remove the node with the shortest poll; a single one is replaced."""
+    context.names = context.names[1:] or ['node-x']
+
+
+@then('together they poll an unchanged store at most {most:d} times in 60 s')
+def check_poll_rate(context, most):
+    """Check the number of polls of all nodes in a minute."""
+    polls = sum(
+        60 / decisions.find_poll_wait_s(name, context.names)
+        for name in context.names
+    )
+    assert polls <= most, polls
+
+
+@then('one of them polls again within {wait_s:d} s')
+def check_shortest_poll(context, wait_s):
+    """Check the shortest wait of the nodes."""
+    shortest = min(
+        decisions.find_poll_wait_s(name, context.names)
+        for name in context.names
+    )
+    assert shortest <= wait_s, shortest
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -328,12 +328,24 @@
             on_policy=self.policies.apply,
             availability=self.store_availability,
             rng=self.rng,
+            find_wait_s=self.find_poll_wait_s,
         )
         for task in (self.prober, self.peer_discovery, self.pool, feed):
             running = asyncio.create_task(task.run())
             running.add_done_callback(task_log.log_failure)
             self.background_tasks.append(running)
 
+    def find_poll_wait_s(self) -> float:
+        """Return how long the next long poll of the store waits."""
+        return decisions.find_poll_wait_s(
+            self.identity.instance,
+            (
+                member.instance
+                for member in self.members.list_live()
+                if member.data_centre == self.identity.data_centre
+            ),
+        )
+
     def is_ready(self) -> bool:
         """Return whether clients may send requests to this node."""
         return not self.stopping and self.policies.policy is not None
--- a/oleanderknot/tasks/policy_feed.py
+++ b/oleanderknot/tasks/policy_feed.py
@@ -10,11 +10,6 @@
 from oleanderknot import platform
 from oleanderknot.tasks import store_availability
 
-# Maximum time that one long poll waits for a change. If its connection goes
-# silent unnoticed, the node learns of changes only from its peers until this
-# time has passed.
-LONG_POLL_TIMEOUT_S = 5.0
-
 # Bounds of the backoff between attempts while the store does not answer.
 MIN_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 1.5
@@ -28,6 +23,9 @@
         on_policy: Called with each policy and its source.
         availability: Tracks whether the store answers.
         rng: Random number generator.
+        find_wait_s: Returns how long the next long poll waits for a change.
+            If its connection goes silent unnoticed, the node learns of
+            changes only from its peers until this time has passed.
         version: Version of the store up to which changes are known; None if
             the row must be read first.
     """
@@ -39,7 +37,9 @@
         on_policy: collections.abc.Callable[[model.TrafficPolicy, str], None],
         availability: store_availability.StoreAvailability,
         rng: random.Random,
+        find_wait_s: collections.abc.Callable[[], float],
     ) -> None:
+        self.find_wait_s = find_wait_s
         self.store = store
         self.on_policy = on_policy
         self.availability = availability
@@ -68,7 +68,7 @@
             result = await self.store.read(table)
         else:
             result = await self.store.follow(
-                table, after=self.version, wait_s=LONG_POLL_TIMEOUT_S
+                table, after=self.version, wait_s=self.find_wait_s()
             )
         if result.is_error():
             fault = result.error
