Restart failed tasks, and keep the row of a node that only restarts

Cause: probing, discovery, the care of connections and the feed of the policy ended for good with one unexpected error. Each restart of a node removed its row from the store, wrote it again and read all rows. Change: a supervisor logs and counts the error and starts the task again. A node removes its row only after its upstream has left, and writes it only if it is missing or differs; when the whole system starts for the first time it still writes before it reads, so that two nodes that start together find each other.

--- a/oleanderknot/border/sidecar_settings.py
+++ b/oleanderknot/border/sidecar_settings.py
@@ -111,6 +111,7 @@
         retries: System-wide retry budget.
         grace: Time from SIGTERM until the process is killed.
         log: Level and rate limits of the log.
+        first_start: Whether the whole system starts for the first time.
     """
 
     instance: base.Name
@@ -121,3 +122,4 @@
     retries: RetrySettings = RetrySettings()
     grace: Seconds = 6.0
     log: log_settings.LogSettings = log_settings.LogSettings()
+    first_start: bool = False
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -37,6 +37,7 @@
 from oleanderknot.tasks import routed_ingress
 from oleanderknot.tasks import store_availability
 from oleanderknot.tasks import store_discovery
+from oleanderknot.tasks import supervisor
 from oleanderknot.tasks import task_log
 from oleanderknot.tasks import traffic_policies
 
@@ -147,7 +148,7 @@
             leaving_reasons.LeavingReason.STOP, True
         )
         self.requests.close_after_requests()
-        withdrawal = asyncio.create_task(self.peer_discovery.remove_row())
+        withdrawal = asyncio.create_task(self.withdraw_row())
         withdrawal.add_done_callback(task_log.log_failure)
         await sidecar_drain.drain(
             requests=self.requests,
@@ -178,6 +179,17 @@
             after_s=round(time.monotonic() - started, 3),
         )
 
+    async def withdraw_row(self) -> None:
+        """Remove the row of this node unless it only restarts.
+
+        The instance goes away once its upstream has left. If the node alone
+        is stopped, it starts again at the same address.
+        """
+        if self.local_upstream.leaving.holds(
+            leaving_reasons.LeavingReason.UPSTREAM
+        ):
+            await self.peer_discovery.remove_row()
+
     def reload(self, settings: border.SidecarSettings) -> None:
         """Apply changed limits; changed addresses need a restart.
 
@@ -319,6 +331,7 @@
             store=self.store,
             watch=self.store_availability,
             rng=self.rng,
+            first_start=self.settings.first_start,
         )
         self.reconnector = peer_reconnector.PeerReconnector(
             members=self.membership, pool=self.pool, rng=self.rng
@@ -330,10 +343,17 @@
             rng=self.rng,
             find_wait_s=self.find_poll_wait_s,
         )
-        for task in (self.prober, self.peer_discovery, self.pool, feed):
-            running = asyncio.create_task(task.run())
-            running.add_done_callback(task_log.log_failure)
-            self.background_tasks.append(running)
+        for name, task in (
+            ('prober', self.prober),
+            ('discovery', self.peer_discovery),
+            ('pool', self.pool),
+            ('feed', feed),
+        ):
+            self.background_tasks.append(
+                asyncio.create_task(
+                    supervisor.supervise(name, task.run, self.recorder.count)
+                )
+            )
 
     def find_poll_wait_s(self) -> float:
         """Return how long the next long poll of the store waits."""
--- a/oleanderknot/tasks/metric_list.py
+++ b/oleanderknot/tasks/metric_list.py
@@ -144,16 +144,21 @@
         'reads',
         'Reads that returned an older ticket than the one in force.',
     ),
+    (
+        'task.restarted',
+        'restarts',
+        'Tasks started again after an unexpected error; on a platform.',
+    ),
     (
         'upstream.budget_spent',
         'calls',
-        'Calls refused by the local upstream and not retried because the'
-        ' retry budget was exhausted; on a platform.',
+        'Repeats that were not sent to the local upstream because its budget'
+        ' of repeats was spent; on a platform.',
     ),
     (
         'upstream.repeated',
         'calls',
-        'Calls retried after the local upstream refused them; on a platform.',
+        'Repeats that were sent to the local upstream; on a platform.',
     ),
 )
 
--- a/oleanderknot/tasks/store_discovery.py
+++ b/oleanderknot/tasks/store_discovery.py
@@ -33,7 +33,8 @@
     """Owns the row of this node in the store and reads those of other nodes.
 
     The row is written before the others are read, so of two nodes that start
-    together at least one finds the other.
+    together at least one finds the other. A node that starts again finds its
+    row and saves the write.
 
     Attributes:
         members: Membership of this node.
@@ -41,6 +42,8 @@
         store: The platform's store.
         watch: Records whether the store responds.
         rng: Source of randomness.
+        first_start: Whether the whole system starts for the first time, so
+            that no row of this node can exist.
         row_written: Whether the row of this node is written.
     """
 
@@ -52,7 +55,9 @@
         store: platform.RowStoreClient,
         watch: store_availability.StoreAvailability,
         rng: random.Random,
+        first_start: bool,
     ) -> None:
+        self.first_start = first_start
         self.members = members
         self.pool = pool
         self.store = store
@@ -82,36 +87,62 @@
             await asyncio.sleep(READ_PERIOD_S * (0.5 + self.rng.random()))
 
     async def sync_rows(self) -> bool:
-        """Write the row of this node once, and connect to unknown nodes.
+        """Write the row of this node if needed, and connect to unknown nodes.
 
         Returns:
             Whether the store responded.
         """
-        own = self.members.own
-        if not self.row_written:
-            row = border.NodeRow(host=own.host, port=own.peer_port)
-            result = await self.store.commit(
-                NODE_TABLE, put={own.instance: row.model_dump_json()}
-            )
-            if result.is_error():
-                self.watch.note_failure(result.error.detail)
+        if self.first_start and not self.row_written:
+            if not await self.write_row():
                 return False
-            self.row_written = True
+        rows = await self.read_rows()
+        if rows is not None and not self.row_written:
+            self.row_written = rows.get(self.members.own.instance) == (
+                self.build_row()
+            )
+            if not self.row_written:
+                if not await self.write_row():
+                    return False
+                rows = await self.read_rows()
+        if rows is None:
+            return False
+        await self.dial_unknown_nodes(rows)
+        return True
+
+    def build_row(self) -> border.NodeRow:
+        """Build the row of this node."""
+        own = self.members.own
+        return border.NodeRow(host=own.host, port=own.peer_port)
+
+    async def write_row(self) -> bool:
+        """Write the row of this node; return whether the store responded."""
+        result = await self.store.commit(
+            NODE_TABLE,
+            put={
+                self.members.own.instance: self.build_row().model_dump_json()
+            },
+        )
+        if result.is_error():
+            self.watch.note_failure(result.error.detail)
+            return False
+        self.row_written = True
+        return True
+
+    async def read_rows(self) -> dict[str, border.NodeRow] | None:
+        """Read the rows of all nodes; None if the store does not respond."""
         addresses: dict[str, border.NodeRow] = {}
         start = ''
         while True:
             result = await self.store.read(NODE_TABLE, start=start)
             if result.is_error():
                 self.watch.note_failure(result.error.detail)
-                return False
+                return None
             self.watch.note_answer()
             addresses.update(parse_rows(result.ok.rows))
             if not result.ok.has_more:
-                break
+                return addresses
             # The smallest key after the last one.
             start = result.ok.rows[-1].key + '\0'
-        await self.dial_unknown_nodes(addresses)
-        return True
 
     async def dial_unknown_nodes(
         self, addresses: dict[str, border.NodeRow]
@@ -145,7 +176,7 @@
             )
 
     async def remove_row(self) -> None:
-        """Remove the row of this node when it stops."""
+        """Remove the row of this node when its instance goes away."""
         if not self.row_written:
             return
         result = await self.store.commit(
