Test a store whose answers have no end

Cause: a store may be a faulty server too; its answers are bounded since the store is spoken to over the same connections as the upstream. Change: the stand-in of the store sends bodies without end, and a scenario asks for memory, for service and for the next policy.

--- a/features/faulty_upstreams.feature
+++ b/features/faulty_upstreams.feature
@@ -51,3 +51,14 @@
     And "two" used at most 160 MB of memory
     When a client of "one" sends POST "/order/2?size=9" as "c1"
     Then it gets status 200 and 9 bytes
+
+  Scenario: A store whose answers have no end costs no request anything
+    Guards against a node that keeps what its store sends until its memory is
+    full.
+    When the store has the fault "endless" for 4 s
+    Then "one" used at most 160 MB of memory
+    And "two" used at most 160 MB of memory
+    When a client of "one" sends POST "/order/2?size=9" as "d1"
+    Then it gets status 200 and 9 bytes
+    When the policy changes after the fault
+    Then "one" and "two" have the new policy
--- a/features/steps/faulty_upstream_steps.py
+++ b/features/steps/faulty_upstream_steps.py
@@ -9,6 +9,8 @@
 from behave import then
 from behave import when
 
+from features.support import wait
+
 # Deadline of the requests; their route ends them after 2 s.
 DEADLINE_MS = 8000
 
@@ -75,3 +77,30 @@
     status = pathlib.Path('/proc/%d/status' % pid).read_text()
     peak_mb = int(re.search('VmHWM:\\s+([0-9]+)', status)[1]) / 1024
     assert peak_mb <= limit, peak_mb
+
+
+@when('the store has the fault "{fault}" for {span_s:d} s')
+def inject_store_fault(context, fault, span_s):
+    """Let the store misbehave for a while; a change ends pending polls."""
+    context.fleet.set_faults(**{fault: 1})
+    context.fleet.put_policy()
+    time.sleep(span_s)
+    context.fleet.set_faults(**{fault: 0})
+
+
+@when('the policy changes after the fault')
+def change_policy(context):
+    """Write a new version of the policy."""
+    context.version = context.fleet.put_policy()
+
+
+@then('"{first}" and "{second}" have the new policy')
+def check_policy(context, first, second):
+    """Wait until the nodes have logged the new version."""
+    text = 'policy version %d is in force' % context.version
+    for name in (first, second):
+        process = context.fleet.sidecars[name].process
+        wait.wait_until(
+            lambda process=process: text in process.read_log(),
+            'policy of ' + name,
+        )
--- a/oleanderknot/standins/row_server.py
+++ b/oleanderknot/standins/row_server.py
@@ -15,9 +15,10 @@
     """Serves a table of rows over HTTP.
 
     ``POST /-/faults`` sets faults: ``down`` aborts connections, ``busy``
-    responds with 503, ``silent`` sends no response for an hour, ``delay_ms``
-    delays responses, ``drop_commits`` aborts that many connections after a
-    transaction has taken effect, and ``forget`` discards the change history.
+    responds with 503, ``silent`` sends no response for an hour, ``endless``
+    sends a body without end, ``delay_ms`` delays responses, ``drop_commits``
+    aborts that many connections after a transaction has taken effect, and
+    ``forget`` discards the change history.
     ``POST /-/put`` writes a row as an operator would. ``GET /-/counts``
     returns the number of calls by path.
 
@@ -55,6 +56,8 @@
         if faults.get('down'):
             request.transport.abort()
             return web.Response()
+        if faults.get('endless'):
+            return await send_endless(request)
         if faults.get('busy'):
             return web.Response(status=503)
         response = await self.serve(request)
@@ -127,6 +130,14 @@
         )
 
 
+async def send_endless(request: web.BaseRequest) -> web.StreamResponse:
+    """Send a response whose body does not end until the caller closes."""
+    response = web.StreamResponse()
+    await response.prepare(request)
+    while True:
+        await response.write(b' ' * 65536)
+
+
 def parse_address(row: dict) -> row_table.Address:
     """Return the address of a row as given in a transaction."""
     return row['table'], row['part'], row['key']
