--- a/oleanderknot/border/model_validation.py
+++ b/oleanderknot/border/model_validation.py
@@ -4,6 +4,7 @@
 import typing
 
 import pydantic
+from pydantic import fields
 
 from oleanderknot.border import diagnostic
 from oleanderknot.border import yaml_document
@@ -81,7 +82,7 @@
 
 def list_fields(
     model: type[pydantic.BaseModel],
-) -> dict[str | int, pydantic.fields.FieldInfo]:
+) -> dict[str | int, fields.FieldInfo]:
     """Return the fields of a model by alias, or by name if there is none."""
     return {
         field.alias or name: field
