Send no calls to a node that has stopped responding

A lost call that is not idempotent ends as "may have run". Change: once a probe is unanswered for 0.1 s, 0.6 s after the last response, the node is used only if there is no other. Connections are closed as before.

--- a/features/platform_choice.feature
+++ b/features/platform_choice.feature
@@ -96,3 +96,24 @@
       | 29    | 27     |
       | 27    | 25     |
       | 1     | 1      |
+
+  Scenario: No calls are sent to a node that stopped responding
+    Guards against the calls of a second and a half that a cut swallows before
+    its connections are found silent.
+    Given a connection that responded until 0 s and expects a response
+    Then it is not overdue at 0.4 s
+    But it is overdue at 0.7 s, before it is found silent
+    And it is not overdue at 0.8 s, after a response
+
+  Scenario Outline: A node that does not respond is used only if no other is left
+    Guards against orders that are lost in a cut while others could run them,
+    or refused although the only node may still respond.
+    Given a node that knows two upstreams of a service, both open
+    When <lost> of them do not respond at the moment
+    Then 50 calls go to "<used>"
+
+    Examples:
+      | lost | used |
+      | 0    | a b  |
+      | 1    | b    |
+      | 2    | a b  |
--- a/features/steps/platform_choice_steps.py
+++ b/features/steps/platform_choice_steps.py
@@ -1,8 +1,10 @@
 """Steps that test load balancing between partly failing upstreams."""
 
+import asyncio
 import collections
 import heapq
 import random
+import types
 
 from behave import given
 from behave import then
@@ -11,6 +13,7 @@
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot.tasks import dependency_levels
+from oleanderknot.tasks import liveness_monitor
 from oleanderknot.tasks import upstream_chooser
 
 SLOTS = 30
@@ -160,6 +163,7 @@
 def build_chooser(context):
     """Build an upstream chooser that knows two upstreams."""
     context.unreachable = set()
+    context.overdue = set()
     members = decisions.MemberTable()
     members.merge(
         model.Member(
@@ -181,11 +185,13 @@
         ),
         members=members,
         policy=decisions.PolicyTable(),
-        runner=None,
+        runner=types.SimpleNamespace(service='other'),
         rng=random.Random(1),
         is_node_unreachable=lambda member: (
             member.instance in context.unreachable
         ),
+        is_node_overdue=lambda member: member.instance in context.overdue,
+        pick=decisions.choose_balanced,
     )
 
 
@@ -246,3 +252,70 @@
 def check_admitted_between(context, least, most):
     """Check the range of the number of admitted requests."""
     assert least <= context.admitted <= most, context.admitted
+
+
+@when('{count:d} of them do not respond at the moment')
+def make_overdue(context, count):
+    """Mark upstreams as overdue."""
+    context.overdue = set(['a', 'b'][:count])
+
+
+@then('50 calls go to "{names}"')
+def check_choices(context, names):
+    """Check which upstreams are chosen."""
+    found = set()
+    for index in range(50):
+        call = model.Call(
+            service='s',
+            method='GET',
+            path='/',
+            headers=[],
+            request_class=model.RequestClass(0),
+            deadline=1.0,
+            trace_id='%032x' % index,
+            span_id='r',
+            route='r',
+        )
+        member = context.chooser.choose(call, set())
+        context.chooser.loads.find(member).outstanding += 1
+        found.add(member.instance)
+    assert found == set(names.split()), found
+
+
+@given('a connection that responded until 0 s and expects a response')
+def watch_connection(context):
+    """Play the monitor of a connection on a real event loop."""
+    context.overdue_at = {}
+    context.silent = []
+
+    async def play():
+        monitor = liveness_monitor.LivenessMonitor(
+            awaits_response=lambda: True,
+            send_probe=lambda: None,
+            on_silent=lambda: context.silent.append(True),
+        )
+        monitor.expect_response()
+        for at in (0.4, 0.7, 0.8):
+            await asyncio.sleep(at - max(context.overdue_at, default=0.0))
+            if at == 0.8:
+                monitor.note_response()
+            context.overdue_at[at] = monitor.is_overdue()
+            if at == 0.7:
+                context.silent_at_overdue = bool(context.silent)
+        monitor.stop()
+
+    asyncio.run(play())
+
+
+@then('it is not overdue at {at:f} s')
+@then('it is not overdue at {at:f} s, after a response')
+def check_not_overdue(context, at):
+    """Check the state at a moment."""
+    assert not context.overdue_at[at], context.overdue_at
+
+
+@then('it is overdue at {at:f} s, before it is found silent')
+def check_overdue(context, at):
+    """Check the state at a moment."""
+    assert context.overdue_at[at], context.overdue_at
+    assert not context.silent_at_overdue
--- a/oleanderknot/tasks/liveness_monitor.py
+++ b/oleanderknot/tasks/liveness_monitor.py
@@ -10,6 +10,11 @@
 # A connection without any response within this time after a probe is silent.
 PROBE_TIMEOUT_S = 1.0
 
+# A connection whose probe is unanswered for this long is overdue: it may be
+# silent, and calls should take another one. Within a region a response takes
+# a few milliseconds.
+PROBE_OVERDUE_S = 0.1
+
 # A timer that fires this late shows that the process was suspended. Responses
 # may wait unread in the socket, so the peer is probed once more.
 PROCESS_STALL_S = 0.5
@@ -69,6 +74,13 @@
             self.last_response_at = self.loop.time()
             self.schedule(PROBE_AFTER_S)
 
+    def is_overdue(self) -> bool:
+        """Return whether the connection may be about to be found silent."""
+        return (
+            self.probe_sent_at > 0.0
+            and self.loop.time() - self.probe_sent_at >= PROBE_OVERDUE_S
+        )
+
     def schedule(self, delay_s: float) -> None:
         """Schedule the next check after a delay in seconds."""
         self.stop()
--- a/oleanderknot/tasks/peer_pool.py
+++ b/oleanderknot/tasks/peer_pool.py
@@ -141,6 +141,15 @@
                 instance, str(error), time.monotonic()
             )
 
+    def is_overdue(self, member: model.Member) -> bool:
+        """Return whether a node does not respond on its open connection.
+
+        A call sent to it may be lost, and a lost call that is not idempotent
+        cannot be repeated.
+        """
+        connection = self.connections.get(member.instance)
+        return connection is not None and connection.liveness.is_overdue()
+
     def is_unreachable(self, member: model.Member) -> bool:
         """Return whether a node is unreachable, so that calls should avoid it.
 
--- a/oleanderknot/tasks/routed_dispatcher.py
+++ b/oleanderknot/tasks/routed_dispatcher.py
@@ -95,6 +95,7 @@
             shed_nested=False,
             pick=decisions.choose_balanced,
             is_node_unreachable=pool.is_unreachable,
+            is_node_overdue=pool.is_overdue,
         )
 
     async def dispatch(
--- a/oleanderknot/tasks/upstream_chooser.py
+++ b/oleanderknot/tasks/upstream_chooser.py
@@ -37,6 +37,8 @@
             for a request that an upstream is already processing.
         pick: Chooses one of several candidates.
         is_node_unreachable: Returns whether a node is currently unreachable.
+        is_node_overdue: Returns whether a node does not respond at the
+            moment; it is used only if there is no other.
     """
 
     def __init__(
@@ -50,7 +52,9 @@
         shed_nested: bool = True,
         pick: PickFunction = decisions.choose_local_first,
         is_node_unreachable: MemberPredicate = lambda member: False,
+        is_node_overdue: MemberPredicate = lambda member: False,
     ) -> None:
+        self.is_node_overdue = is_node_overdue
         self.is_node_unreachable = is_node_unreachable
         self.shed_nested = shed_nested
         self.pick = pick
@@ -159,7 +163,8 @@
             instance=member.instance,
             local=member.data_centre == self.identity.data_centre,
             suspect=member.state is model.MemberState.SUSPECT
-            or self.suspicions.is_suspected(member.instance, now),
+            or self.suspicions.is_suspected(member.instance, now)
+            or self.is_node_overdue(member),
             outstanding=load.outstanding,
             in_flight=load.estimate_in_flight(now),
             limit=load.limit,
