--- a/features/support/ports.py
+++ b/features/support/ports.py
@@ -1,9 +1,13 @@
 """Allocation of free TCP ports for test processes."""
 
+import fcntl
 import itertools
 import os
+import pathlib
 import random
 import socket
+import tempfile
+import typing
 
 # Below the ephemeral port range (32768 and up): an outgoing connection could
 # otherwise occupy a port between its allocation and its use.
@@ -16,9 +20,35 @@
 PORTS_PER_PARTITION = 1_100
 
 
+# Open lock file of this process's partition; the lock ends with the process.
+LOCK_FILES: list[typing.IO] = []
+
+
+def lock_partition() -> int:
+    """Lock a partition that no other test run uses and return its number.
+
+    Raises:
+        RuntimeError: All partitions are in use.
+    """
+    folder = pathlib.Path(tempfile.gettempdir())
+    for index in range(PARTITION_COUNT):
+        number = (os.getpid() + index) % PARTITION_COUNT
+        file = (folder / ('oleanderknot-ports-%d.lock' % number)).open('w')
+        try:
+            fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            file.close()
+            continue
+        LOCK_FILES.append(file)
+        return number
+    raise RuntimeError(
+        'all %d partitions of ports are in use' % PARTITION_COUNT
+    )
+
+
 def cycle_partition() -> itertools.cycle:
     """Cycle over this process's partition from a random port."""
-    first = FIRST_PORT + os.getpid() % PARTITION_COUNT * PORTS_PER_PARTITION
+    first = FIRST_PORT + lock_partition() * PORTS_PER_PARTITION
     offset = random.SystemRandom().randrange(PORTS_PER_PARTITION)
     return itertools.cycle(
         first + (offset + index) % PORTS_PER_PARTITION
