--- a/oleanderknot/platform/http_client.py
+++ b/oleanderknot/platform/http_client.py
@@ -88,11 +88,18 @@
             data = json_format.dumps(json).encode()
             content_type = b'application/json'
         head = self.build_head(method, path, content_type, len(data))
-        async with self.slots:
-            result = await self.exchange(
-                head + data,
-                repeatable=method == 'GET',
-                timeout_s=self.timeout_s if timeout_s is None else timeout_s,
+        if timeout_s is None:
+            timeout_s = self.timeout_s
+        try:
+            # Requests that wait for others are bounded by the same time.
+            async with asyncio.timeout(timeout_s), self.slots:
+                result = await self.exchange(
+                    head + data, repeatable=method == 'GET'
+                )
+        except TimeoutError:
+            return build_error(
+                model.FaultKind.UNKNOWN,
+                'no response from %s within %.1f s' % (self.url, timeout_s),
             )
         return result.bind(self.interpret_answer)
 
@@ -112,30 +119,27 @@
         return b'\r\n'.join(lines) + b'\r\n\r\n'
 
     async def exchange(
-        self, data: bytes, *, repeatable: bool, timeout_s: float
+        self, data: bytes, *, repeatable: bool
     ) -> Result[transport.RawAnswer, model.PlatformFault]:
         """Send a request and wait for its response.
 
         A repeatable request is sent once more on a new connection if a
         reused one ended, since servers close idle connections.
         """
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout_s
         while True:
-            connection = self.take_idle(loop.time())
+            connection = self.take_idle(asyncio.get_running_loop().time())
             reused = connection is not None
             if connection is None:
                 try:
-                    connection = await self.connect(deadline)
-                except (OSError, TimeoutError) as error:
+                    connection = await self.connect()
+                except OSError as error:
                     return build_error(
                         model.FaultKind.NOT_SENT,
                         'cannot connect to %s: %r' % (self.url, error),
                     )
             done = False
             try:
-                async with asyncio.timeout_at(deadline):
-                    answer = await connection.request(data, '')
+                answer = await connection.request(data, '')
                 done = True
                 return Ok(answer)
             except transport.ConnectionCutError as error:
@@ -144,39 +148,28 @@
                         model.FaultKind.UNKNOWN,
                         'no response from %s: %s' % (self.url, error),
                     )
-            except TimeoutError:
-                return build_error(
-                    model.FaultKind.UNKNOWN,
-                    'no response from %s within %.1f s'
-                    % (self.url, timeout_s),
-                )
             finally:
                 if done and connection.reusable and not connection.closed:
                     self.idle.append(connection)
                 else:
                     connection.abort()
 
-    async def connect(self, deadline: float) -> transport.ResponseConnection:
+    async def connect(self) -> transport.ResponseConnection:
         """Open a connection.
 
-        Args:
-            deadline: Loop time in seconds by which it must be open.
-
         Raises:
             OSError: The service cannot be reached.
-            TimeoutError: It did not answer in time.
         """
         secure = self.parts.scheme == 'https'
-        async with asyncio.timeout_at(deadline):
-            _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: transport.ResponseConnection(
-                    decode_headers=decode_headers, budget=self.budget
-                ),
-                self.parts.hostname,
-                self.parts.port or (443 if secure else 80),
-                ssl=ssl.create_default_context() if secure else None,
-                local_addr=self.local_host and (self.local_host, 0),
-            )
+        _, connection = await asyncio.get_running_loop().create_connection(
+            lambda: transport.ResponseConnection(
+                decode_headers=decode_headers, budget=self.budget
+            ),
+            self.parts.hostname,
+            self.parts.port or (443 if secure else 80),
+            ssl=ssl.create_default_context() if secure else None,
+            local_addr=self.local_host and (self.local_host, 0),
+        )
         return connection
 
     def take_idle(self, now: float) -> transport.ResponseConnection | None:
