Log each return of the store from a copy, and show its epoch

Cause: no line said that the store has another history, so a change that reaches no node could not be told from one that was never written.

Change: the epoch of the store is read from the header of its responses into RowBatch; a change of it is logged once as store_restored, and the gauge store_epoch shows it. The stand-in returns from a copy of a given age, sends its epoch, and answers 410 to polls from versions that it does not have. What nodes do with their feed positions and rows is unchanged.

--- a/features/platform_log.feature
+++ b/features/platform_log.feature
@@ -17,6 +17,12 @@
     Then the log of "one" has 1 line of "store_regained" with "silent_s"
     And the log of "one" still has 1 line of "store_lost"
 
+  Scenario: A store that returned from a copy is told once
+    Guards against changes lost at the store that nobody can date.
+    When the store returns from a copy that is 1.0 seconds old
+    Then the log of "one" has 1 line of "store_restored" with "epoch"
+    And the metrics of "one" hold "oleanderknot_store_epoch 2.0"
+
   Scenario: Refusals above the rate are counted and not written
     Guards against a surge that fills the log, and lines that nobody misses.
     When the settings of "one" change to 3 lines a second and it gets SIGHUP
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -38,6 +38,7 @@
 from oleanderknot.tasks import stop_schedule
 from oleanderknot.tasks import store_availability
 from oleanderknot.tasks import store_discovery
+from oleanderknot.tasks import store_epoch
 from oleanderknot.tasks import supervisor
 from oleanderknot.tasks import task_log
 from oleanderknot.tasks import traffic_policies
@@ -228,6 +229,7 @@
             measure=self.recorder.measure_store,
         )
         self.store_availability = store_availability.StoreAvailability()
+        self.store_epoch = store_epoch.StoreEpoch()
         self.local_upstream = local_upstream.LocalUpstream(
             settings=settings,
             chains=self.chains,
@@ -252,6 +254,7 @@
             store=self.store,
             on_policy=self.policies.apply,
             availability=self.store_availability,
+            epoch=self.store_epoch,
             rng=self.rng,
             find_wait_s=self.find_poll_wait_s,
         )
@@ -341,6 +344,7 @@
             pool=self.pool,
             store=self.store,
             watch=self.store_availability,
+            epoch=self.store_epoch,
             rng=self.rng,
             first_start=self.settings.first_start,
         )
--- a/oleanderknot/node/sidecar_gauges.py
+++ b/oleanderknot/node/sidecar_gauges.py
@@ -39,6 +39,7 @@
         'store_answer_age_seconds': lambda: (
             node.store_availability.find_age(time.monotonic()) or 0.0
         ),
+        'store_epoch': lambda: node.store_epoch.current or 0,
         'log_lines_dropped': json_formatter.count_dropped_lines,
     }
 
--- a/oleanderknot/platform/http_client.py
+++ b/oleanderknot/platform/http_client.py
@@ -4,6 +4,7 @@
 import collections.abc
 import json as json_format
 import ssl
+import typing
 import urllib.parse
 
 from expression import Error
@@ -68,6 +69,31 @@
         data: bytes = b'',
         timeout_s: float | None = None,
     ) -> Result[bytes, model.PlatformFault]:
+        """Send a request; see ``fetch``.
+
+        Returns:
+            The body of the response, or the fault.
+        """
+        result = await self.fetch(
+            method,
+            path,
+            params=params,
+            json=json,
+            data=data,
+            timeout_s=timeout_s,
+        )
+        return result.map(lambda answer: answer.content)
+
+    async def fetch(
+        self,
+        method: str,
+        path: str,
+        *,
+        params: collections.abc.Mapping[str, str] | None = None,
+        json: object = None,
+        data: bytes = b'',
+        timeout_s: float | None = None,
+    ) -> Result[transport.RawAnswer, model.PlatformFault]:
         """Send a request.
 
         Args:
@@ -79,7 +105,7 @@
             timeout_s: Time for the request; None for the default.
 
         Returns:
-            The body of the response, or the fault.
+            The response with its headers, or the fault.
         """
         if params:
             path = '%s?%s' % (path, urllib.parse.urlencode(params))
@@ -183,10 +209,10 @@
 
     def interpret_answer(
         self, answer: transport.RawAnswer
-    ) -> Result[bytes, model.PlatformFault]:
-        """Return the body of a response, or the fault of its status."""
+    ) -> Result[transport.RawAnswer, model.PlatformFault]:
+        """Return a successful response, or the fault of its status."""
         if answer.status < 400:
-            return Ok(answer.content)
+            return Ok(answer)
         return build_error(
             FAULT_KIND_BY_STATUS.get(answer.status, model.FaultKind.UNKNOWN),
             '%s returned status %d: %s'
@@ -206,7 +232,7 @@
 
 
 def decode_headers(headers: model.Headers) -> model.ResponseMetadata:
-    """Build the metadata of a response, of which only the body is used."""
+    """Build the metadata of a response, of which only the headers are used."""
     return model.ResponseMetadata(
         request_id='',
         signed=False,
@@ -220,6 +246,6 @@
 
 def build_error(
     kind: model.FaultKind, detail: str
-) -> Result[bytes, model.PlatformFault]:
+) -> Result[typing.Any, model.PlatformFault]:
     """Build an error result from a fault."""
     return Error(model.PlatformFault(kind=kind, detail=detail))
--- a/oleanderknot/platform/row_store_client.py
+++ b/oleanderknot/platform/row_store_client.py
@@ -11,6 +11,7 @@
 import pydantic
 
 from oleanderknot import model
+from oleanderknot import transport
 from oleanderknot.platform import duration
 from oleanderknot.platform import http_client
 from oleanderknot.platform import lenient_model
@@ -18,6 +19,12 @@
 # Time that the response of a feed may take beyond the requested wait.
 FEED_TIMEOUT_MARGIN_S = 1.5
 
+# Header of all responses with the epoch of the store, in lower case.
+EPOCH_HEADER = b'store-era'
+
+# A longer epoch is ignored.
+MAX_EPOCH_DIGITS = 18
+
 # Called with the name of a call and the seconds until its response or fault.
 MeasureFunction = collections.abc.Callable[[str, float], None]
 
@@ -164,14 +171,14 @@
                 'remove': [{**location, 'key': key} for key in remove],
             },
         )
-        return result.map(lambda content: None)
+        return result.map(lambda answer: None)
 
     async def send(
         self, name: str, method: str, path: str, **arguments: typing.Any
-    ) -> Result[bytes, model.PlatformFault]:
-        """Send a request and time it; see ``HttpClient.request``."""
+    ) -> Result[transport.RawAnswer, model.PlatformFault]:
+        """Send a request and time it; see ``HttpClient.fetch``."""
         started = time.monotonic()
-        result = await self.http.request(method, path, **arguments)
+        result = await self.http.fetch(method, path, **arguments)
         self.measure(name, time.monotonic() - started)
         return result
 
@@ -181,16 +188,17 @@
 
 
 def parse_rows(
-    content: bytes,
+    answer: transport.RawAnswer,
 ) -> Result[model.RowBatch, model.PlatformFault]:
     """Parse the rows of a response."""
     try:
-        rows = Rows.model_validate_json(content)
+        rows = Rows.model_validate_json(answer.content)
         return Ok(
             model.RowBatch(
                 version=rows.rowVersion,
                 has_more=rows.hasMore,
                 clock_s=rows.now,
+                epoch=parse_epoch(answer.metadata.headers),
                 rows=tuple(build_row(row) for row in rows.rows),
             )
         )
@@ -203,6 +211,16 @@
         )
 
 
+def parse_epoch(headers: model.Headers) -> int | None:
+    """Return the epoch of the store, or None without a valid one."""
+    for name, value in headers:
+        if name.lower() == EPOCH_HEADER:
+            # int() also accepts signs, spaces and underscores.
+            is_number = value.isdigit() and len(value) <= MAX_EPOCH_DIGITS
+            return int(value) if is_number else None
+    return None
+
+
 def build_row(row: Row) -> model.TableRow:
     """Convert a row; bytes that are not UTF-8 become U+FFFD.
 
--- a/oleanderknot/standins/row_server.py
+++ b/oleanderknot/standins/row_server.py
@@ -18,8 +18,10 @@
     responds with 503, ``silent`` sends no response for an hour, ``endless``
     sends a body without end, ``delay_ms`` delays responses, ``drop_commits``
     aborts that many connections after a transaction has taken effect,
-    ``forget`` discards the change history, and ``lose_polls`` leaves the
-    long polls in progress without a response.
+    ``forget`` discards the change history, ``restored_s`` discards the
+    transactions of that many seconds and aborts the long polls in progress,
+    as after a return from a copy, and ``lose_polls`` leaves the long polls in
+    progress without a response.
     ``POST /-/put`` writes a row as an operator would. ``GET /-/counts``
     returns the number of calls by path.
 
@@ -28,6 +30,7 @@
         faults: Faults in force, by name.
         calls: Number of calls by path.
         lost_polls: Number of times that the polls in progress were lost.
+        polls: Transports of the long polls in progress.
     """
 
     def __init__(self) -> None:
@@ -35,6 +38,7 @@
         self.faults: dict[str, float] = {}
         self.calls: dict[str, int] = {}
         self.lost_polls = 0
+        self.polls: set[asyncio.Transport] = set()
         self.server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -83,6 +87,10 @@
             self.table.drop_history()
         elif content.pop('lose_polls', False):
             self.lost_polls += 1
+        elif 'restored_s' in content:
+            self.table.return_from_copy(content.pop('restored_s'))
+            for transport in self.polls:
+                transport.abort()
         self.faults.update(content)
         return web.json_response({})
 
@@ -102,15 +110,19 @@
             )
         if request.path == '/v1/rows-feed':
             lost_polls = self.lost_polls
-            rows = await self.table.wait_for_changes(
-                query['table'],
-                int(query['after']),
-                int(query['waitMs']) / 1000,
-            )
+            self.polls.add(request.transport)
+            try:
+                rows = await self.table.wait_for_changes(
+                    query['table'],
+                    int(query['after']),
+                    int(query['waitMs']) / 1000,
+                )
+            finally:
+                self.polls.discard(request.transport)
             if lost_polls != self.lost_polls:
                 await asyncio.sleep(3600)
             if rows is None:
-                return web.Response(status=410)
+                return self.build_response(410)
             return self.build_response(200, rows=rows)
         return web.Response(status=404)
 
@@ -127,7 +139,7 @@
         return self.build_response(200 if committed else 412)
 
     def build_response(self, status: int, **fields: object) -> web.Response:
-        """Build a response with the table version and the store's clock."""
+        """Build a response with version, epoch and clock of the store."""
         return web.json_response(
             {
                 **fields,
@@ -135,6 +147,7 @@
                 'now': '%dms' % (time.monotonic() * 1000),
             },
             status=status,
+            headers={'Store-Era': str(self.table.epoch)},
         )
 
 
--- a/oleanderknot/standins/row_table.py
+++ b/oleanderknot/standins/row_table.py
@@ -11,17 +11,19 @@
 
     Attributes:
         rows: Version and base64 value by table, part and key.
-        changes: Version, address and value of each change; a value of None
-            means that the row was removed.
+        changes: Time in seconds, version, address and value of each change;
+            a value of None means that the row was removed.
         version: Version of the latest transaction.
+        epoch: Number of returns from a copy, plus 1.
         history_start: Oldest version after which all changes are known.
         changed: Condition notified after each transaction.
     """
 
     def __init__(self) -> None:
         self.rows: dict[Address, tuple[int, str]] = {}
-        self.changes: list[tuple[int, Address, str | None]] = []
+        self.changes: list[tuple[float, int, Address, str | None]] = []
         self.version = 0
+        self.epoch = 1
         self.history_start = 0
         self.changed = asyncio.Condition()
 
@@ -39,13 +41,14 @@
         for address, version in expected.items():
             if self.rows.get(address, (0, ''))[0] != version:
                 return False
+        now = asyncio.get_running_loop().time()
         self.version += 1
         for address, value in put.items():
             self.rows[address] = (self.version, value)
-            self.changes.append((self.version, address, value))
+            self.changes.append((now, self.version, address, value))
         for address in remove:
             if self.rows.pop(address, None) is not None:
-                self.changes.append((self.version, address, None))
+                self.changes.append((now, self.version, address, None))
         async with self.changed:
             self.changed.notify_all()
         return True
@@ -70,14 +73,14 @@
         """Wait up to ``wait_s`` seconds for changes of a table.
 
         Returns:
-            The changed rows, empty after a timeout; None if the history no
-            longer reaches back to ``after``.
+            The changed rows, empty after a timeout; None if the history does
+            not reach back to ``after``, or not up to it.
         """
         deadline = asyncio.get_running_loop().time() + wait_s
-        while after >= self.history_start:
+        while self.history_start <= after <= self.version:
             changed_rows = [
                 build_row(address, version, value)
-                for version, address, value in self.changes
+                for _, version, address, value in self.changes
                 if version > after and address[0] == table
             ]
             remaining_s = deadline - asyncio.get_running_loop().time()
@@ -94,7 +97,23 @@
         """Discard the change history."""
         self.history_start = self.version + 1
         self.version += 1
-        self.changes.clear()
+
+    def return_from_copy(self, age_s: float) -> None:
+        """Discard the transactions of the last ``age_s`` seconds."""
+        copied_at = asyncio.get_running_loop().time() - age_s
+        self.changes = [
+            change for change in self.changes if change[0] <= copied_at
+        ]
+        self.rows = {}
+        self.version = 0
+        for _, version, address, value in self.changes:
+            self.version = version
+            if value is None:
+                self.rows.pop(address, None)
+            else:
+                self.rows[address] = (version, value)
+        self.history_start = min(self.history_start, self.version)
+        self.epoch += 1
 
 
 def build_row(
--- a/oleanderknot/tasks/policy_feed.py
+++ b/oleanderknot/tasks/policy_feed.py
@@ -10,6 +10,7 @@
 from oleanderknot import model
 from oleanderknot import platform
 from oleanderknot.tasks import store_availability
+from oleanderknot.tasks import store_epoch
 
 # Bounds of the backoff between attempts while the store does not answer.
 MIN_RETRY_DELAY_S = 0.2
@@ -23,6 +24,7 @@
         store: The platform's store.
         on_policy: Called with each policy and its source.
         availability: Tracks whether the store answers.
+        epoch: Tracks whether the store has returned from a copy.
         rng: Random number generator.
         find_wait_s: Returns how long the next long poll waits for a change,
             from the store's clock, in seconds. If the connection goes silent
@@ -41,6 +43,7 @@
         store: platform.RowStoreClient,
         on_policy: collections.abc.Callable[[model.TrafficPolicy, str], None],
         availability: store_availability.StoreAvailability,
+        epoch: store_epoch.StoreEpoch,
         rng: random.Random,
         find_wait_s: collections.abc.Callable[[float], float],
     ) -> None:
@@ -48,6 +51,7 @@
         self.store = store
         self.on_policy = on_policy
         self.availability = availability
+        self.epoch = epoch
         self.rng = rng
         self.version: int | None = None
         self.confirmed_at: float | None = None
@@ -89,6 +93,7 @@
             self.availability.note_failure(fault.detail)
             return False
         self.availability.note_answer()
+        self.epoch.observe(result.ok.epoch)
         for row in result.ok.rows:
             self.apply_row(row)
         self.version = result.ok.version
--- a/oleanderknot/tasks/store_discovery.py
+++ b/oleanderknot/tasks/store_discovery.py
@@ -11,6 +11,7 @@
 from oleanderknot.tasks import membership
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import store_availability
+from oleanderknot.tasks import store_epoch
 
 NODE_TABLE = 'nodes'
 
@@ -41,6 +42,7 @@
         pool: Connections to other nodes.
         store: The platform's store.
         watch: Records whether the store responds.
+        epoch: Tracks whether the store has returned from a copy.
         rng: Source of randomness.
         first_start: Whether the whole system starts for the first time, so
             that no row of this node can exist.
@@ -54,6 +56,7 @@
         pool: peer_pool.PeerPool,
         store: platform.RowStoreClient,
         watch: store_availability.StoreAvailability,
+        epoch: store_epoch.StoreEpoch,
         rng: random.Random,
         first_start: bool,
     ) -> None:
@@ -62,6 +65,7 @@
         self.pool = pool
         self.store = store
         self.watch = watch
+        self.epoch = epoch
         self.rng = rng
         self.row_written = False
 
@@ -138,6 +142,7 @@
                 self.watch.note_failure(result.error.detail)
                 return None
             self.watch.note_answer()
+            self.epoch.observe(result.ok.epoch)
             addresses.update(parse_rows(result.ok.rows))
             if not result.ok.has_more:
                 return addresses
