Parse the body of a response of the store apart from its headers

Cause: reading the epoch had made the parser of rows take a whole response, so the feature that gives it odd bodies ended with an error.

Change: parse_rows takes the body again, and the epoch beside it.

Measured: odd_input.feature passed; two of its examples ended with an error before.

--- a/oleanderknot/platform/row_store_client.py
+++ b/oleanderknot/platform/row_store_client.py
@@ -99,7 +99,7 @@
         if start:
             query['from'] = start
         result = await self.send('read', 'GET', '/v1/rows-get', params=query)
-        return result.bind(parse_rows)
+        return result.bind(parse_answer)
 
     async def follow(
         self, table: str, *, after: int, wait_s: float
@@ -127,7 +127,7 @@
             params=query,
             timeout_s=wait_s + FEED_TIMEOUT_MARGIN_S,
         )
-        return result.bind(parse_rows)
+        return result.bind(parse_answer)
 
     async def commit(
         self,
@@ -187,18 +187,26 @@
         await self.http.close()
 
 
-def parse_rows(
+def parse_answer(
     answer: transport.RawAnswer,
 ) -> Result[model.RowBatch, model.PlatformFault]:
-    """Parse the rows of a response."""
+    """Parse the rows and the epoch of a response."""
+    epoch = parse_epoch(answer.metadata.headers)
+    return parse_rows(answer.content, epoch)
+
+
+def parse_rows(
+    content: bytes, epoch: int | None = None
+) -> Result[model.RowBatch, model.PlatformFault]:
+    """Parse the rows of a body and tag them with the epoch of the store."""
     try:
-        rows = Rows.model_validate_json(answer.content)
+        rows = Rows.model_validate_json(content)
         return Ok(
             model.RowBatch(
                 version=rows.rowVersion,
                 has_more=rows.hasMore,
                 clock_s=rows.now,
-                epoch=parse_epoch(answer.metadata.headers),
+                epoch=epoch,
                 rows=tuple(build_row(row) for row in rows.rows),
             )
         )
