Read the policy again when the store has returned from a copy

Callers got 404 on a route whose change the store had confirmed, without end.

Cause: a node went on polling from a position of the lost history. Once the version counter of the store had passed it, the store gave no 410 and reported only changes above the position. Class of fault: a position kept without the history that it belongs to.

Change: a position holds the epoch in which its version was given out. An answer of another epoch, or of a lower version, ends it, and the policy is read again; such an answer does not count as a confirmation. The first poll after a fault does not wait, since a poll that waits from a position that no longer holds tells the epoch only at its end.

--- a/features/steps/platform_decision_steps.py
+++ b/features/steps/platform_decision_steps.py
@@ -28,7 +28,7 @@
     r'|connectionLimit|maxHeaderBytes|maxBodyBytes|headerTimeout|idleTimeout'
     r'|coldRemaining|heartbeatAddress|listenAddresses|applicationAddress'
     r'|localNode|internalPortRange|retryBudget|gracePeriod'
-    r'|(?i:Server-Limit|Server-Leaving)'
+    r'|(?i:Server-Limit|Server-Leaving|Store-Era)'
 )
 
 
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -57,6 +57,7 @@
     'peer_row': ('format_address', 'MAX_ADDRESSES', 'plan_peer_row'),
     'policy_changes': ('describe_changes',),
     'policy_table': ('match_route', 'PolicyTable'),
+    'feed_continuity': ('is_continuous',),
     'poll_wait': ('find_poll_wait_s',),
     'priority': ('compute_priority', 'find_band', 'is_reserved'),
     'probe_limiter': ('ProbeLimiter',),
--- a/oleanderknot/model/__init__.py
+++ b/oleanderknot/model/__init__.py
@@ -16,6 +16,7 @@
     'decision_key': ('DecisionKey',),
     'event': ('Event',),
     'event_kind': ('EventKind',),
+    'feed_position': ('FeedPosition',),
     'filing_outcome': ('FilingOutcome', 'FilingResult'),
     'global_policy': ('GlobalPolicy',),
     'http_request': ('HttpRequest',),
--- a/oleanderknot/tasks/policy_feed.py
+++ b/oleanderknot/tasks/policy_feed.py
@@ -7,6 +7,7 @@
 
 from absl import logging
 
+from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot import platform
 from oleanderknot.tasks import store_availability
@@ -31,8 +32,11 @@
             unnoticed, the node learns of changes only from its peers until
             this time has passed.
         clock_offset_s: Store's clock less the monotonic clock, in seconds.
-        version: Version of the store up to which changes are known; None if
-            the row must be read first.
+        position: Position up to which changes are known; None if the row must
+            be read first.
+        resuming: Whether the store has not answered since the last fault. It
+            may have returned from a copy meanwhile, so the next poll does not
+            wait for a change but asks whether the position still holds.
         confirmed_at: Monotonic time in seconds at which the store last told
             which policy is the newest; None before the first time.
     """
@@ -53,7 +57,8 @@
         self.availability = availability
         self.epoch = epoch
         self.rng = rng
-        self.version: int | None = None
+        self.position: model.FeedPosition | None = None
+        self.resuming = False
         self.confirmed_at: float | None = None
         self.clock_offset_s = 0.0
 
@@ -74,13 +79,14 @@
         Returns:
             Whether the store answered.
         """
-        table = platform.policy_document.TABLE
-        if self.version is None:
-            result = await self.store.read(table)
+        position = self.position
+        if position is None:
+            result = await self.store.read(platform.policy_document.TABLE)
         else:
-            clock_s = time.monotonic() + self.clock_offset_s
             result = await self.store.follow(
-                table, after=self.version, wait_s=self.find_wait_s(clock_s)
+                platform.policy_document.TABLE,
+                after=position.version,
+                wait_s=self.find_next_wait_s(),
             )
         if result.is_error():
             fault = result.error
@@ -88,19 +94,41 @@
                 logging.info(
                     'the store has lost its history; reading it again'
                 )
-                self.version = None
+                self.position = None
                 return True
+            self.resuming = True
             self.availability.note_failure(fault.detail)
             return False
+        self.resuming = False
         self.availability.note_answer()
-        self.epoch.observe(result.ok.epoch)
-        for row in result.ok.rows:
+        self.apply_batch(result.ok)
+        return True
+
+    def find_next_wait_s(self) -> float:
+        """Return how long the next poll waits for a change, in seconds."""
+        if self.resuming:
+            return 0.0
+        return self.find_wait_s(time.monotonic() + self.clock_offset_s)
+
+    def apply_batch(self, batch: model.RowBatch) -> None:
+        """Apply the rows of a response and advance the position."""
+        self.epoch.observe(batch.epoch)
+        for row in batch.rows:
             self.apply_row(row)
-        self.version = result.ok.version
+        if self.position is not None and not decisions.is_continuous(
+            self.position, batch
+        ):
+            logging.info(
+                'the store has another history; reading the policy again'
+            )
+            self.position = None
+            return
+        self.position = model.FeedPosition(
+            epoch=batch.epoch, version=batch.version
+        )
         self.confirmed_at = time.monotonic()
-        if result.ok.clock_s is not None:
-            self.clock_offset_s = result.ok.clock_s - self.confirmed_at
-        return True
+        if batch.clock_s is not None:
+            self.clock_offset_s = batch.clock_s - self.confirmed_at
 
     def find_confirmed_age(self) -> float | None:
         """Return the seconds since the store last told the newest policy.
