Write the row of a node again after the store has returned from a copy

Nodes that were found only through their rows would not be found any more.

Cause: a node looked at its row in the store until it stood there once. A row written in the lost seconds stayed lost until the node restarted, and a row removed in them came back after its instance had gone. Class of fault: an acknowledged write taken for permanent.

Change: each read of the rows corrects the own row, also to its absence once it is withdrawn, and a change of the epoch makes the next read due at once. A removal that fails is tried again until the node ends.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -4,9 +4,11 @@
 import time
 
 from behave import given
+from behave import then
 from behave import when
 
 from features.support import http as plain_http
+from features.support import wait
 
 
 @when('the store returns from a copy that is {age_s:f} seconds old')
@@ -41,3 +43,29 @@
                 'value': base64.b64encode(b'{}').decode(),
             },
         )
+
+
+def has_row(context, name):
+    """Return whether the store has the row of a node."""
+    content = plain_http.get_json(
+        context.fleet.store_url('/v1/rows-get?table=nodes&part=')
+    )
+    return name in {row['key'] for row in content['rows']}
+
+
+@given('the store has a row of "{name}"')
+def wait_for_row(context, name):
+    """Wait until a node has written its row."""
+    wait.wait_until(lambda: has_row(context, name), 'row of %s' % name)
+
+
+@then('the store has {present:w} row of "{name}" within {limit_s:d} seconds')
+def check_row(context, present, name, limit_s):
+    """Wait until the row is there, or is not, and check how long it took."""
+    started = time.monotonic()
+    wait.wait_until(
+        lambda: has_row(context, name) == (present == 'a'),
+        '%s row of %s' % (present, name),
+    )
+    took_s = time.monotonic() - started
+    assert took_s <= limit_s, 'after %.1f s' % took_s
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -23,3 +23,29 @@
     And the store has no faults
     Then "one" serves "/late/1" within 2 seconds
     And "two" serves "/late/2" within 2 seconds
+
+  Scenario: A node whose row was lost writes it again
+    Guards against groups of nodes that never find each other, since a row
+    written in the lost seconds stays lost.
+    Given a copy is made of the store
+    And the instance "three" with a back end of "orders"
+    And the store has a row of "three"
+    When the store goes away and returns from the copy
+    And the store has no faults
+    Then the store has a row of "three" within 2 seconds
+
+  Scenario: A node that leaves removes the row that came back
+    Guards against the row of an instance that is gone, which every node would
+    dial from then on.
+    Given the store has a row of "two"
+    And a copy is made of the store
+    When a client of "two" sends POST "/order/1?delay_ms=1500" as "f1" and waits
+    And the back end of "two" says "draining"
+    And the node of "two" gets SIGTERM
+    Then the store has no row of "two" within 2 seconds
+    When the store goes away and returns from the copy
+    And the store has no faults
+    Then the store has no row of "two" within 2 seconds
+    And the waiting client gets status 200
+    And the node of "two" exits with status 0
+    And the store has no row of "two" within 2 seconds
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -189,7 +189,7 @@
         if leaving.holds(
             leaving_reasons.LeavingReason.UPSTREAM
         ) or leaving.holds(leaving_reasons.LeavingReason.ANSWER):
-            await self.peer_discovery.remove_row()
+            await self.peer_discovery.withdraw_row()
 
     def reload(self, settings: border.SidecarSettings) -> None:
         """Apply changed limits; changed addresses need a restart.
--- a/oleanderknot/tasks/store_discovery.py
+++ b/oleanderknot/tasks/store_discovery.py
@@ -35,7 +35,9 @@
 
     The row is written before the others are read, so of two nodes that start
     together at least one finds the other. A node that starts again finds its
-    row and saves the write.
+    row and saves the write. Each read also corrects the row, and a read
+    follows each return of the store from a copy, which may have lost or
+    revived the row.
 
     Attributes:
         members: Membership of this node.
@@ -46,7 +48,9 @@
         rng: Source of randomness.
         first_start: Whether the whole system starts for the first time, so
             that no row of this node can exist.
-        row_written: Whether the row of this node is written.
+        row_written: Whether the row of this node has been written.
+        withdrawn: Whether the row of this node is removed for good.
+        read_due: Set when the rows must be read without delay.
     """
 
     def __init__(
@@ -68,6 +72,9 @@
         self.epoch = epoch
         self.rng = rng
         self.row_written = False
+        self.withdrawn = False
+        self.read_due = asyncio.Event()
+        epoch.on_change = self.read_due.set
 
     async def run(self) -> None:
         """Write the row of this node and discover others until cancelled."""
@@ -83,34 +90,34 @@
 
     async def wait_for_next_read(self) -> None:
         """Wait until the next read of the rows is due."""
-        if len(self.members.table.list_live()) <= 1:
-            await asyncio.sleep(
-                ISOLATED_READ_PERIOD_S * (0.5 + self.rng.random())
-            )
-        else:
-            await asyncio.sleep(READ_PERIOD_S * (0.5 + self.rng.random()))
+        isolated = len(self.members.table.list_live()) <= 1
+        period_s = ISOLATED_READ_PERIOD_S if isolated else READ_PERIOD_S
+        try:
+            async with asyncio.timeout(period_s * (0.5 + self.rng.random())):
+                await self.read_due.wait()
+        except TimeoutError:
+            return
 
     async def sync_rows(self) -> bool:
-        """Write the row of this node if needed, and connect to unknown nodes.
+        """Correct the row of this node, and connect to unknown nodes.
 
         Returns:
-            Whether the store responded.
+            Whether the store responded and has the row as it should be.
         """
+        self.read_due.clear()
         if self.first_start and not self.row_written:
-            if not await self.write_row():
+            if not await self.commit_row():
                 return False
         rows = await self.read_rows()
-        if rows is not None and not self.row_written:
-            self.row_written = rows.get(self.members.own.instance) == (
-                self.build_row()
-            )
-            if not self.row_written:
-                if not await self.write_row():
-                    return False
-                rows = await self.read_rows()
-        if rows is None:
+        if rows is not None and not self.is_row_right(rows):
+            if not await self.commit_row():
+                return False
+            rows = await self.read_rows()
+        if rows is None or not self.is_row_right(rows):
             return False
-        await self.dial_unknown_nodes(rows)
+        if not self.withdrawn:
+            self.row_written = True
+            await self.dial_unknown_nodes(rows)
         return True
 
     def build_row(self) -> border.NodeRow:
@@ -118,18 +125,24 @@
         own = self.members.own
         return border.NodeRow(host=own.host, port=own.peer_port)
 
-    async def write_row(self) -> bool:
-        """Write the row of this node; return whether the store responded."""
-        result = await self.store.commit(
-            NODE_TABLE,
-            put={
-                self.members.own.instance: self.build_row().model_dump_json()
-            },
-        )
+    def is_row_right(self, rows: dict[str, border.NodeRow]) -> bool:
+        """Return whether the row of this node is as it should be."""
+        right = None if self.withdrawn else self.build_row()
+        return rows.get(self.members.own.instance) == right
+
+    async def commit_row(self) -> bool:
+        """Write the row, or remove it; return whether the store responded."""
+        instance = self.members.own.instance
+        if self.withdrawn:
+            result = await self.store.commit(NODE_TABLE, remove=[instance])
+        else:
+            result = await self.store.commit(
+                NODE_TABLE, put={instance: self.build_row().model_dump_json()}
+            )
         if result.is_error():
             self.watch.note_failure(result.error.detail)
             return False
-        self.row_written = True
+        self.row_written = not self.withdrawn
         return True
 
     async def read_rows(self) -> dict[str, border.NodeRow] | None:
@@ -180,17 +193,11 @@
                 ', '.join(failed[:5]),
             )
 
-    async def remove_row(self) -> None:
+    async def withdraw_row(self) -> None:
         """Remove the row of this node when its instance goes away."""
-        if not self.row_written:
-            return
-        result = await self.store.commit(
-            NODE_TABLE, remove=[self.members.own.instance]
-        )
-        if result.is_error():
-            logging.info(
-                'cannot remove the row of this node: %s', result.error.detail
-            )
+        self.withdrawn = True
+        if self.row_written and not await self.commit_row():
+            self.read_due.set()
 
 
 def parse_rows(
