Log a policy that is older than the one in force

Cause: a store that returned from a copy may hold an older policy until the operator writes again; nodes kept the newer one, but no line said so.

Change: event policy_ignored with both versions and the source. A scenario shows that no node falls back to the older policy of the copy, and that a node that starts meanwhile learns the newer one from its peers.

--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -49,3 +49,20 @@
     And the waiting client gets status 200
     And the node of "two" exits with status 0
     And the store has no row of "two" within 2 seconds
+
+  Scenario: No node falls back to the older policy of the copy
+    Guards against a confirmed change that comes back older at nodes that
+    read the copy, before the operator has written it again.
+    Given a copy is made of the store
+    When the route "extra" with prefix "/extra/" for "orders" is added
+    Then "one" serves "/extra/1" again
+    And "two" serves "/extra/1" again
+    When the store goes away and returns from the copy
+    And the store has no faults
+    Then "one" logs "store_restored"
+    And "two" logs "store_restored"
+    And "one" logs "policy_ignored"
+    And "one" serves "/extra/2" within 1 seconds
+    And "two" serves "/extra/3" within 1 seconds
+    When the node of "one" is killed and started
+    Then "one" serves "/extra/4" within 6 seconds
--- a/oleanderknot/tasks/traffic_policies.py
+++ b/oleanderknot/tasks/traffic_policies.py
@@ -77,6 +77,8 @@
             source: Origin of the policy, for the log.
         """
         if policy.version <= self.version:
+            if policy.version < self.version:
+                self.log_ignored(policy, source)
             return
         before = self.version
         confirmed_age = self.find_confirmed_age()
@@ -105,6 +107,22 @@
         delay = ANNOUNCE_DELAY_S * (0.5 + self.rng.random())
         self.loop.call_later(delay, self.announce)
 
+    def log_ignored(self, policy: model.TrafficPolicy, source: str) -> None:
+        """Log a policy that is older than the one in force."""
+        logging.warning(
+            'policy version %d is older than version %d and was ignored',
+            policy.version,
+            self.version,
+            extra={
+                'call_fields': {
+                    'event': 'policy_ignored',
+                    'version': policy.version,
+                    'in_force': self.version,
+                    'source': source,
+                }
+            },
+        )
+
     def announce(self) -> None:
         """Send the version in force to all connected nodes."""
         for connection in list(self.list_connections()):
