Do not wait in the first poll on a new connection to the store

A change after a quick return of the store from a copy could come late: a node noticed the return only at the end of its poll, up to 28 s in large deployments.

Cause: a poll whose kept connection ended was sent once more on a new one, as any GET, from the same position and without a fault. The same held for a poll that began after the connection had ended between two polls.

Change: a poll is not sent once more, and waits only on a kept connection. The stand-in ends all connections when it returns from a copy, and can make transactions of other writers again before anybody reads.

--- a/features/policy_feed.feature
+++ b/features/policy_feed.feature
@@ -20,6 +20,13 @@
       | no response, no response                     | a poll from 20 that does not wait |
       | version 25 of epoch 2, version 25 of epoch 2 | a poll from 25 that waits         |
 
+  Scenario: A poll on a new connection does not wait
+    Guards against a poll that waits from a position of the lost history, when
+    the store has returned between two polls and ended the connection.
+    Given a feed that has read the policy at version 20 of epoch 1
+    When its connection ends
+    Then its next call is a poll from 20 that does not wait
+
   Scenario: A store that tells no epoch is followed by its versions
     Given a feed that has read the policy at version 20 without an epoch
     When its poll is answered with version 25 without an epoch
--- a/features/steps/policy_feed_steps.py
+++ b/features/steps/policy_feed_steps.py
@@ -56,6 +56,12 @@
         asyncio.run(context.feed.fetch_changes())
 
 
+@when('its connection ends')
+def end_connection(context):
+    """End the connection while no call is in progress."""
+    context.store.connected = False
+
+
 @then('its next call is {call}')
 def check_call(context, call):
     """Let the feed make one more call, and check which."""
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -1,13 +1,11 @@
 """Steps in which the store returns from a copy of its rows."""
 
-import base64
 import time
 
 from behave import given
 from behave import then
 from behave import when
 
-from features.support import http as plain_http
 from features.support import wait
 
 
@@ -31,32 +29,39 @@
     )
 
 
+@when('the store returns from the copy at once and gets {count:d} rows again')
+def return_at_once(context, count):
+    """Let the store have the rows of the copy, and answer at once."""
+    age_s = time.monotonic() - context.copied_at
+    context.fleet.set_faults(restored_s=age_s, rewrites=count)
+
+
+@then('"{name}" logs "{event}" within {limit_s:d} seconds')
+def check_logged_soon(context, name, event, limit_s):
+    """Wait for a line of an event, and check how long it took."""
+    started = time.monotonic()
+    wait.wait_until(
+        lambda: (
+            '"%s"' % event in context.fleet.sidecars[name].process.read_log()
+        ),
+        '%s logs %s' % (name, event),
+    )
+    took_s = time.monotonic() - started
+    assert took_s <= limit_s, 'after %.1f s' % took_s
+
+
 @when('{count:d} rows are put by other writers')
 def put_rows(context, count):
     """Raise the version counter of the store."""
-    for number in range(count):
-        plain_http.post_json(
-            context.fleet.store_url('/-/put'),
-            {
-                'table': 'servers',
-                'key': 'i-%d' % number,
-                'value': base64.b64encode(b'{}').decode(),
-            },
-        )
-
-
-def has_row(context, name):
-    """Return whether the store has the row of a node."""
-    content = plain_http.get_json(
-        context.fleet.store_url('/v1/rows-get?table=nodes&part=')
-    )
-    return name in {row['key'] for row in content['rows']}
+    context.fleet.put_other_rows(count)
 
 
 @given('the store has a row of "{name}"')
 def wait_for_row(context, name):
     """Wait until a node has written its row."""
-    wait.wait_until(lambda: has_row(context, name), 'row of %s' % name)
+    wait.wait_until(
+        lambda: name in context.fleet.list_node_rows(), 'row of %s' % name
+    )
 
 
 @then('the store has {present:w} row of "{name}" within {limit_s:d} seconds')
@@ -64,7 +69,7 @@
     """Wait until the row is there, or is not, and check how long it took."""
     started = time.monotonic()
     wait.wait_until(
-        lambda: has_row(context, name) == (present == 'a'),
+        lambda: (name in context.fleet.list_node_rows()) == (present == 'a'),
         '%s row of %s' % (present, name),
     )
     took_s = time.monotonic() - started
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -24,6 +24,18 @@
     Then "one" serves "/late/1" within 2 seconds
     And "two" serves "/late/2" within 2 seconds
 
+  Scenario: A return from a copy is noticed although it took an instant
+    Guards against a poll that is sent once more on a new connection, and then
+    waits from a position of the lost history.
+    Given a copy is made of the store
+    When 30 rows are put by other writers
+    And the route "extra" with prefix "/extra/" for "orders" is added
+    Then "one" serves "/extra/1" again
+    And "two" serves "/extra/1" again
+    When the store returns from the copy at once and gets 60 rows again
+    Then "one" logs "store_restored" within 1 seconds
+    And "two" logs "store_restored" within 1 seconds
+
   Scenario: A node whose row was lost writes it again
     Guards against groups of nodes that never find each other, since a row
     written in the lost seconds stays lost.
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -111,6 +111,22 @@
             {'table': 'op', 'key': 'config', 'value': value},
         )
 
+    def put_other_rows(self, count: int) -> None:
+        """Write rows as other writers would; each raises the row version."""
+        value = base64.b64encode(b'{}').decode()
+        for number in range(count):
+            plain_http.post_json(
+                self.store_url('/-/put'),
+                {'table': 'servers', 'key': 'i-%d' % number, 'value': value},
+            )
+
+    def list_node_rows(self) -> set[str]:
+        """Return the names of the nodes that have a row in the store."""
+        content = plain_http.get_json(
+            self.store_url('/v1/rows-get?table=nodes&part=')
+        )
+        return {row['key'] for row in content['rows']}
+
     def start(
         self,
         name: str,
--- a/features/support/scripted_store.py
+++ b/features/support/scripted_store.py
@@ -10,6 +10,7 @@
     """Gives prepared answers, one per call, and records the calls.
 
     Attributes:
+        connected: Whether the connection of the last call is kept.
         answers: Batches and faults still to give.
         calls: Texts of the calls so far.
     """
@@ -17,6 +18,11 @@
     def __init__(self) -> None:
         self.answers: list[model.RowBatch | model.PlatformFault] = []
         self.calls: list[str] = []
+        self.connected = True
+
+    def is_connected(self):
+        """Return whether the connection of the last call is kept."""
+        return self.connected
 
     async def read(self, table):
         """Answer a read."""
--- a/oleanderknot/platform/http_client.py
+++ b/oleanderknot/platform/http_client.py
@@ -93,6 +93,7 @@
         json: object = None,
         data: bytes = b'',
         timeout_s: float | None = None,
+        repeatable: bool = True,
     ) -> Result[transport.RawAnswer, model.PlatformFault]:
         """Send a request.
 
@@ -103,6 +104,8 @@
             json: Value to send as JSON; None to send ``data``.
             data: Body to send.
             timeout_s: Time for the request; None for the default.
+            repeatable: Whether a GET request is sent once more, on a new
+                connection, when a kept one ended.
 
         Returns:
             The response with its headers, or the fault.
@@ -120,7 +123,7 @@
             # Requests that wait for others are bounded by the same time.
             async with asyncio.timeout(timeout_s), self.slots:
                 result = await self.exchange(
-                    head + data, repeatable=method == 'GET'
+                    head + data, repeatable=repeatable and method == 'GET'
                 )
         except TimeoutError:
             return build_error(
@@ -198,6 +201,11 @@
         )
         return connection
 
+    def is_connected(self) -> bool:
+        """Return whether the next request can use a kept connection."""
+        now = asyncio.get_running_loop().time()
+        return any(item.is_usable(now, MAX_IDLE_S) for item in self.idle)
+
     def take_idle(self, now: float) -> transport.ResponseConnection | None:
         """Take the most recently used idle connection that is usable."""
         while self.idle:
--- a/oleanderknot/platform/row_store_client.py
+++ b/oleanderknot/platform/row_store_client.py
@@ -126,6 +126,9 @@
             '/v1/rows-feed',
             params=query,
             timeout_s=wait_s + FEED_TIMEOUT_MARGIN_S,
+            # The store may have returned from a copy since the connection
+            # ended, so the caller must check whether its position holds.
+            repeatable=False,
         )
         return result.bind(parse_answer)
 
@@ -182,6 +185,10 @@
         self.measure(name, time.monotonic() - started)
         return result
 
+    def is_connected(self) -> bool:
+        """Return whether the next call can use a kept connection."""
+        return self.http.is_connected()
+
     async def close(self) -> None:
         """Close all connections."""
         await self.http.close()
--- a/oleanderknot/standins/row_server.py
+++ b/oleanderknot/standins/row_server.py
@@ -19,8 +19,9 @@
     sends a body without end, ``delay_ms`` delays responses, ``drop_commits``
     aborts that many connections after a transaction has taken effect,
     ``forget`` discards the change history, ``restored_s`` discards the
-    transactions of that many seconds and aborts the long polls in progress,
-    as after a return from a copy, and ``lose_polls`` leaves the long polls in
+    transactions of that many seconds and aborts the other connections, as
+    after a return from a copy that ``rewrites`` transactions of other writers
+    follow, and ``lose_polls`` leaves the long polls in
     progress without a response.
     ``POST /-/put`` writes a row as an operator would. ``GET /-/counts``
     returns the number of calls by path.
@@ -30,7 +31,7 @@
         faults: Faults in force, by name.
         calls: Number of calls by path.
         lost_polls: Number of times that the polls in progress were lost.
-        polls: Transports of the long polls in progress.
+        http_server: Handles the connections.
     """
 
     def __init__(self) -> None:
@@ -38,13 +39,13 @@
         self.faults: dict[str, float] = {}
         self.calls: dict[str, int] = {}
         self.lost_polls = 0
-        self.polls: set[asyncio.Transport] = set()
+        self.http_server = web.Server(self.handle_request, access_log=None)
         self.server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Start listening."""
         self.server = await asyncio.get_running_loop().create_server(
-            web.Server(self.handle_request, access_log=None),
+            self.http_server,
             host,
             port,
             backlog=1024,
@@ -88,12 +89,19 @@
         elif content.pop('lose_polls', False):
             self.lost_polls += 1
         elif 'restored_s' in content:
-            self.table.return_from_copy(content.pop('restored_s'))
-            for transport in self.polls:
-                transport.abort()
+            self.table.return_from_copy(
+                content.pop('restored_s'), content.pop('rewrites', 0)
+            )
+            self.abort_connections(request)
         self.faults.update(content)
         return web.json_response({})
 
+    def abort_connections(self, request: web.BaseRequest) -> None:
+        """Abort all connections but that of a request."""
+        for handler in self.http_server.connections:
+            if handler.transport not in (None, request.transport):
+                handler.transport.abort()
+
     async def serve(self, request: web.BaseRequest) -> web.Response:
         """Execute one call of the store API."""
         if request.path == '/v1/rows-tx':
@@ -110,15 +118,11 @@
             )
         if request.path == '/v1/rows-feed':
             lost_polls = self.lost_polls
-            self.polls.add(request.transport)
-            try:
-                rows = await self.table.wait_for_changes(
-                    query['table'],
-                    int(query['after']),
-                    int(query['waitMs']) / 1000,
-                )
-            finally:
-                self.polls.discard(request.transport)
+            rows = await self.table.wait_for_changes(
+                query['table'],
+                int(query['after']),
+                int(query['waitMs']) / 1000,
+            )
             if lost_polls != self.lost_polls:
                 await asyncio.sleep(3600)
             if rows is None:
--- a/oleanderknot/standins/row_table.py
+++ b/oleanderknot/standins/row_table.py
@@ -98,8 +98,14 @@
         self.history_start = self.version + 1
         self.version += 1
 
-    def return_from_copy(self, age_s: float) -> None:
-        """Discard the transactions of the last ``age_s`` seconds."""
+    def return_from_copy(self, age_s: float, rewrites: int = 0) -> None:
+        """Discard the transactions of the last ``age_s`` seconds.
+
+        Args:
+            age_s: Age of the copy.
+            rewrites: Number of transactions that other writers make again
+                before any read.
+        """
         copied_at = asyncio.get_running_loop().time() - age_s
         self.changes = [
             change for change in self.changes if change[0] <= copied_at
@@ -113,6 +119,7 @@
             else:
                 self.rows[address] = (version, value)
         self.history_start = min(self.history_start, self.version)
+        self.version += rewrites
         self.epoch += 1
 
 
--- a/oleanderknot/tasks/policy_feed.py
+++ b/oleanderknot/tasks/policy_feed.py
@@ -34,9 +34,7 @@
         clock_offset_s: Store's clock less the monotonic clock, in seconds.
         position: Position up to which changes are known; None if the row must
             be read first.
-        resuming: Whether the store has not answered since the last fault. It
-            may have returned from a copy meanwhile, so the next poll does not
-            wait for a change but asks whether the position still holds.
+        resuming: Whether the store has not answered since the last fault.
         confirmed_at: Monotonic time in seconds at which the store last told
             which policy is the newest; None before the first time.
     """
@@ -105,8 +103,13 @@
         return True
 
     def find_next_wait_s(self) -> float:
-        """Return how long the next poll waits for a change, in seconds."""
-        if self.resuming:
+        """Return how long the next poll waits for a change, in seconds.
+
+        The store may have returned from a copy since its last answer if a
+        fault or the end of the connection followed. The next poll then does
+        not wait, and its answer tells whether the position still holds.
+        """
+        if self.resuming or not self.store.is_connected():
             return 0.0
         return self.find_wait_s(time.monotonic() + self.clock_offset_s)
 
