Remove the unused condition on row versions from the store client

Cause: no caller passed one, and a version of an earlier epoch names another row state once the store has returned from a copy.

Change: commit takes rows to write and to remove; the own row, the only one that a node writes, needs no condition, as nobody else writes it.

--- a/oleanderknot/platform/row_store_client.py
+++ b/oleanderknot/platform/row_store_client.py
@@ -136,22 +136,23 @@
         self,
         table: str,
         *,
-        expected: collections.abc.Mapping[str, int] | None = None,
         put: collections.abc.Mapping[str, str] | None = None,
         remove: collections.abc.Iterable[str] = (),
     ) -> Result[None, model.PlatformFault]:
         """Change rows of a table in one transaction.
 
+        The change has no condition on row versions, since a store that
+        returned from a copy gives them out again.
+
         Args:
             table: Name of the table.
-            expected: Required version by key; 0 for an absent row.
             put: New value by key.
             remove: Keys of rows to delete.
 
         Returns:
-            None, or the fault: after ``CONFLICT`` and ``NOT_SENT`` nothing
-            was written, after ``UNKNOWN`` the change may have been made, or
-            may still be made seconds later.
+            None, or the fault: after ``NOT_SENT`` nothing was written, after
+            ``UNKNOWN`` the change may have been made, or may still be made
+            seconds later.
         """
         location = {'table': table, 'part': ''}
         result = await self.send(
@@ -159,10 +160,7 @@
             'POST',
             '/v1/rows-tx',
             json={
-                'expected': [
-                    {**location, 'key': key, 'rowVersion': version}
-                    for key, version in (expected or {}).items()
-                ],
+                'expected': [],
                 'put': [
                     {
                         **location,
