Let the store of the soak return from a copy

Rows of other writers raise the versions before and after, and a route is added on both sides. After the faults each node must have its row.

--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -239,6 +239,27 @@
         set_faults = self.cluster.fleet.set_faults
         await asyncio.to_thread(lambda: set_faults(forget=True))
 
+    async def restore_store(self, fault: planned_fault.PlannedFault) -> None:
+        """Let the store go away and return from a copy.
+
+        Rows of other writers raise the version before the copy is lost and
+        again after it, so that nodes know versions that were given out twice.
+        """
+        fleet = self.cluster.fleet
+        copied_at = time.monotonic()
+        await asyncio.to_thread(lambda: fleet.put_other_rows(fault.magnitude))
+        await self.add_route(fault)
+        await asyncio.sleep(fault.duration_s / 2)
+        await asyncio.to_thread(lambda: fleet.set_faults(down=1))
+        await asyncio.sleep(fault.duration_s / 2)
+        age_s = time.monotonic() - copied_at
+        await asyncio.to_thread(lambda: fleet.set_faults(restored_s=age_s))
+        await self.add_route(fault)
+        await asyncio.to_thread(
+            lambda: fleet.put_other_rows(2 * fault.magnitude)
+        )
+        await asyncio.to_thread(lambda: fleet.set_faults(down=0))
+
     async def add_route(self, fault: planned_fault.PlannedFault) -> None:
         """Publish a policy version with one more route."""
         fleet = self.cluster.fleet
--- a/soak/planned_fault.py
+++ b/soak/planned_fault.py
@@ -12,7 +12,8 @@
         kind: Name of the method of ``FaultInjector`` that injects it.
         instance: Target instance; unused by faults of the store and policy.
         duration_s: Duration in seconds.
-        magnitude: Milliseconds of a delay, or number of dropped answers.
+        magnitude: Milliseconds of a delay, number of dropped answers, requests
+            a second of a limit, or number of rows that other writers put.
         variant: Variant of the kind; empty if it has only one.
     """
 
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -10,6 +10,7 @@
 from soak import fault_plan
 from soak import notice_checks
 from soak import notice_plan
+from soak import restore_plan
 from soak import run_checks
 from soak import soak_cluster
 from soak import soak_options
@@ -42,6 +43,7 @@
     await injector.run(
         fault_plan.draw_faults(options, cluster.names)
         + notice_plan.draw_notices(options, cluster.list_called())
+        + restore_plan.draw_returns(options)
     )
     await asyncio.to_thread(cluster.clear_faults)
     await asyncio.sleep(options.settle_s)
@@ -72,7 +74,7 @@
 
 
 def check_recovery(cluster: soak_cluster.SoakCluster) -> list[str]:
-    """Check that every node serves every route of the policy."""
+    """Check that every node serves every route, and has its row."""
     findings = []
     end = time.monotonic() + RECOVERY_S
     for name in cluster.names:
@@ -89,6 +91,8 @@
                     )
                     break
                 time.sleep(RETRY_S)
+    missing = set(cluster.names) - cluster.fleet.list_node_rows()
+    findings += ['%s has no row in the store' % name for name in missing]
     return findings
 
 
