--- a/soak/restore_plan.py
+++ b/soak/restore_plan.py
@@ -1,7 +1,8 @@
-"""Draws the return of the store from a copy in a soak run."""
+"""Draws the returns of the store from a copy in a soak run."""
 
 import random
 
+from soak import fault_plan
 from soak import planned_fault
 from soak import soak_options
 
@@ -21,15 +22,23 @@
 def draw_returns(
     options: soak_options.SoakOptions,
 ) -> list[planned_fault.PlannedFault]:
-    """Draw the returns from a copy; none with planned operations only."""
+    """Draw the returns from a copy; none with planned operations only.
+
+    One falls among the other faults. The other one follows them, since a node
+    that starts later reads the policy and passes on what others missed.
+    """
     if options.planned_only:
         return []
     rng = random.Random(options.seed + SEED_OFFSET)
     return [
         planned_fault.PlannedFault(
-            at_s=rng.uniform(0, options.fault_s),
+            at_s=at_s,
             kind='restore_store',
             duration_s=rng.uniform(MIN_AGE_S, MAX_AGE_S),
             magnitude=rng.randint(MIN_ROWS, MAX_ROWS),
         )
+        for at_s in (
+            rng.uniform(0, options.fault_s / 2),
+            options.fault_s + fault_plan.MAX_FAULT_S,
+        )
     ]
