Let each second poll wait where the store ends all connections

Cause: the first poll on a new connection does not wait, so a store that ends each connection after its response would have been polled without a pause.

Change: the poll after one that did not wait waits in any case.

Measured: 'A store that ends each connection is not polled all the time' failed before and passes, with the 18 other scenarios on feeds and returns.

--- a/features/policy_feed.feature
+++ b/features/policy_feed.feature
@@ -27,6 +27,13 @@
     When its connection ends
     Then its next call is a poll from 20 that does not wait
 
+  Scenario: A store that ends each connection is not polled all the time
+    Guards against polls without a pause, since none finds a kept connection.
+    Given a feed that has read the policy at version 20 of epoch 1
+    When its connection ends
+    And its poll is answered with version 20 of epoch 1
+    Then its next call is a poll from 20 that waits
+
   Scenario: A store that tells no epoch is followed by its versions
     Given a feed that has read the policy at version 20 without an epoch
     When its poll is answered with version 25 without an epoch
--- a/oleanderknot/tasks/policy_feed.py
+++ b/oleanderknot/tasks/policy_feed.py
@@ -35,6 +35,7 @@
         position: Position up to which changes are known; None if the row must
             be read first.
         resuming: Whether the store has not answered since the last fault.
+        checked: Whether the last answer was that of a poll that did not wait.
         confirmed_at: Monotonic time in seconds at which the store last told
             which policy is the newest; None before the first time.
     """
@@ -57,6 +58,7 @@
         self.rng = rng
         self.position: model.FeedPosition | None = None
         self.resuming = False
+        self.checked = False
         self.confirmed_at: float | None = None
         self.clock_offset_s = 0.0
 
@@ -77,14 +79,13 @@
         Returns:
             Whether the store answered.
         """
-        position = self.position
-        if position is None:
-            result = await self.store.read(platform.policy_document.TABLE)
+        table = platform.policy_document.TABLE
+        wait_s = self.find_next_wait_s()
+        if self.position is None:
+            result = await self.store.read(table)
         else:
             result = await self.store.follow(
-                platform.policy_document.TABLE,
-                after=position.version,
-                wait_s=self.find_next_wait_s(),
+                table, after=self.position.version, wait_s=wait_s
             )
         if result.is_error():
             fault = result.error
@@ -95,9 +96,11 @@
                 self.position = None
                 return True
             self.resuming = True
+            self.checked = False
             self.availability.note_failure(fault.detail)
             return False
         self.resuming = False
+        self.checked = self.position is not None and wait_s == 0.0
         self.availability.note_answer()
         self.apply_batch(result.ok)
         return True
@@ -107,9 +110,11 @@
 
         The store may have returned from a copy since its last answer if a
         fault or the end of the connection followed. The next poll then does
-        not wait, and its answer tells whether the position still holds.
+        not wait, and its answer tells whether the position still holds. The
+        one after it waits in any case, since some stores end each connection.
         """
-        if self.resuming or not self.store.is_connected():
+        in_doubt = self.resuming or not self.store.is_connected()
+        if in_doubt and not self.checked:
             return 0.0
         return self.find_wait_s(time.monotonic() + self.clock_offset_s)
 
