Name the time of a copy, not its age, to the store of the tests

Cause: 'No node falls back to the older policy of the copy' failed three times of three at a load of 20. The age of the copy was worked out before the request that named it, so a slow request made the copy younger than meant, and it held the newer policy already.

Change: the request names the time of the copy on the monotonic clock that all processes of a host share. The checks and bounds are as they were.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -12,7 +12,7 @@
 @when('the store returns from a copy that is {age_s:f} seconds old')
 def return_from_old_copy(context, age_s):
     """Discard the latest transactions of the store and raise its epoch."""
-    context.fleet.set_faults(restored_s=age_s)
+    context.fleet.set_faults(copied_at=time.monotonic() - age_s)
 
 
 @given('a copy is made of the store')
@@ -24,16 +24,13 @@
 @when('the store goes away and returns from the copy')
 def return_from_copy(context):
     """Let the store have the rows of the copy; no node reaches it yet."""
-    context.fleet.set_faults(
-        down=True, restored_s=time.monotonic() - context.copied_at
-    )
+    context.fleet.set_faults(down=True, copied_at=context.copied_at)
 
 
 @when('the store returns from the copy at once and gets {count:d} rows again')
 def return_at_once(context, count):
     """Let the store have the rows of the copy, and answer at once."""
-    age_s = time.monotonic() - context.copied_at
-    context.fleet.set_faults(restored_s=age_s, rewrites=count)
+    context.fleet.set_faults(copied_at=context.copied_at, rewrites=count)
 
 
 @then('"{name}" logs "{event}" within {limit_s:d} seconds')
--- a/oleanderknot/standins/row_server.py
+++ b/oleanderknot/standins/row_server.py
@@ -18,10 +18,10 @@
     responds with 503, ``silent`` sends no response for an hour, ``endless``
     sends a body without end, ``delay_ms`` delays responses, ``drop_commits``
     aborts that many connections after a transaction has taken effect,
-    ``forget`` discards the change history, ``restored_s`` discards the
-    transactions of that many seconds and aborts the other connections, as
-    after a return from a copy that ``rewrites`` transactions of other writers
-    follow, and ``lose_polls`` leaves the long polls in
+    ``forget`` discards the change history, ``copied_at`` discards the
+    transactions since that time and aborts the other connections, as after a
+    return from a copy that ``rewrites`` transactions of other writers follow,
+    and ``lose_polls`` leaves the long polls in
     progress without a response.
     ``POST /-/put`` writes a row as an operator would. ``GET /-/counts``
     returns the number of calls by path.
@@ -88,9 +88,9 @@
             self.table.drop_history()
         elif content.pop('lose_polls', False):
             self.lost_polls += 1
-        elif 'restored_s' in content:
+        elif 'copied_at' in content:
             self.table.return_from_copy(
-                content.pop('restored_s'), content.pop('rewrites', 0)
+                content.pop('copied_at'), content.pop('rewrites', 0)
             )
             self.abort_connections(request)
         self.faults.update(content)
--- a/oleanderknot/standins/row_table.py
+++ b/oleanderknot/standins/row_table.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import time
 
 Address = tuple[str, str, str]
 
@@ -41,7 +42,7 @@
         for address, version in expected.items():
             if self.rows.get(address, (0, ''))[0] != version:
                 return False
-        now = asyncio.get_running_loop().time()
+        now = time.monotonic()
         self.version += 1
         for address, value in put.items():
             self.rows[address] = (self.version, value)
@@ -98,15 +99,14 @@
         self.history_start = self.version + 1
         self.version += 1
 
-    def return_from_copy(self, age_s: float, rewrites: int = 0) -> None:
-        """Discard the transactions of the last ``age_s`` seconds.
+    def return_from_copy(self, copied_at: float, rewrites: int = 0) -> None:
+        """Discard the transactions since a copy was made.
 
         Args:
-            age_s: Age of the copy.
+            copied_at: Time of the copy in seconds of ``time.monotonic``.
             rewrites: Number of transactions that other writers make again
                 before any read.
         """
-        copied_at = asyncio.get_running_loop().time() - age_s
         self.changes = [
             change for change in self.changes if change[0] <= copied_at
         ]
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -252,8 +252,7 @@
         await asyncio.sleep(fault.duration_s / 2)
         await asyncio.to_thread(lambda: fleet.set_faults(down=1))
         await asyncio.sleep(fault.duration_s / 2)
-        age_s = time.monotonic() - copied_at
-        await asyncio.to_thread(lambda: fleet.set_faults(restored_s=age_s))
+        await asyncio.to_thread(lambda: fleet.set_faults(copied_at=copied_at))
         await self.add_route(fault)
         await asyncio.to_thread(
             lambda: fleet.put_other_rows(2 * fault.magnitude)
