--- a/oleanderknot/platform/http_client.py
+++ b/oleanderknot/platform/http_client.py
@@ -60,28 +60,10 @@
         self.slots = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
 
     async def request(
-        self,
-        method: str,
-        path: str,
-        *,
-        params: collections.abc.Mapping[str, str] | None = None,
-        json: object = None,
-        data: bytes = b'',
-        timeout_s: float | None = None,
+        self, method: str, path: str, **arguments: typing.Any
     ) -> Result[bytes, model.PlatformFault]:
-        """Send a request; see ``fetch``.
-
-        Returns:
-            The body of the response, or the fault.
-        """
-        result = await self.fetch(
-            method,
-            path,
-            params=params,
-            json=json,
-            data=data,
-            timeout_s=timeout_s,
-        )
+        """Send a request and return the body of its response."""
+        result = await self.fetch(method, path, **arguments)
         return result.map(lambda answer: answer.content)
 
     async def fetch(
--- a/oleanderknot/standins/row_server.py
+++ b/oleanderknot/standins/row_server.py
@@ -21,8 +21,7 @@
     ``forget`` discards the change history, ``copied_at`` discards the
     transactions since that time and aborts the other connections, as after a
     return from a copy that ``rewrites`` transactions of other writers follow,
-    and ``lose_polls`` leaves the long polls in
-    progress without a response.
+    and ``lose_polls`` leaves the long polls in progress without a response.
     ``POST /-/put`` writes a row as an operator would. ``GET /-/counts``
     returns the number of calls by path.
 
