Let the soak kill only back ends that were told to leave

The back end had just been started by another fault and did not listen yet, so it was never told to leave, and the soak killed it all the same. The record of i1 has no state between its start at 3964.94 and its end at 3966.5.

Change: a departure that its back end was not told of is given up, as the drain of a back end does already.

--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -147,7 +147,8 @@
         async with self.locks[fault.instance, 'backend']:
             await self.set_notice(fault, 'Server-Leaving=1')
             await asyncio.sleep(fault.duration_s)
-            await self.change_state(fault, 'draining')
+            if not await self.change_state(fault, 'draining'):
+                return
             await asyncio.sleep(DRAIN_S)
             item = self.find_instance(fault)
             await asyncio.to_thread(item.backend.kill)
