--- /dev/null
+++ b/review/support/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and processes of the review's scripts."""
