--- a/review/support/rig.py
+++ b/review/support/rig.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -23,11 +24,17 @@
 DRAIN_S = 2.0
 GRACE_S = 6.0
 
+# Below the ports that the system gives to outgoing connections.
+PORT_RANGE = (20000, 30000)
+
 EXIT_HELD = 0
 EXIT_BROKEN = 1
 EXIT_UNUSABLE = 2
 
 
+allocated_ports: set[int] = set()
+
+
 class CaseError(Exception):
     """The case could not run."""
 
@@ -38,15 +45,20 @@
 
 
 def allocate_ports(count: int) -> list[int]:
-    """Return free ports."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(('127.0.0.1', 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Return free ports that no outgoing connection takes meanwhile."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(*PORT_RANGE)
+        if port in allocated_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        allocated_ports.add(port)
+        ports.append(port)
+    return ports
 
 
 class Node:
