--- a/review/support/rig.py
+++ b/review/support/rig.py
@@ -76,6 +76,7 @@
             for key, port in zip(names, allocate_ports(5), strict=True)
         }
         self.backend = backend
+        self.store = '127.0.0.1:%d' % rig.store_port
         self.process: subprocess.Popen | None = None
         self.path = rig.folder / (name + '.yaml')
 
@@ -86,7 +87,7 @@
             'data_centre': 'dc1',
             'addresses': self.addresses,
             'upstream': {'service': self.service, 'address': self.backend},
-            'store': {'address': '127.0.0.1:%d' % self.rig.store_port},
+            'store': {'address': self.store},
             'retries': {'ratio': 0.2, 'slack': 47, 'window': '10s'},
             'grace': '6s',
             'first_start': first_start,
