--- a/review/support/client.py
+++ b/review/support/client.py
@@ -8,6 +8,9 @@
 
 CONNECT_TIMEOUT_S = 1.0
 
+# Part of a body that is sent at once at a limited rate.
+PART_BYTES = 256 * 1024
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Outcome:
@@ -60,8 +63,12 @@
         body: bytes = b'',
         deadline_ms: int = 5000,
         host: str = 'shop.example',
+        bytes_per_s: float | None = None,
     ) -> Outcome:
-        """Send a request and wait for its end, at most for its deadline."""
+        """Send a request and wait for its end, at most for its deadline.
+
+        The body is sent at a limited rate if one is given.
+        """
         sent_at = time.monotonic()
         try:
             await self.connect()
@@ -86,7 +93,11 @@
         status, signed, keep = 0, False, False
         try:
             async with asyncio.timeout(deadline_ms / 1000):
-                self.writer.write(head.encode() + b'\r\n' + body)
+                self.writer.write(head.encode() + b'\r\n')
+                if bytes_per_s is None:
+                    self.writer.write(body)
+                else:
+                    await self.send_slowly(body, bytes_per_s)
                 await self.writer.drain()
                 sent_at = time.monotonic()
                 status, signed, keep = await self.read_answer()
@@ -104,6 +115,15 @@
             ended_at=time.monotonic(),
         )
 
+    async def send_slowly(self, body: bytes, bytes_per_s: float) -> None:
+        """Send a body at a limited rate."""
+        began = time.monotonic()
+        for start in range(0, len(body), PART_BYTES):
+            self.writer.write(body[start : start + PART_BYTES])
+            await self.writer.drain()
+            due = began + (start + PART_BYTES) / bytes_per_s
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+
     async def read_answer(self) -> tuple[int, bool, bool]:
         """Read an answer: its status, receipt and whether to go on."""
         head = await self.reader.readuntil(b'\r\n\r\n')
