Keep acknowledged departures beyond the end of a node

Callers saw bookings end with 502: a node that was killed after it had acknowledged the departure of its upstream took a late heartbeat for that of a new upstream, and sent it requests until it exited.

Cause: the departure was known to the memory of one process only. The other nodes dropped it with the record of the earlier incarnation.

Change: a departure is written to the platform's store and to the membership record before it is acknowledged. A restarted node reads its row, and other nodes send it the departure on each new connection.

The scenarios on heartbeats, membership and changes on the platform pass.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -134,6 +134,39 @@
       | 0    | i-1      | 1000    | 21       | ignored |
       | 0    | i-1      | 2000    | 1        | taken   |
 
+  Scenario Outline: A restarted node adopts the departures of its earlier process
+    Guards against an upstream that a late heartbeat brings back after its
+    node has restarted, and against one that can never come back.
+    Given no heartbeat yet
+    When the departure of "i-1" started at 1000 with <announced> is adopted
+    And a heartbeat of "<upstream>" started at <started> with sequence <sequence> arrives
+    Then it is <outcome>
+
+    Examples:
+      | announced   | upstream | started | sequence | outcome |
+      | sequence 7  | i-1      | 1000    | 6        | ignored |
+      | sequence 7  | i-1      | 1000    | 8        | taken   |
+      | no sequence | i-1      | 1000    | 8        | ignored |
+      | sequence 7  | i-1      | 2000    | 1        | taken   |
+      | no sequence | i-1      | 2000    | 1        | taken   |
+      | no sequence | i-2      | 2000    | 1        | taken   |
+
+  Scenario Outline: A departure is adopted after a late heartbeat was taken
+    Guards against a restarted node that hears the late heartbeat first.
+    Given a heartbeat of "i-1" started at 1000 with sequence 5
+    When the departure of "<upstream>" started at <started> with <announced> is adopted
+    Then the newest start has <left>
+    When the departure of "<upstream>" started at <started> with <announced> is adopted
+    Then the newest start has <left>
+
+    Examples:
+      | announced   | upstream | started | left     |
+      | no sequence | i-1      | 1000    | left     |
+      | sequence 6  | i-1      | 1000    | left     |
+      | sequence 4  | i-1      | 1000    | not left |
+      | no sequence | i-1      | 900     | not left |
+      | no sequence | i-0      | 1000    | not left |
+
   Scenario: Names of the wire stay in the adapter
     Guards against a product that depends on one platform's words.
     Then no source outside the adapter holds a name of the platform's wire
--- a/features/steps/platform_heartbeat_steps.py
+++ b/features/steps/platform_heartbeat_steps.py
@@ -66,3 +66,25 @@
 def check_accepted(context, outcome):
     """Check the outcome of the last heartbeat."""
     assert context.accepted == (outcome == 'taken'), outcome
+
+
+@when(
+    'the departure of "{upstream}" started at {started:d} with '
+    '{announced} is adopted'
+)
+def adopt_departure(context, upstream, started, announced):
+    """Adopt a departure that an earlier process has acknowledged."""
+    number = announced.removeprefix('sequence ')
+    context.current_left = context.heartbeat_filter.adopt(
+        model.Departure(
+            upstream=upstream,
+            started_ms=started,
+            sequence=int(number) if number.isdigit() else None,
+        )
+    )
+
+
+@then('the newest start has {left}')
+def check_current_left(context, left):
+    """Check whether the adopted departure ended the newest start."""
+    assert context.current_left == (left == 'left'), left
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -57,7 +57,7 @@
 def wait_for_row(context, name):
     """Wait until a node has written its row."""
     wait.wait_until(
-        lambda: name in context.fleet.list_node_rows(), 'row of %s' % name
+        lambda: name in context.fleet.list_rows(), 'row of %s' % name
     )
 
 
@@ -66,7 +66,7 @@
     """Wait until the row is there, or is not, and check how long it took."""
     started = time.monotonic()
     wait.wait_until(
-        lambda: (name in context.fleet.list_node_rows()) == (present == 'a'),
+        lambda: (name in context.fleet.list_rows()) == (present == 'a'),
         '%s row of %s' % (present, name),
     )
     took_s = time.monotonic() - started
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -120,10 +120,10 @@
                 {'table': 'servers', 'key': 'i-%d' % number, 'value': value},
             )
 
-    def list_node_rows(self) -> set[str]:
+    def list_rows(self, table: str = 'nodes') -> set[str]:
         """Return the names of the nodes that have a row in the store."""
         content = plain_http.get_json(
-            self.store_url('/v1/rows-get?table=nodes&part=')
+            self.store_url('/v1/rows-get?table=%s&part=' % table)
         )
         return {row['key'] for row in content['rows']}
 
--- a/oleanderknot/border/__init__.py
+++ b/oleanderknot/border/__init__.py
@@ -16,6 +16,7 @@
     'alert_settings': ('AlertSettings',),
     'announcement': ('Announcement',),
     'claim_row': ('ClaimRow',),
+    'departure_row': ('dump_departure', 'parse_departure'),
     'diagnostic': ('Diagnostic',),
     'headers': (),
     'log_line': ('parse_log_line',),
--- a/oleanderknot/decisions/heartbeat_filter.py
+++ b/oleanderknot/decisions/heartbeat_filter.py
@@ -1,5 +1,7 @@
 """Rejection of late and foreign heartbeats of the local upstream."""
 
+import dataclasses
+
 from oleanderknot import model
 
 # Each start of an upstream numbers its heartbeats from the beginning. The
@@ -7,8 +9,8 @@
 # it crosses the deregistration of the previous start in transit.
 MAX_FIRST_SEQUENCE = 2
 
-# Deregistrations that are kept; a node receives one for each start.
-MAX_DEREGISTRATIONS = 100
+# Departures that are kept; a node learns of one or two for each start.
+MAX_DEPARTURES = 100
 
 
 class HeartbeatFilter:
@@ -23,9 +25,8 @@
         port: TCP port of the upstream on this instance.
         current: Newest accepted heartbeat; None before the first.
         ended: Whether the newest start has been deregistered.
-        deregistered_start_ms: Unix time in milliseconds of the start that was
-            deregistered, by id of the upstream; 0 when the deregistration
-            did not contain it.
+        departures: Departures that this node or an earlier process of it has
+            acknowledged, by id and start of the upstream.
     """
 
     def __init__(self, *, service: str, host: str, port: int) -> None:
@@ -34,7 +35,7 @@
         self.port = port
         self.current: model.UpstreamHeartbeat | None = None
         self.ended = False
-        self.deregistered_start_ms: dict[str, int] = {}
+        self.departures: dict[tuple[str, int], model.Departure] = {}
 
     def accept(self, report: model.UpstreamHeartbeat) -> bool:
         """Accept or reject a heartbeat.
@@ -51,7 +52,7 @@
             self.port,
         ):
             return False
-        if self.is_deregistered(report):
+        if self.has_departed(report):
             return False
         current = self.current
         if current is not None:
@@ -65,23 +66,33 @@
         self.ended = False
         return True
 
-    def is_deregistered(self, report: model.UpstreamHeartbeat) -> bool:
-        """Return whether a heartbeat belongs to a deregistered start.
+    def has_departed(self, report: model.UpstreamHeartbeat) -> bool:
+        """Return whether a heartbeat precedes a known departure.
 
-        A node that starts between a deregistration and a late heartbeat
-        cannot detect this in any other way.
+        A node that starts between a departure and a late heartbeat cannot
+        detect this in any other way.
         """
-        ended_ms = self.deregistered_start_ms.get(report.upstream)
-        if ended_ms is None:
-            return False
-        if not ended_ms:
+        unknown_start = self.departures.get((report.upstream, 0))
+        if unknown_start is not None:
             # The late heartbeat identifies the start that was deregistered.
-            if report.sequence <= MAX_FIRST_SEQUENCE:
-                del self.deregistered_start_ms[report.upstream]
-                return False
-            self.deregistered_start_ms[report.upstream] = report.started_ms
-            return True
-        return report.started_ms <= ended_ms
+            del self.departures[report.upstream, 0]
+            if report.sequence > MAX_FIRST_SEQUENCE:
+                self.note(
+                    dataclasses.replace(
+                        unknown_start, started_ms=report.started_ms
+                    )
+                )
+        departure = self.departures.get((report.upstream, report.started_ms))
+        if departure is not None:
+            return (
+                departure.sequence is None
+                or report.sequence <= departure.sequence
+            )
+        return any(
+            report.started_ms < item.started_ms
+            for item in self.departures.values()
+            if item.upstream == report.upstream
+        )
 
     def deregister(self, upstream: str, started_ms: int) -> bool:
         """Process the deregistration of an upstream.
@@ -96,13 +107,49 @@
         """
         current = self.current
         if current is None or upstream != current.upstream:
-            self.deregistered_start_ms[upstream] = started_ms
-            if len(self.deregistered_start_ms) > MAX_DEREGISTRATIONS:
-                del self.deregistered_start_ms[
-                    next(iter(self.deregistered_start_ms))
-                ]
+            self.note(
+                model.Departure(upstream=upstream, started_ms=started_ms)
+            )
             return False
         if started_ms and started_ms < current.started_ms:
             return False
+        self.note(
+            model.Departure(
+                upstream=upstream,
+                started_ms=started_ms or current.started_ms,
+            )
+        )
         self.ended = True
         return True
+
+    def note(self, departure: model.Departure) -> None:
+        """Note a departure; a deregistration is not revoked by a later one."""
+        start = (departure.upstream, departure.started_ms)
+        if not self.is_news(departure):
+            return
+        self.departures.pop(start, None)
+        self.departures[start] = departure
+        if len(self.departures) > MAX_DEPARTURES:
+            del self.departures[next(iter(self.departures))]
+
+    def is_news(self, departure: model.Departure) -> bool:
+        """Return whether a departure says more than those that are noted."""
+        known = self.departures.get((departure.upstream, departure.started_ms))
+        if known is None:
+            return True
+        if known.sequence is None or departure.sequence is None:
+            return known.sequence is not None
+        return departure.sequence > known.sequence
+
+    def adopt(self, departure: model.Departure) -> bool:
+        """Note a departure that an earlier process has acknowledged.
+
+        Returns:
+            Whether the newest start has left by that departure.
+        """
+        self.note(departure)
+        current = self.current
+        if current is None or not self.has_departed(current):
+            return False
+        self.ended = departure.sequence is None
+        return True
--- a/oleanderknot/decisions/member_table.py
+++ b/oleanderknot/decisions/member_table.py
@@ -1,6 +1,7 @@
 """Membership table with one record per instance."""
 
 import collections.abc
+import dataclasses
 import hashlib
 
 from oleanderknot import model
@@ -75,6 +76,11 @@
                 if not is_newer(record, old):
                     continue
                 self.remove(old)
+                if record.departure is None and old.departure is not None:
+                    # A restarted node learns of it from the others.
+                    record = dataclasses.replace(
+                        record, departure=old.departure
+                    )
             self.members[record.instance] = record
             if record.service:
                 group = self.services.setdefault(record.service, {})
--- a/oleanderknot/model/__init__.py
+++ b/oleanderknot/model/__init__.py
@@ -14,6 +14,7 @@
     'client_limits': ('ClientLimits',),
     'data_centre_ticket_status': ('DataCentreTicketStatus',),
     'decision_key': ('DecisionKey',),
+    'departure': ('Departure',),
     'event': ('Event',),
     'event_kind': ('EventKind',),
     'feed_position': ('FeedPosition',),
--- a/oleanderknot/model/member.py
+++ b/oleanderknot/model/member.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from oleanderknot.model import departure as departures
 from oleanderknot.model import member_state as states
 
 
@@ -23,6 +24,8 @@
         operator_port: TCP port for operators.
         service: Service of the upstream; empty before it has announced one.
         slots: Calls that the upstream can run concurrently.
+        departure: Latest acknowledged departure of an upstream of this
+            instance; None before the first.
     """
 
     instance: str
@@ -36,3 +39,4 @@
     operator_port: int = 0
     service: str = ''
     slots: int = 0
+    departure: departures.Departure | None = None
--- a/oleanderknot/node/local_upstream.py
+++ b/oleanderknot/node/local_upstream.py
@@ -9,11 +9,12 @@
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot.node import sidecar_recorder
+from oleanderknot.node import upstream_log
 from oleanderknot.node import upstream_notices
 from oleanderknot.tasks import admission
 from oleanderknot.tasks import buffered_body
+from oleanderknot.tasks import departure_store
 from oleanderknot.tasks import detached_runner
-from oleanderknot.tasks import heartbeat_ingress
 from oleanderknot.tasks import http_dialect
 from oleanderknot.tasks import leaving_reasons
 from oleanderknot.tasks import membership
@@ -51,9 +52,12 @@
         recorder: Records the outcome of each call.
         members: Known nodes; the upstreams of a service share its budget.
         membership: Publishes the record of this node; set at its start.
+        departures: Keeps the latest departure beyond the end of this process;
+            set at the start of the node.
     """
 
     membership: membership.Membership
+    departures: departure_store.DepartureStore
 
     def __init__(
         self,
@@ -170,6 +174,14 @@
         """Return the number of known upstreams of the service."""
         return len(self.members.list_service(self.runner.service))
 
+    async def handle_heartbeat(self, report: model.UpstreamHeartbeat) -> None:
+        """Handle a heartbeat, which may be late or of another upstream."""
+        await self.departures.wait_until_tried()
+        if self.heartbeat_filter.accept(report):
+            await self.apply_heartbeat(report)
+        else:
+            upstream_log.log_heartbeat('heartbeat_ignored', report)
+
     async def apply_heartbeat(self, report: model.UpstreamHeartbeat) -> None:
         """Apply a new heartbeat of the local upstream."""
         self.notices.note_heartbeat(report)
@@ -186,7 +198,7 @@
                 slots=report.slots,
                 warm=True,
             )
-            heartbeat_ingress.log_upstream_event('upstream_joined', report)
+            upstream_log.log_heartbeat('upstream_joined', report)
             self.membership.update_own_record(
                 service=report.service,
                 slots=report.slots,
@@ -194,21 +206,68 @@
                     self.runner.leaving, report.service
                 ),
             )
-        if report.draining != self.leaving.holds(
-            leaving_reasons.LeavingReason.UPSTREAM
-        ):
-            heartbeat_ingress.log_upstream_event(
+        reason = leaving_reasons.LeavingReason.UPSTREAM
+        is_change = report.draining != self.leaving.holds(reason)
+        self.leaving.set(reason, report.draining)
+        self.notices.update_leaving('heartbeat')
+        if is_change:
+            upstream_log.log_heartbeat(
                 'upstream_draining' if report.draining else 'upstream_back',
                 report,
             )
-        self.leaving.set(
-            leaving_reasons.LeavingReason.UPSTREAM, report.draining
+        if is_change and report.draining:
+            await self.publish_departure(
+                model.Departure(
+                    upstream=report.upstream,
+                    started_ms=report.started_ms,
+                    sequence=report.sequence,
+                )
+            )
+
+    async def handle_deregistration(
+        self, upstream: str, started_ms: int
+    ) -> None:
+        """Refuse new work if it is the current upstream that deregisters.
+
+        Args:
+            upstream: Id of the upstream.
+            started_ms: Unix time in milliseconds of its start; 0 when
+                unknown.
+        """
+        if self.heartbeat_filter.deregister(upstream, started_ms):
+            current = self.heartbeat_filter.current
+            self.leaving.set(leaving_reasons.LeavingReason.UPSTREAM, True)
+            upstream_log.log_heartbeat('upstream_gone', current)
+            started_ms = started_ms or current.started_ms
+        departure = model.Departure(upstream=upstream, started_ms=started_ms)
+        upstream_log.log_departure(
+            'departure_noted',
+            'recorded the deregistration of %s' % upstream,
+            departure,
         )
-        self.notices.update_leaving('heartbeat')
+        await self.publish_departure(departure)
+
+    async def publish_departure(self, departure: model.Departure) -> None:
+        """Make a departure known beyond the end of this process."""
+        self.membership.update_own_record(departure=departure)
+        await self.departures.save(departure)
 
-    def handle_deregistration(self) -> None:
-        """Refuse new work because the upstream has deregistered."""
-        self.leaving.set(leaving_reasons.LeavingReason.UPSTREAM, True)
+    def adopt_departure(self, departure: model.Departure) -> None:
+        """Adopt a departure that an earlier process has acknowledged."""
+        if not self.heartbeat_filter.is_news(departure):
+            return
+        current_left = self.heartbeat_filter.adopt(departure)
+        upstream_log.log_departure(
+            'departure_adopted',
+            'an earlier process of this node acknowledged the departure of %s'
+            % departure.upstream,
+            departure,
+            current=current_left,
+        )
+        if current_left:
+            self.leaving.set(leaving_reasons.LeavingReason.UPSTREAM, True)
+        if self.membership.own.departure is None:
+            self.membership.update_own_record(departure=departure)
 
     def change_leaving(self, is_leaving: bool) -> None:
         """Accept or refuse new work, and publish the state to other nodes."""
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -22,6 +22,7 @@
 from oleanderknot.node import sidecar_recorder
 from oleanderknot.tasks import client_listener
 from oleanderknot.tasks import control_traffic
+from oleanderknot.tasks import departure_store
 from oleanderknot.tasks import heartbeat_ingress
 from oleanderknot.tasks import http_dialect
 from oleanderknot.tasks import leaving_reasons
@@ -108,6 +109,7 @@
             count_event=self.recorder.count,
         )
         self.local_upstream.membership = self.membership
+        self.membership.on_own_departure = self.local_upstream.adopt_departure
         self.start_background()
         await self.peers.start()
         for listener, address in (
@@ -288,8 +290,7 @@
         )
         self.heartbeats = self.build_listener(
             heartbeat_ingress.build_handler(
-                heartbeat_filter=self.local_upstream.heartbeat_filter,
-                on_heartbeat=self.local_upstream.apply_heartbeat,
+                on_heartbeat=self.local_upstream.handle_heartbeat,
                 on_deregister=self.local_upstream.handle_deregistration,
             )
         )
@@ -348,6 +349,16 @@
             rng=self.rng,
             first_start=self.settings.first_start,
         )
+        self.departures = departure_store.DepartureStore(
+            instance=self.identity.instance,
+            store=self.store,
+            availability=self.store_availability,
+            rng=self.rng,
+            on_loaded=self.local_upstream.adopt_departure,
+            first_start=self.settings.first_start,
+        )
+        self.local_upstream.departures = self.departures
+        self.store_epoch.on_change.append(self.departures.save_again)
         self.reconnector = peer_reconnector.PeerReconnector(
             members=self.membership, pool=self.pool, rng=self.rng
         )
@@ -356,6 +367,7 @@
             ('discovery', self.peer_discovery),
             ('pool', self.pool),
             ('feed', self.feed),
+            ('departures', self.departures),
         ):
             self.background_tasks.append(
                 asyncio.create_task(
--- a/oleanderknot/standins/backend.py
+++ b/oleanderknot/standins/backend.py
@@ -103,6 +103,7 @@
         self.started_ms = int(time.time() * 1000)
         self.sequence = 0
         self.session: aiohttp.ClientSession | None = None
+        self.heartbeat_task: asyncio.Task | None = None
         self.record_file = options.record and open(
             options.record, 'ab', buffering=0
         )
@@ -117,9 +118,9 @@
         )
         stop = asyncio.Event()
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
-        heartbeat_task = asyncio.create_task(self.send_heartbeats())
+        self.heartbeat_task = asyncio.create_task(self.send_heartbeats())
         await stop.wait()
-        heartbeat_task.cancel()
+        self.heartbeat_task.cancel()
         await self.session.close()
 
     async def send_heartbeats(self) -> None:
@@ -145,14 +146,25 @@
             'born': self.started_ms,
             **changes,
         }
-        url = 'http://%s/v1/instances/%s/heartbeat' % (
+        status = await self.post('heartbeat', content)
+        if status == 200 and state != self.acknowledged_state:
+            self.acknowledged_state = state
+            self.record('state', state=state)
+        return status
+
+    async def deregister(self) -> int:
+        """Deregister without a heartbeat that says so, and go on serving."""
+        self.heartbeat_task.cancel()
+        return await self.post('deregister', {'born': self.started_ms})
+
+    async def post(self, action: str, content: dict[str, object]) -> int:
+        """Send a call to the node and return the status of its response."""
+        url = 'http://%s/v1/instances/%s/%s' % (
             self.options.control,
             self.upstream,
+            action,
         )
         async with self.session.post(url, json=content) as response:
-            if response.status == 200 and state != self.acknowledged_state:
-                self.acknowledged_state = state
-                self.record('state', state=state)
             return response.status
 
     def record(self, event: str, **fields: object) -> None:
@@ -308,6 +320,8 @@
             self.state = query['value']
             self.sequence += 1
             return await self.send_heartbeat()
+        if path == '/-/deregister':
+            return await self.deregister()
         if path == '/-/notice':
             # Headers by name, such as ``Server-Limit=10.5``.
             self.notice = b''.join(
--- a/oleanderknot/tasks/membership.py
+++ b/oleanderknot/tasks/membership.py
@@ -36,6 +36,8 @@
         exchange_limiter: Limits the rate of full exchanges for a data centre.
         on_change: Called with each changed record of another node.
         on_probe: Called with messages for the failure detector.
+        on_own_departure: Called with a departure that an earlier incarnation
+            of this node has acknowledged.
         count_event: Counts an event by name.
     """
 
@@ -58,6 +60,9 @@
         self.on_probe: collections.abc.Callable[
             [peer_connection.PeerConnection, wire.Gossip], None
         ] = lambda connection, message: None
+        self.on_own_departure: collections.abc.Callable[
+            [model.Departure], None
+        ] = lambda departure: None
         self.replace_own_record(own)
 
     def replace_own_record(self, own: model.Member) -> None:
@@ -180,6 +185,8 @@
             if record.instance != self.own.instance:
                 others.append(record)
                 continue
+            if record.departure is not None:
+                self.on_own_departure(record.departure)
             refutation = decisions.refute(self.own, record)
             if refutation is not None:
                 self.count_event('member.refuted')
@@ -286,11 +293,15 @@
         """Send this node's record and its hashes on a new connection.
 
         A peer that this node holds to be suspect or dead gets that record as
-        well, so that it can refute it.
+        well, so that it can refute it, and so does a peer whose upstream has
+        left, since it may have restarted and not know of that.
         """
         records = [self.own]
         record = self.table.members.get(connection.peer.instance)
-        if record is not None and record.state >= model.MemberState.SUSPECT:
+        if record is not None and (
+            record.state >= model.MemberState.SUSPECT
+            or record.departure is not None
+        ):
             records.append(record)
         self.send(
             connection,
--- a/oleanderknot/tasks/store_discovery.py
+++ b/oleanderknot/tasks/store_discovery.py
@@ -74,7 +74,7 @@
         self.row_written = False
         self.withdrawn = False
         self.read_due = asyncio.Event()
-        epoch.on_change = self.read_due.set
+        epoch.on_change.append(self.read_due.set)
 
     async def run(self) -> None:
         """Write the row of this node and discover others until cancelled."""
--- a/oleanderknot/tasks/store_epoch.py
+++ b/oleanderknot/tasks/store_epoch.py
@@ -14,12 +14,12 @@
     Attributes:
         current: Epoch in the latest response that named one; None before the
             first.
-        on_change: Called after each change of the epoch.
+        on_change: Functions that are called after each change of the epoch.
     """
 
     def __init__(self) -> None:
         self.current: int | None = None
-        self.on_change: collections.abc.Callable[[], None] = lambda: None
+        self.on_change: list[collections.abc.Callable[[], None]] = []
 
     def observe(self, epoch: int | None) -> None:
         """Record the epoch of a response; None if it named none."""
@@ -38,4 +38,5 @@
                 }
             },
         )
-        self.on_change()
+        for function in self.on_change:
+            function()
--- a/oleanderknot/wire/gen/peer/ttypes.py
+++ b/oleanderknot/wire/gen/peer/ttypes.py
@@ -1539,6 +1539,98 @@
         return not (self == other)
 
 
+class Departure(object):
+    """
+    Attributes:
+     - upstream
+     - started_ms
+     - sequence
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'started_ms',
+        'sequence',
+    )
+
+
+    def __init__(self, upstream=None, started_ms=None, sequence=None,):
+        self.upstream = upstream
+        self.started_ms = started_ms
+        self.sequence = sequence
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Departure')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 2)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Member(object):
     """
     Attributes:
@@ -1553,6 +1645,7 @@
      - operator_port
      - service_name
      - slots
+     - departure
 
     """
 
@@ -1568,10 +1661,11 @@
         'operator_port',
         'service_name',
         'slots',
+        'departure',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, version=None, state=None, data_centre=None, host=None, peer_port=None, caller_port=None, operator_port=None, service_name=None, slots=None,):
+    def __init__(self, instance=None, incarnation=None, version=None, state=None, data_centre=None, host=None, peer_port=None, caller_port=None, operator_port=None, service_name=None, slots=None, departure=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.version = version
@@ -1583,6 +1677,7 @@
         self.operator_port = operator_port
         self.service_name = service_name
         self.slots = slots
+        self.departure = departure
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1648,6 +1743,12 @@
                     self.slots = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.departure = Departure()
+                    self.departure.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1702,6 +1803,10 @@
             oprot.writeFieldBegin('slots', TType.I32, 11)
             oprot.writeI32(self.slots)
             oprot.writeFieldEnd()
+        if self.departure is not None:
+            oprot.writeFieldBegin('departure', TType.STRUCT, 12)
+            self.departure.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2734,6 +2839,13 @@
     None,  # 0
     (1, TType.I64, 'number', None, None, ),  # 1
 )
+all_structs.append(Departure)
+Departure.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_ms', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+)
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
@@ -2748,6 +2860,7 @@
     (9, TType.I32, 'operator_port', None, None, ),  # 9
     (10, TType.STRING, 'service_name', 'UTF8', None, ),  # 10
     (11, TType.I32, 'slots', None, None, ),  # 11
+    (12, TType.STRUCT, 'departure', [Departure, None], None, ),  # 12
 )
 all_structs.append(MemberVersion)
 MemberVersion.thrift_spec = (
--- a/oleanderknot/wire/peer.thrift
+++ b/oleanderknot/wire/peer.thrift
@@ -105,6 +105,14 @@
   1: i64 number
 }
 
+// The start of an upstream that has left. sequence is unset if the departure
+// is final.
+struct Departure {
+  1: string upstream
+  2: i64 started_ms
+  3: optional i64 sequence
+}
+
 struct Member {
   1: string instance
   2: i64 incarnation
@@ -117,6 +125,7 @@
   9: i32 operator_port
   10: string service_name
   11: i32 slots
+  12: optional Departure departure
 }
 
 struct MemberVersion {
--- a/oleanderknot/wire/translate_member.py
+++ b/oleanderknot/wire/translate_member.py
@@ -2,10 +2,15 @@
 
 from oleanderknot import model
 from oleanderknot.wire import field_check
+from oleanderknot.wire import translate_departure
 from oleanderknot.wire.gen.peer import ttypes
 
 MEMBER_STATES = tuple(model.MemberState)
 
+REQUIRED_FIELDS = tuple(
+    name for name in ttypes.Member.__slots__ if name != 'departure'
+)
+
 
 def member_to_wire(member: model.Member) -> ttypes.Member:
     """Convert a member to its thrift struct."""
@@ -21,6 +26,7 @@
         operator_port=member.operator_port,
         service_name=member.service,
         slots=member.slots,
+        departure=translate_departure.departure_to_wire(member.departure),
     )
 
 
@@ -30,7 +36,7 @@
     Raises:
         BadFrame: A field is missing or out of range.
     """
-    for name in message.__slots__:
+    for name in REQUIRED_FIELDS:
         field_check.require(
             getattr(message, name) is not None, 'member without ' + name
         )
@@ -53,4 +59,5 @@
         operator_port=message.operator_port,
         service=message.service_name,
         slots=message.slots,
+        departure=translate_departure.departure_from_wire(message.departure),
     )
