Confirm a start of an upstream whose clock may have been set back

Callers saw bookings end with 502: after a step of the clock between two starts of an upstream, its node took the second start for an earlier one, ignored what it said, and acknowledged its departure all the same.

Cause: starts were ordered by the time of day at which they began, and an ignored heartbeat was acknowledged like one in force.

Change: the start time identifies a start and does not order it. A start that seems to be older becomes current when it reports again while the current one is silent for two heartbeat intervals. Until then its heartbeats and departures get 503, so that a live upstream repeats them.

"The departure of a start whose clock was set back is in force" failed before; it and the scenarios on heartbeats and changes pass.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -51,3 +51,14 @@
     And the node of "two" is killed and started
     And the back end of "two" is killed and started
     Then "one" serves "/order/again" again
+
+  Scenario: The departure of a start whose clock was set back is in force
+    Guards against a node that takes the live start for an earlier one, and
+    acknowledges a departure that it ignores.
+    When the back end of "two" is killed and started with a clock 60 s ahead
+    Then "two" logs "upstream_restarted"
+    When the back end of "two" is killed and started
+    And the back end of "two" says that it drains until that is acknowledged
+    Then no request of "one" for "/order/" is served for 2.5 seconds
+    When the back end of "two" says "ready"
+    Then "one" serves "/order/again" again
--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -108,10 +108,68 @@
       | upstream | started | sequence | outcome |
       | i-1      | 1000    | 6        | taken   |
       | i-1      | 1000    | 5        | ignored |
-      | i-0      | 900     | 9        | ignored |
+      | i-0      | 900     | 9        | not acknowledged |
       | i-1      | 2000    | 1        | taken   |
       | i-2      | 2000    | 1        | taken   |
 
+  Scenario: A start whose clock was set back takes over from one that is silent
+    Guards against an upstream that is ignored for as long as its clock was
+    set back, while its departures are acknowledged.
+    Given a heartbeat of "i-1" started at 3400 with sequence 5
+    When a heartbeat of "i-1" started at 2300 with sequence 1 arrives
+    Then it is not acknowledged
+    When 0.3 s pass
+    And a heartbeat of "i-1" started at 2300 with sequence 2 arrives
+    Then it is not acknowledged
+    When 2.7 s pass
+    And a heartbeat of "i-1" started at 2300 with sequence 3 arrives
+    Then it is taken
+    When a heartbeat of "i-1" started at 3400 with sequence 6 arrives
+    Then it is not acknowledged
+    When "i-1" started at 2300 leaves
+    Then it is taken
+
+  Scenario: Late heartbeats of an earlier start do not take over from a live one
+    Guards against an upstream that is replaced by one that has crashed.
+    Given a heartbeat of "i-1" started at 1000 with sequence 5
+    When a heartbeat of "i-1" started at 2000 with sequence 1 arrives
+    And a heartbeat of "i-1" started at 1000 with sequence 6 arrives
+    And 3.0 s pass
+    And a heartbeat of "i-1" started at 2000 with sequence 2 arrives
+    And a heartbeat of "i-1" started at 1000 with sequence 7 arrives
+    Then it is not acknowledged
+    When a heartbeat of "i-1" started at 1000 with sequence 8 arrives
+    Then it is not acknowledged
+
+  Scenario: A late repetition does not show that a start is alive
+    Guards against one heartbeat that is delivered twice.
+    Given a heartbeat of "i-1" started at 3400 with sequence 5
+    When 9.0 s pass
+    And a heartbeat of "i-1" started at 2300 with sequence 4 arrives
+    And a heartbeat of "i-1" started at 2300 with sequence 4 arrives
+    Then it is not acknowledged
+
+  Scenario: A start whose clock was set back may leave before it takes over
+    Guards against a departure that is acknowledged and not in force.
+    Given a heartbeat of "i-1" started at 3400 with sequence 5
+    When "i-1" started at 2300 asks to leave
+    Then it is not acknowledged
+    When 3.0 s pass
+    And "i-1" started at 2300 asks to leave
+    Then it is taken
+    When a heartbeat of "i-1" started at 3400 with sequence 6 arrives
+    Then it is ignored
+
+  Scenario: A start with a clock set back follows one that has left
+    Guards against an upstream that never comes back after a departure.
+    Given a heartbeat of "i-1" started at 3400 with sequence 5
+    When "i-1" started at 3400 leaves
+    And 3.0 s pass
+    And a heartbeat of "i-1" started at 2300 with sequence 1 arrives
+    Then it is not acknowledged
+    When a heartbeat of "i-1" started at 2300 with sequence 2 arrives
+    Then it is taken
+
   Scenario: An upstream that has left does not come back by a late heartbeat
     Given a heartbeat of "i-1" started at 1000 with sequence 5
     When "i-1" started at 1000 leaves
@@ -150,6 +208,7 @@
       | sequence 7  | i-1      | 2000    | 1        | taken   |
       | no sequence | i-1      | 2000    | 1        | taken   |
       | no sequence | i-2      | 2000    | 1        | taken   |
+      | no sequence | i-1      | 900     | 1        | not acknowledged |
 
   Scenario Outline: A departure is adopted after a late heartbeat was taken
     Guards against a restarted node that hears the late heartbeat first.
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -35,6 +35,30 @@
     context.fleet.restart_backend(item)
 
 
+@when(
+    'the back end of "{name}" is killed and started with a clock '
+    '{ahead_s:d} s ahead'
+)
+def restart_backend_ahead(context, name, ahead_s):
+    """Start a back end again on an instance whose clock is wrong."""
+    item = context.fleet.sidecars[name]
+    item.backend.kill()
+    context.fleet.restart_backend(item, '--clock-ahead-s', str(ahead_s))
+
+
+@when(
+    'the back end of "{name}" says that it drains until that is acknowledged'
+)
+def drain_until_acknowledged(context, name):
+    """Report the state in each heartbeat until one is acknowledged."""
+    wait.wait_until(
+        lambda: (
+            context.fleet.query_backend(name, '/-/state?value=draining') == 200
+        ),
+        'the node of %s acknowledges the departure' % name,
+    )
+
+
 @then('the store has a departure of "{name}"')
 def check_departure_row(context, name):
     """Wait until the departure is in the store."""
--- a/oleanderknot/border/sidecar_settings.py
+++ b/oleanderknot/border/sidecar_settings.py
@@ -66,10 +66,12 @@
     Attributes:
         service: Service that the upstream provides.
         address: Address ``ip:port`` of the upstream.
+        heartbeat_interval: Time between its heartbeats.
     """
 
     service: typing.Annotated[str, pydantic.Field(min_length=1)]
     address: base.Address
+    heartbeat_interval: Seconds = 1.5
 
 
 class StoreSettings(base.Model):
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -25,6 +25,7 @@
         'GossipQueue',
     ),
     'heartbeat_filter': ('HeartbeatFilter',),
+    'heartbeat_outcome': ('HeartbeatOutcome',),
     'histogram': ('Histogram',),
     'home_key_check': ('check_home_key',),
     'instance_load': ('estimate_wait_ms', 'InstanceLoad'),
--- a/oleanderknot/node/local_upstream.py
+++ b/oleanderknot/node/local_upstream.py
@@ -74,7 +74,10 @@
         self.chains = chains
         self.upstream = ''
         self.heartbeat_filter = decisions.HeartbeatFilter(
-            service=settings.upstream.service, host=host, port=int(port)
+            service=settings.upstream.service,
+            host=host,
+            port=int(port),
+            heartbeat_interval_s=settings.upstream.heartbeat_interval,
         )
         self.repeat_budget = decisions.RepeatBudget(
             ratio=settings.retries.ratio,
@@ -174,13 +177,22 @@
         """Return the number of known upstreams of the service."""
         return len(self.members.list_service(self.runner.service))
 
-    async def handle_heartbeat(self, report: model.UpstreamHeartbeat) -> None:
-        """Handle a heartbeat, which may be late or of another upstream."""
+    async def handle_heartbeat(self, report: model.UpstreamHeartbeat) -> bool:
+        """Handle a heartbeat, which may be late or of another upstream.
+
+        Returns:
+            Whether it may be acknowledged.
+        """
         await self.departures.wait_until_tried()
-        if self.heartbeat_filter.accept(report):
+        before = self.heartbeat_filter.current
+        outcome = self.heartbeat_filter.accept(report, time.monotonic())
+        if outcome is decisions.HeartbeatOutcome.ACCEPTED:
+            if before is not None and before.started_ms != report.started_ms:
+                upstream_log.log_heartbeat('upstream_restarted', report)
             await self.apply_heartbeat(report)
         else:
-            upstream_log.log_heartbeat('heartbeat_ignored', report)
+            upstream_log.log_heartbeat('heartbeat_' + outcome.value, report)
+        return outcome is not decisions.HeartbeatOutcome.UNCONFIRMED
 
     async def apply_heartbeat(self, report: model.UpstreamHeartbeat) -> None:
         """Apply a new heartbeat of the local upstream."""
@@ -226,26 +238,40 @@
 
     async def handle_deregistration(
         self, upstream: str, started_ms: int
-    ) -> None:
+    ) -> bool:
         """Refuse new work if it is the current upstream that deregisters.
 
         Args:
             upstream: Id of the upstream.
             started_ms: Unix time in milliseconds of its start; 0 when
                 unknown.
+
+        Returns:
+            Whether the deregistration may be acknowledged.
         """
-        if self.heartbeat_filter.deregister(upstream, started_ms):
+        outcome = self.heartbeat_filter.deregister(
+            upstream, started_ms, time.monotonic()
+        )
+        if outcome is decisions.HeartbeatOutcome.ACCEPTED:
             current = self.heartbeat_filter.current
             self.leaving.set(leaving_reasons.LeavingReason.UPSTREAM, True)
             upstream_log.log_heartbeat('upstream_gone', current)
             started_ms = started_ms or current.started_ms
         departure = model.Departure(upstream=upstream, started_ms=started_ms)
+        if outcome is decisions.HeartbeatOutcome.UNCONFIRMED:
+            upstream_log.log_departure(
+                'departure_unconfirmed',
+                '%s may be an earlier start that deregisters' % upstream,
+                departure,
+            )
+            return False
         upstream_log.log_departure(
             'departure_noted',
             'recorded the deregistration of %s' % upstream,
             departure,
         )
         await self.publish_departure(departure)
+        return True
 
     async def publish_departure(self, departure: model.Departure) -> None:
         """Make a departure known beyond the end of this process."""
--- a/oleanderknot/standins/backend.py
+++ b/oleanderknot/standins/backend.py
@@ -100,7 +100,7 @@
         self.notice = b''
         self.state = self.acknowledged_state = 'ready'
         self.upstream = 'i-%s' % options.name
-        self.started_ms = int(time.time() * 1000)
+        self.started_ms = int((time.time() + options.clock_ahead_s) * 1000)
         self.sequence = 0
         self.session: aiohttp.ClientSession | None = None
         self.heartbeat_task: asyncio.Task | None = None
@@ -396,6 +396,7 @@
     parser.add_argument('--node', required=True)
     parser.add_argument('--slots', type=int, default=50)
     parser.add_argument('--record', default='')
+    parser.add_argument('--clock-ahead-s', type=float, default=0.0)
     asyncio.run(Backend(options=parser.parse_args()).run())
 
 
--- a/oleanderknot/tasks/heartbeat_ingress.py
+++ b/oleanderknot/tasks/heartbeat_ingress.py
@@ -12,18 +12,19 @@
 def build_handler(
     *,
     on_heartbeat: collections.abc.Callable[
-        [model.UpstreamHeartbeat], collections.abc.Awaitable[None]
+        [model.UpstreamHeartbeat], collections.abc.Awaitable[bool]
     ],
     on_deregister: collections.abc.Callable[
-        [str, int], collections.abc.Awaitable[None]
+        [str, int], collections.abc.Awaitable[bool]
     ],
 ) -> client_listener.HandleFunction:
     """Build the request handler for heartbeats.
 
     Args:
-        on_heartbeat: Awaited with each heartbeat before the response is sent.
+        on_heartbeat: Awaited with each heartbeat; returns whether to
+            acknowledge it.
         on_deregister: Awaited with the id and the start of an upstream that
-            deregisters, before the response is sent.
+            deregisters; returns whether to acknowledge that.
 
     Returns:
         The handler.
@@ -37,17 +38,17 @@
         try:
             if action == heartbeat.DEREGISTER_ACTION:
                 started_ms = heartbeat.parse_deregistration(request.content)
-                await on_deregister(upstream, started_ms)
+                acknowledged = await on_deregister(upstream, started_ms)
             else:
                 report = heartbeat.parse_heartbeat(upstream, request.content)
-                await on_heartbeat(report)
+                acknowledged = await on_heartbeat(report)
         except ValueError as error:
             logging.warning(
                 'rejected a malformed heartbeat of %s: %s', upstream, error
             )
             return model.HttpResponse(status=400)
         return model.HttpResponse(
-            status=200,
+            status=200 if acknowledged else 503,
             headers=[(b'Content-Type', b'application/json')],
             content=b'{}',
         )
