Refuse queued calls once the upstream leaves

Callers got 502 for orders that may not be repeated: orders that waited in a node were sent to its upstream 2.4 s after its departure had been acknowledged, and ended with it.

Cause: the departure was checked before the wait for a permit, and not after it.

Change: calls that wait are refused, not run, when the upstream leaves. A call is checked again after the wait for a permit, after a connection was opened, and before a repeated send. A node that stops while its upstream stays still runs its queue.

Both examples of "Requests that wait in a node are not sent once its upstream leaves" failed before and pass, as do the scenarios on leaving, stops, shedding and requests.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -62,3 +62,29 @@
     Then no request of "one" for "/order/" is served for 2.5 seconds
     When the back end of "two" says "ready"
     Then "one" serves "/order/again" again
+
+  Scenario Outline: Requests that wait in a node are not sent once its upstream leaves
+    Guards against a departure that is checked before a wait only, so that
+    requests reach the upstream when it may be gone.
+    Given the back end of "two" is killed and started with 2 slots
+    And the node of "two" knows 2 slots
+    When 6 clients of "one" send POST "/order/1?delay_ms=1200" with 6 s left
+    And the back end of "two" runs 1 request
+    And the back end of "two" <leaves>
+    Then 5 of them get status 503 within 1.0 seconds
+    And all of them are answered, 1 with status 200
+    And the back end of "two" has run 1 request
+
+    Examples:
+      | leaves              |
+      | says "draining"     |
+      | deregisters         |
+
+  Scenario: Requests that wait in a node are run while it stops
+    Guards against a planned stop that refuses what its node has taken.
+    Given the back end of "two" is killed and started with 2 slots
+    And the node of "two" knows 2 slots
+    When 2 clients of "one" send POST "/order/1?delay_ms=400" with 6 s left
+    And the back end of "two" runs 1 request
+    And the node of "two" gets SIGTERM
+    Then all of them are answered, 2 with status 200
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import http.client
+import threading
 import time
 
+from behave import given
 from behave import then
 from behave import when
 
@@ -95,3 +97,88 @@
         '%s logs %s' % (other, event),
     )
     check_none_served(context, name, target, duration_s)
+
+
+@given('the back end of "{name}" is killed and started with {slots:d} slots')
+def restart_backend_with_slots(context, name, slots):
+    """Start a back end again that runs fewer requests at once."""
+    item = context.fleet.sidecars[name]
+    item.backend.kill()
+    context.fleet.restart_backend(item, '--slots', str(slots))
+
+
+@given('the node of "{name}" knows {slots:d} slots')
+def wait_for_slots(context, name, slots):
+    """Wait for the log line of the heartbeat that names the slots."""
+    item = context.fleet.sidecars[name]
+    wait.wait_until(
+        lambda: '"slots": %d' % slots in item.process.read_log(),
+        'heartbeat with %d slots' % slots,
+    )
+
+
+@when(
+    '{count:d} clients of "{name}" send POST "{target}" with {left_s:d} s left'
+)
+def send_at_once(context, count, name, target, left_s):
+    """Send requests at once; their statuses are collected as they end."""
+    context.statuses = []
+    context.ids = ['q%d' % number for number in range(count)]
+
+    def send(request_id):
+        context.statuses.append(
+            context.fleet.send(
+                name,
+                target,
+                method='POST',
+                request_id=request_id,
+                wait_ms=left_s * 1000,
+            )[0]
+        )
+
+    context.senders = [
+        threading.Thread(target=send, args=(request_id,))
+        for request_id in context.ids
+    ]
+    for sender in context.senders:
+        sender.start()
+
+
+def count_runs(context, name):
+    """Return how many of the requests a back end has begun to run."""
+    runs = context.fleet.query_backend(name, '/-/runs')['runs']
+    return sum(run['id'] in context.ids for run in runs)
+
+
+@when('the back end of "{name}" runs {count:d} request')
+def wait_for_runs(context, name, count):
+    """Wait until requests run, and the others have reached the node."""
+    wait.wait_until(
+        lambda: count_runs(context, name) == count, 'requests at %s' % name
+    )
+    time.sleep(0.2)
+
+
+@then('{count:d} of them get status {status:d} within {limit_s:f} seconds')
+def check_refused_soon(context, count, status, limit_s):
+    """Check how many requests have been answered so far."""
+    end = time.monotonic() + limit_s
+    while len(context.statuses) < count and time.monotonic() < end:
+        time.sleep(0.01)
+    assert context.statuses == [status] * count, context.statuses
+
+
+@then('all of them are answered, {count:d} with status {status:d}')
+def check_all_answered(context, count, status):
+    """Wait for all answers and count those with a status."""
+    for sender in context.senders:
+        sender.join(20)
+    assert len(context.statuses) == len(context.ids), context.statuses
+    assert context.statuses.count(status) == count, context.statuses
+
+
+@then('the back end of "{name}" has run {count:d} request')
+def check_runs(context, name, count):
+    """Check the runs, some time after the last one could have begun."""
+    time.sleep(2.5)
+    assert count_runs(context, name) == count, count_runs(context, name)
--- a/oleanderknot/decisions/admission_queue.py
+++ b/oleanderknot/decisions/admission_queue.py
@@ -109,6 +109,22 @@
         dropped += self.drop_overdue(now)
         return chosen, dropped
 
+    def clear(self, rule: model.Rule) -> Dropped:
+        """Remove all calls.
+
+        Args:
+            rule: Rule of their refusals.
+
+        Returns:
+            The calls, each with the rule.
+        """
+        dropped = [
+            (entry, rule) for group in self.groups.values() for entry in group
+        ]
+        self.groups.clear()
+        self.size = 0
+        return dropped
+
     def remove(self, entry: queued_call.QueuedCall) -> None:
         """Remove a call whose caller has disconnected, if it still waits."""
         key = find_group_key(entry)
--- a/oleanderknot/node/application.py
+++ b/oleanderknot/node/application.py
@@ -299,12 +299,16 @@
         """Refuse new work until the upstream announces itself again."""
         self.leaving.set(leaving_reasons.LeavingReason.UPSTREAM, True)
 
-    def change_leaving(self, is_leaving: bool) -> None:
+    def change_leaving(self) -> None:
         """Accept or refuse new work, and publish the state to other nodes."""
-        self.runner.leaving = is_leaving
-        self.membership.update_own_record(
-            state=leaving_reasons.find_state(is_leaving, self.runner.service)
-        )
+        is_leaving = bool(self.leaving.reasons)
+        if is_leaving != self.runner.leaving:
+            self.membership.update_own_record(
+                state=leaving_reasons.find_state(
+                    is_leaving, self.runner.service
+                )
+            )
+        self.runner.set_leaving(is_leaving, self.leaving.is_upstream_leaving())
 
     async def drain(self) -> None:
         """Refuse new work and wait until no request is in flight."""
--- a/oleanderknot/node/local_upstream.py
+++ b/oleanderknot/node/local_upstream.py
@@ -97,6 +97,7 @@
                 upstream=self.upstream,
                 dialect=dialect,
                 authorize_send=self.authorize_send,
+                check_start=self.runner.check_start,
                 record_latency=recorder.upstreams.observe,
                 on_answer=functools.partial(
                     self.notices.note_answer, self.upstream
@@ -295,12 +296,16 @@
         if self.membership.own.departure is None:
             self.membership.update_own_record(departure=departure)
 
-    def change_leaving(self, is_leaving: bool) -> None:
+    def change_leaving(self) -> None:
         """Accept or refuse new work, and publish the state to other nodes."""
-        self.runner.leaving = is_leaving
-        self.membership.update_own_record(
-            state=leaving_reasons.find_state(is_leaving, self.runner.service)
-        )
+        is_leaving = bool(self.leaving.reasons)
+        if is_leaving != self.runner.leaving:
+            self.membership.update_own_record(
+                state=leaving_reasons.find_state(
+                    is_leaving, self.runner.service
+                )
+            )
+        self.runner.set_leaving(is_leaving, self.leaving.is_upstream_leaving())
 
 
 def build_admission(
--- a/oleanderknot/tasks/admission.py
+++ b/oleanderknot/tasks/admission.py
@@ -27,6 +27,7 @@
     model.Rule.QUEUE_FULL: 'the queue of the upstream is full',
     model.Rule.QUEUE_DELAY: 'the call waited too long in the queue',
     model.Rule.DEADLINE: 'the call cannot end before its deadline',
+    model.Rule.LEAVING: 'the upstream is leaving',
 }
 
 
@@ -196,6 +197,10 @@
             if not entry.token.done():
                 entry.token.set_result(rule)
 
+    def refuse_queued(self, rule: model.Rule) -> None:
+        """Refuse all calls that wait for a permit."""
+        self.resolve_dropped(self.queue.clear(rule))
+
     def update_queue_delay(self, expected_s: float) -> None:
         """Update the estimated wait of a call that is queued now."""
         delay_s = self.queue.size * expected_s / self.limit.find_max_running()
--- a/oleanderknot/tasks/leaving_reasons.py
+++ b/oleanderknot/tasks/leaving_reasons.py
@@ -35,26 +35,34 @@
 
     Attributes:
         reasons: The reasons that hold now.
-        on_change: Called with whether any reason holds, when that changes.
+        on_change: Called after each change of the reasons.
     """
 
     def __init__(
         self,
         *,
-        on_change: collections.abc.Callable[[bool], None],
+        on_change: collections.abc.Callable[[], None],
     ) -> None:
         self.reasons: set[LeavingReason] = set()
         self.on_change = on_change
 
     def set(self, reason: LeavingReason, holds: bool) -> None:
         """Record whether a reason holds."""
-        before = bool(self.reasons)
+        if holds == (reason in self.reasons):
+            return
         if holds:
             self.reasons.add(reason)
         else:
             self.reasons.discard(reason)
-        if bool(self.reasons) != before:
-            self.on_change(not before)
+        self.on_change()
+
+    def is_upstream_leaving(self) -> bool:
+        """Return whether it is the upstream that leaves.
+
+        It may be gone before a queued call reaches it. A node that only stops
+        still runs its queue.
+        """
+        return bool(self.reasons - {LeavingReason.STOP})
 
     def holds(self, reason: LeavingReason) -> bool:
         """Return whether a reason holds now."""
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -48,7 +48,9 @@
         build_client: Builds the connections to an upstream.
         downstream_level: Admission levels of the services that the
             upstream calls.
-        leaving: Whether the upstream accepts no new work.
+        leaving: Whether the node accepts no new work.
+        upstream_leaving: Whether the upstream leaves, so that calls which
+            wait must not be sent to it either.
         running: Calls that this task works on, until their answer is whole.
         orders: Runs non-idempotent calls at most once.
         idle: Set while ``running`` is 0.
@@ -77,6 +79,7 @@
         self.client: 'upstream_client.UpstreamClient | None' = None
         self.admission = build_admission(slots=1)
         self.leaving = False
+        self.upstream_leaving = False
         self.running = 0
         self.orders: 'order_runner.OrderRunner | None' = None
         self.idle = asyncio.Event()
@@ -142,11 +145,34 @@
             call, self.find_leaf_bonus(call)
         )
         if isinstance(permit, model.Refusal):
-            permit.unspent = call.allowance
-            permit.reports = (self.build_report(call),)
-            return Error(permit)
+            return self.reject(call, permit)
+        refusal = self.check_start(call)
+        if refusal is not None:
+            call_admission.release(permit)
+            return self.reject(call, refusal)
         return await self.execute(call, content, body, call_admission, permit)
 
+    def reject(
+        self, call: model.Call, refusal: model.Refusal
+    ) -> Result[model.Answer, model.Refusal]:
+        """Build the result of a call that was not sent."""
+        refusal.unspent = call.allowance
+        refusal.reports = (self.build_report(call),)
+        return Error(refusal)
+
+    def set_leaving(self, leaving: bool, upstream_leaving: bool) -> None:
+        """Accept or refuse calls.
+
+        Args:
+            leaving: Whether new calls are refused.
+            upstream_leaving: Whether calls that wait are refused as well.
+        """
+        self.leaving = leaving
+        self.upstream_leaving = upstream_leaving
+        if upstream_leaving:
+            self.refused_leaving += self.admission.queue.size
+            self.admission.refuse_queued(model.Rule.LEAVING)
+
     def find_leaf_bonus(self, call: model.Call) -> float:
         """Return the bonus of a call; see ``leaf_bonus``."""
         if call.depth or not self.downstream_level.is_leaf(call.route):
@@ -183,10 +209,24 @@
 
     def check(self, call: model.Call) -> model.Refusal | None:
         """Return why a call cannot run at all, or None."""
+        return self.check_upstream(call, self.leaving)
+
+    def check_start(self, call: model.Call) -> model.Refusal | None:
+        """Return why a call cannot be sent after a wait, or None.
+
+        The upstream may have left or may have been replaced meanwhile, and
+        the policy may have changed.
+        """
+        return self.check_upstream(call, self.upstream_leaving)
+
+    def check_upstream(
+        self, call: model.Call, leaving: bool
+    ) -> model.Refusal | None:
+        """Return why the upstream cannot take a call, or None."""
         if self.client is None or call.service != self.service:
             rule = model.Rule.NO_UPSTREAM
             detail = 'this node has no upstream of %s' % call.service
-        elif self.leaving:
+        elif leaving:
             self.refused_leaving += 1
             rule = model.Rule.LEAVING
             detail = 'the upstream is leaving'
--- a/oleanderknot/tasks/upstream_pool.py
+++ b/oleanderknot/tasks/upstream_pool.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 
+from expression import Error
 from expression import Ok
 from expression import Result
 
@@ -44,6 +45,7 @@
         authorize_send: Called before each send with the call and whether the
             upstream has refused it before. It counts the send and returns
             whether the budgets of the upstream allow it.
+        check_start: Returns why a call must not be sent after a wait, or None.
         record_latency: Called after each send with the seconds until its
             answer or failure.
         on_answer: Called with the metadata of each answer.
@@ -60,12 +62,16 @@
         upstream: str,
         dialect: http_dialect.HttpDialect,
         authorize_send: collections.abc.Callable[[model.Call, bool], bool],
+        check_start: collections.abc.Callable[
+            [model.Call], model.Refusal | None
+        ],
         record_latency: collections.abc.Callable[[float], None],
         on_answer: collections.abc.Callable[[model.ResponseMetadata], None],
     ) -> None:
         self.on_answer = on_answer
         self.record_latency = record_latency
         self.authorize_send = authorize_send
+        self.check_start = check_start
         self.host = host
         self.port = port
         self.upstream = upstream
@@ -191,6 +197,10 @@
                     model.Rule.CONNECTION_REFUSED,
                     'the upstream cannot be reached: %r' % error,
                 )
+        refusal = self.check_start(call)
+        if refusal is not None:
+            self.release(connection)
+            return Error(refusal)
         done = False
         try:
             answer = await self.send(connection, call, content)
