Handle signals that arrive while a node starts

Cause: the handlers were set after the start, up to 0.7 s after the first instructions and after the listeners had opened. SIGHUP ended the process, and SIGTERM cut requests that it had just accepted.

Change: signals are recorded from the first instructions of the program and handled once the node has started.

--- a/features/platform_changes.feature
+++ b/features/platform_changes.feature
@@ -115,6 +115,17 @@
     Then the waiting client gets status 200
     And "two" logs "reloaded"
 
+  Scenario: A node that is starting reloads its settings on a signal
+    Guards against a signal that ends the process before it is handled.
+    When the node of "two" is killed and gets SIGHUP while it starts
+    Then "one" serves "/order/again" again
+    And "two" logs "reloaded"
+
+  Scenario: A node that is starting stops as planned on a signal
+    Guards against a stop that cuts the requests that were just accepted.
+    When the node of "two" is killed and gets SIGTERM while it starts
+    Then the node of "two" exits with status 0
+
   Scenario: Metrics are served as text
     Guards against a scrape that finds nothing when a user complains.
     When a client of "one" sends GET "/page/1" as "h1"
--- a/features/steps/platform_change_steps.py
+++ b/features/steps/platform_change_steps.py
@@ -154,6 +154,25 @@
         connection.close()
 
 
+@when(
+    'the node of "{name}" is killed and gets {signal_name:w} while it starts'
+)
+def signal_while_starting(context, name, signal_name):
+    """Send a signal between the first instructions and the start."""
+    number = signal.Signals[signal_name]
+    item = context.fleet.sidecars[name]
+    item.process.kill()
+    context.fleet.restart(item)
+
+    def is_caught():
+        caught = item.process.read_status('SigCgt')
+        return int(caught, 16) >> (number - 1) & 1
+
+    wait.wait_until(is_caught, '%s is caught' % signal_name)
+    assert '"started"' not in item.process.read_log()
+    item.process.send_signal(number)
+
+
 @then('readiness of "{name}" is refused')
 def check_unready(context, name):
     """Wait until the readiness endpoint of a node answers 503."""
--- a/features/support/process.py
+++ b/features/support/process.py
@@ -39,6 +39,14 @@
         """Send a signal to the process."""
         os.kill(self.popen.pid, signal_number)
 
+    def read_status(self, field: str) -> str:
+        """Return a field of the process's status in ``/proc`` (proc(5))."""
+        path = pathlib.Path('/proc/%d/status' % self.popen.pid)
+        for line in path.read_text().splitlines():
+            if line.startswith(field + ':'):
+                return line.partition(':')[2].strip()
+        raise KeyError(field)
+
     def terminate(self) -> None:
         """Send SIGTERM without waiting for the process to exit."""
         if self.is_running():
--- a/oleanderknot/cli/serve_sidecar.py
+++ b/oleanderknot/cli/serve_sidecar.py
@@ -8,8 +8,11 @@
 import gc
 import os
 import pathlib
+import signal
 import sys
 
+from oleanderknot.node import signal_record
+
 SETTINGS_VARIABLE = 'OLEANDERKNOT_BOOT'
 
 
@@ -22,6 +25,8 @@
     Returns:
         The exit code: 0 after a planned stop, 2 if the settings are invalid.
     """
+    signals = signal_record.SignalRecord()
+    signals.install((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
     path = path or os.environ.get(SETTINGS_VARIABLE)
     if not path:
         print('no settings file was given', file=sys.stderr)
@@ -38,7 +43,7 @@
     except border.InvalidFileError as error:
         print(error, file=sys.stderr)
         return 2
-    run_sidecar.run_sidecar(settings, file)
+    run_sidecar.run_sidecar(settings, file, signals)
     return 0
 
 
