Give requests of a stop five sixths of the grace period

Clients of a node that was told to stop got 504 from it 4.9 s later while the upstream still worked on requests that may be repeated.

Cause: 0.7 s and 0.4 s were reserved for closing connections and for the last answers, whatever the grace period; together they are more than its last sixth.

Change: the reserves are at most a twelfth and a fifteenth of the grace period.

Result: a request that began 0.5 s after SIGTERM was ended 4.90 s after it before, and not before 5.0 s now. The schedule keeps five sixths from 1.5 to 30 s of grace; three of the five examples failed before. The scenarios on late requests and graceful stops pass.

--- a/features/late_requests.feature
+++ b/features/late_requests.feature
@@ -32,6 +32,32 @@
     Then the client gets status 504
     And the node of "one" exits with status 0
 
+  Scenario: A request that began during a stop may use five sixths of the grace period
+    Guards against work that is cut off while the platform still allows it.
+    When the route "list" with prefix "/list/" for "orders" is added
+    And the routes have a timeout of 5 s
+    And the node of "one" gets SIGTERM
+    And 0.5 seconds pass
+    And a client of "one" sends POST "/list/1?delay_ms=5200" as "d1" but for its last byte
+    And the client sends the last byte
+    Then the client gets status 504 from 5.0 to 6.0 s after the signal
+    And the node of "one" exits with status 0
+
+  Scenario Outline: The reserves of a stop stay within the last sixth of the grace period
+    Guards against work that is cut off too early when the platform grants
+    another grace period.
+    Given a stop with <grace> s of grace
+    Then answers are due after <allowed> s and before its drain ends
+    And the drain ends before <grace> s
+
+    Examples:
+      | grace | allowed |
+      | 1.5   | 1.25    |
+      | 3.0   | 2.5     |
+      | 6.0   | 5.0     |
+      | 10.0  | 8.33    |
+      | 30.0  | 25.0    |
+
   Scenario: A running request makes its calls until the end of a stop
     Guards against work that fails because the node refuses the calls that it
     still needs.
--- a/features/steps/late_request_steps.py
+++ b/features/steps/late_request_steps.py
@@ -9,11 +9,13 @@
 from behave import when
 
 from features.support import wait
+from oleanderknot.tasks import stop_schedule
 
 TIMEOUT_S = 10.0
 
 
 @given('the routes have a timeout of {seconds:d} s')
+@when('the routes have a timeout of {seconds:d} s')
 def set_timeouts(context, seconds):
     """Put a policy whose routes have this timeout, and wait for it."""
     for specification in context.fleet.routes.values():
@@ -82,3 +84,35 @@
 def check_not_run(context, request_id):
     """Check that the back end got no such request."""
     assert request_id not in context.record.read_text()
+
+
+@then(
+    'the client gets status {status:d} from {earliest_s:f} to {latest_s:f} s '
+    'after the signal'
+)
+def check_status_between(context, status, earliest_s, latest_s):
+    """Check the status and the time of an answer during a stop."""
+    check_status(context, status)
+    took_s = time.monotonic() - context.signalled_at
+    assert earliest_s <= took_s <= latest_s, took_s
+
+
+@given('a stop with {grace_s:f} s of grace')
+def begin_stop(context, grace_s):
+    """Begin a stop at second 100."""
+    context.schedule = stop_schedule.StopSchedule()
+    context.schedule.begin(100.0, grace_s)
+
+
+@then('answers are due after {allowed_s:f} s and before its drain ends')
+def check_answer_time(context, allowed_s):
+    """Check the time by which answers are due."""
+    schedule = context.schedule
+    assert allowed_s <= schedule.answer_by - 100.0, schedule.answer_by
+    assert schedule.refuse_from < schedule.answer_by < schedule.end_at
+
+
+@then('the drain ends before {grace_s:f} s')
+def check_drain_end(context, grace_s):
+    """Check that the process is not killed during its drain."""
+    assert context.schedule.end_at < 100.0 + grace_s, context.schedule.end_at
--- a/features/steps/platform_change_steps.py
+++ b/features/steps/platform_change_steps.py
@@ -140,6 +140,7 @@
 @when('the node of "{name}" gets SIGTERM')
 def terminate(context, name):
     """Send SIGTERM to a node."""
+    context.signalled_at = time.monotonic()
     context.fleet.sidecars[name].process.send_signal(signal.SIGTERM)
 
 
--- a/oleanderknot/tasks/stop_schedule.py
+++ b/oleanderknot/tasks/stop_schedule.py
@@ -7,13 +7,17 @@
 # becomes unready.
 REMOVAL_DELAY_S = 2.5
 
-# Part of the grace period before SIGKILL that is reserved for closing
-# connections.
+# Time before SIGKILL that is reserved for closing connections, at most the
+# given share of the grace period.
 CLOSE_RESERVE_S = 0.7
+CLOSE_RESERVE_SHARE = 1 / 12
 
 # Time before the end of the drain by which answers are due: an upstream that
-# keeps its deadline may answer shortly after it.
+# keeps its deadline may answer shortly after it. With the reserve above it
+# stays within the last sixth of the grace period, in which the platform allows
+# a node to cut off work.
 ANSWER_RESERVE_S = 0.4
+ANSWER_RESERVE_SHARE = 1 / 15
 
 
 class StopSchedule:
@@ -39,7 +43,10 @@
             now: Monotonic time in seconds.
             grace_s: Seconds until the process is killed.
         """
-        self.end_at = now + grace_s - CLOSE_RESERVE_S
+        close_s = min(CLOSE_RESERVE_S, CLOSE_RESERVE_SHARE * grace_s)
+        self.end_at = now + grace_s - close_s
         # If little time is left, half of it is kept for requests in flight.
         self.refuse_from = now + min(REMOVAL_DELAY_S, (self.end_at - now) / 2)
-        self.answer_by = self.end_at - ANSWER_RESERVE_S
+        self.answer_by = self.end_at - min(
+            ANSWER_RESERVE_S, ANSWER_RESERVE_SHARE * grace_s
+        )
