Free what a closed connection has received

Cause: a connection and its parser refer to each other, so what they had received lived on until a full garbage collection.

Change: a connection drops what it received when it is aborted or lost, and gives up its parser. An idle connection keeps no answer.

--- a/features/faulty_upstreams.feature
+++ b/features/faulty_upstreams.feature
@@ -44,6 +44,33 @@
       | endless_interim    |
       | endless_foreign    |
 
+  Scenario Outline: Answers without an end leave nothing behind
+    Guards against a node that still holds what it received of many answers
+    after it has given them up, until it is killed for its memory.
+    When 100 clients of "one" send POST "/order/1?fault=<fault>" at once, 3 times
+    And a client of "two" sends GET "/page/1?size=7" as "b1" meanwhile
+    Then none of them got status 200
+    And "two" used at most 160 MB of memory
+    And "one" used at most 160 MB of memory
+    And every request meanwhile got status 200
+
+    Examples:
+      | fault              |
+      | endless_bytes      |
+      | endless_header     |
+      | endless_headers    |
+      | endless_chunk_size |
+      | endless_chunks     |
+      | endless_trailers   |
+      | endless_length     |
+      | endless_unframed   |
+      | endless_interim    |
+
+  Scenario: Uploads that are broken off leave nothing behind
+    Guards against a node that still holds the bodies of clients that left.
+    When 30 clients of "one" send 3900000 of 4000000 bytes to "/order/1" and leave, 5 times
+    Then "one" used at most 160 MB of memory
+
   Scenario: A hundred slow answers without an end are given up in time
     Guards against connections that stay in use as long as bytes arrive.
     When 100 clients of "one" send POST "/order/1?fault=endless_length&pace_ms=50" at once
--- a/features/steps/faulty_upstream_steps.py
+++ b/features/steps/faulty_upstream_steps.py
@@ -4,6 +4,8 @@
 import concurrent.futures
 import pathlib
 import re
+import socket
+import threading
 import time
 
 from behave import then
@@ -63,6 +65,66 @@
     send_all(context, name, target, request_ids, count)
 
 
+@when(
+    '{count:d} clients of "{name}" send POST "{target}" at once, '
+    '{times:d} times'
+)
+def send_at_once_repeatedly(context, count, name, target, times):
+    """Send several requests at the same time, in the background."""
+    context.found = collections.Counter()
+
+    def send():
+        for index in range(times):
+            request_ids = ['e%d-%d' % (index, item) for item in range(count)]
+            send_all(context, name, target, request_ids, count)
+            context.found.update(context.statuses.values())
+
+    context.sender = threading.Thread(target=send)
+    context.sender.start()
+
+
+@when('a client of "{name}" sends GET "{target}" as "{request_id}" meanwhile')
+def send_meanwhile(context, name, target, request_id):
+    """Send requests one after the other while the others run."""
+    context.statuses_meanwhile = []
+    while context.sender.is_alive():
+        context.statuses_meanwhile.append(
+            context.fleet.send(name, target, request_id=request_id)[0]
+        )
+        time.sleep(0.05)
+    context.sender.join()
+
+
+@then('none of them got status {status:d}')
+def check_none(context, status):
+    """Check the statuses of all requests."""
+    assert context.found and status not in context.found, context.found
+
+
+@then('every request meanwhile got status {status:d}')
+def check_meanwhile(context, status):
+    """Check the statuses of the requests that ran beside the others."""
+    found = collections.Counter(context.statuses_meanwhile)
+    assert set(found) == {status}, found
+
+
+@when(
+    '{count:d} clients of "{name}" send {sent:d} of {size:d} bytes to '
+    '"{target}" and leave, {times:d} times'
+)
+def send_partly(context, count, name, sent, size, target, times):
+    """Send requests whose bodies are not complete, one after the other."""
+    host, port = context.fleet.sidecars[name].requests.split(':')
+    head = (
+        'POST %s HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: p\r\n'
+        'Content-Length: %d\r\n\r\n' % (target, size)
+    ).encode()
+    body = b'x' * sent
+    for _ in range(count * times):
+        with socket.create_connection((host, int(port)), timeout=10) as item:
+            item.sendall(head + body)
+
+
 @then('all of them get status {allowed} before {seconds:d} s have passed')
 def check_all(context, allowed, seconds):
     """Check the statuses of all requests and when the last one ended."""
--- a/oleanderknot/tasks/client_connection.py
+++ b/oleanderknot/tasks/client_connection.py
@@ -71,6 +71,7 @@
         self.listener.connections.discard(self)
         self.closing = True
         self.pending_requests.clear()
+        self.parser.close()
         if self.writable is not None and not self.writable.done():
             self.writable.cancel()
         if self.task is not None:
--- a/oleanderknot/tasks/client_parser.py
+++ b/oleanderknot/tasks/client_parser.py
@@ -33,7 +33,9 @@
     ) -> None:
         self.limits = limits
         self.on_request = on_request
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser: httptools.HttpRequestParser | None = (
+            httptools.HttpRequestParser(self)
+        )
         self.wants_continue = False
         self.reset()
 
@@ -49,6 +51,15 @@
         self.headers: model.Headers = []
         self.body_parts: list[bytes] = []
 
+    def close(self) -> None:
+        """Drop the request in progress and the parser.
+
+        The parser refers to this object. Without the cycle the request is
+        freed at once, and not by a collection that may come much later.
+        """
+        self.reset()
+        self.parser = None
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
 
--- a/oleanderknot/transport/response_connection.py
+++ b/oleanderknot/transport/response_connection.py
@@ -76,7 +76,9 @@
         self.body_bytes = 0
         self.counted = False
         self.unexpected = 0
-        self.parser = httptools.HttpResponseParser(self)
+        self.parser: httptools.HttpResponseParser | None = (
+            httptools.HttpResponseParser(self)
+        )
         self.waiter: asyncio.Future[raw_answer.RawAnswer] | None = None
         self.loop = asyncio.get_running_loop()
         self.transport: typing.Any = None
@@ -151,7 +153,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; called by the parser."""
-        if self.metadata is None:
+        if self.metadata is None and not self.closed:
             self.headers.append((name, value))
             if name.lower() in (b'content-length', b'transfer-encoding'):
                 self.framed = True
@@ -166,7 +168,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body; called by the parser."""
-        self.parts.append(data)
+        if not self.closed:
+            self.parts.append(data)
         self.body_bytes += len(data)
         self.overhead_bytes -= len(data)
 
@@ -204,6 +207,12 @@
                 else b''.join(self.parts),
             )
         )
+        self.drop_content()
+
+    def drop_content(self) -> None:
+        """Drop what was received, which an idle connection would keep."""
+        self.headers = []
+        self.parts = []
 
     def handle_unexpected(self, status: int) -> None:
         """Skip an interim response, or a late one to an earlier request."""
@@ -222,7 +231,6 @@
 
     def abort_oversized(self) -> None:
         """Abort an answer whose body is too large; called by the budget."""
-        self.parts.clear()
         self.fail('the body of the answer is too large')
         self.abort()
 
@@ -239,6 +247,10 @@
             # A body without framing headers ends with the connection.
             self.finish()
         self.fail('the server ended the connection: %s' % (error or 'end'))
+        self.drop_content()
+        # The parser refers to this object. Without the cycle both are freed
+        # at once, and not by a collection that may come much later.
+        self.parser = None
 
     def fail(self, detail: str) -> None:
         """Fail the current request."""
@@ -265,5 +277,6 @@
         """Close the connection without sending buffered data."""
         self.reusable = False
         self.closed = True
+        self.drop_content()
         if self.transport is not None:
             self.transport.abort()
