Close the idle connections of a service that did not answer

Cause: a call that timed out closed its own connection only.

Change: it also closes the idle connections that have not answered since it was sent, to the store and to the upstream.

"Calls to the store are not lost one connection after the other", and the same for upstreams, failed before and pass.

--- a/oleanderknot/platform/http_client.py
+++ b/oleanderknot/platform/http_client.py
@@ -36,8 +36,9 @@
 class HttpClient:
     """Sends requests to one service of the platform.
 
-    A request that times out closes its connection, so that an unresponsive
-    connection is not reused.
+    A request that times out closes its connection, and all idle ones that
+    have not answered since it was sent: whatever made one connection
+    unresponsive, such as a lost state in a middlebox, may hold for the others.
 
     Attributes:
         url: Base URL of the service.
@@ -101,6 +102,7 @@
         head = self.build_head(method, path, content_type, len(data))
         if timeout_s is None:
             timeout_s = self.timeout_s
+        started = asyncio.get_running_loop().time()
         try:
             # Requests that wait for others are bounded by the same time.
             async with asyncio.timeout(timeout_s), self.slots:
@@ -108,6 +110,7 @@
                     head + data, repeatable=repeatable and method == 'GET'
                 )
         except TimeoutError:
+            self.discard_idle(started)
             return build_error(
                 model.FaultKind.UNKNOWN,
                 'no response from %s within %.1f s' % (self.url, timeout_s),
@@ -197,6 +200,18 @@
             connection.abort()
         return None
 
+    def discard_idle(self, since: float) -> None:
+        """Close the idle connections that have not answered since a time.
+
+        Args:
+            since: Loop time in seconds.
+        """
+        kept = [item for item in self.idle if item.idle_since > since]
+        for connection in self.idle:
+            if connection.idle_since <= since:
+                connection.abort()
+        self.idle = kept
+
     def interpret_answer(
         self, answer: transport.RawAnswer
     ) -> Result[transport.RawAnswer, model.PlatformFault]:
--- a/oleanderknot/tasks/upstream_pool.py
+++ b/oleanderknot/tasks/upstream_pool.py
@@ -138,6 +138,20 @@
         if not oldest.is_usable(self.loop.time(), MAX_IDLE_S):
             self.idle.popleft().transport.close()
 
+    def discard_idle(self, since: float) -> None:
+        """Close the idle connections that have not answered since a time.
+
+        What made one connection unresponsive may hold for all that were open.
+
+        Args:
+            since: Loop time in seconds.
+        """
+        kept = [item for item in self.idle if item.idle_since > since]
+        for connection in self.idle:
+            if connection.idle_since <= since:
+                connection.abort()
+        self.idle = collections.deque(kept)
+
     async def request(
         self,
         call: model.Call,
@@ -202,6 +216,7 @@
             self.release(connection)
             return Error(refusal)
         done = False
+        sent_at = self.loop.time()
         try:
             answer = await self.send(connection, call, content)
             done = True
@@ -213,6 +228,7 @@
                 str(error),
             )
         except TimeoutError:
+            self.discard_idle(sent_at)
             return call_refusal.refuse(
                 call,
                 model.Verdict.MAY_HAVE_RUN,
