Bound the memory of all request bodies of a node together

Callers saw bookings end without an answer: six uploads of 48 MB at once, within the operators' limit, took a node over 300 MB, and it was killed.

Cause: bodies were bounded one by one, and each was copied once more when it was sent.

Change: a node holds bodies up to the largest allowed one and 16 MB. A client's body that does not fit is refused with 503 before it is read, one that another node passes on is refused there, not run. Head and body are written without a copy.

--- a/features/faulty_upstreams.feature
+++ b/features/faulty_upstreams.feature
@@ -71,6 +71,22 @@
     When 30 clients of "one" send 3900000 of 4000000 bytes to "/order/1" and leave, 5 times
     Then "one" used at most 160 MB of memory
 
+  Scenario Outline: Large uploads at once do not exceed the memory of a node
+    Guards against a few uploads within the operators' limit that end a node
+    by its memory, and with it the requests of all others.
+    When the largest body is set to 67108864 bytes
+    And 6 clients of "<node>" send 48000000 bytes to "/order/1" at once
+    And a client of "two" sends GET "/page/1?size=7" as "b1" meanwhile
+    Then each upload got status 200 or 503, and at least one got 200
+    And "one" used at most 300 MB of memory
+    And "two" used at most 300 MB of memory
+    And every request meanwhile got status 200
+
+    Examples:
+      | node |
+      | one  |
+      | two  |
+
   Scenario: A hundred slow answers without an end are given up in time
     Guards against connections that stay in use as long as bytes arrive.
     When 100 clients of "one" send POST "/order/1?fault=endless_length&pace_ms=50" at once
--- a/features/steps/faulty_upstream_steps.py
+++ b/features/steps/faulty_upstream_steps.py
@@ -108,6 +108,53 @@
     assert set(found) == {status}, found
 
 
+@when('the largest body is set to {size:d} bytes')
+def set_body_limit(context, size):
+    """Put a policy with this limit, and wait for it."""
+    version = context.fleet.put_policy(maxBodyBytes=size)
+    for item in context.fleet.sidecars.values():
+        wait.wait_until(
+            lambda item=item: (
+                'policy version %d is in force' % version
+                in item.process.read_log()
+            ),
+            '%s has version %d' % (item.name, version),
+        )
+
+
+@when(
+    '{count:d} clients of "{name}" send {size:d} bytes to "{target}" at once'
+)
+def send_uploads(context, count, name, size, target):
+    """Send large bodies at the same time, in the background."""
+    context.found = collections.Counter()
+    body = bytes(size)
+
+    def upload(index):
+        return context.fleet.send(
+            name,
+            target,
+            method='POST',
+            request_id='u%d' % index,
+            body=body,
+            wait_ms=DEADLINE_MS,
+        )[0]
+
+    def send():
+        with concurrent.futures.ThreadPoolExecutor(count) as pool:
+            context.found.update(pool.map(upload, range(count)))
+
+    context.sender = threading.Thread(target=send)
+    context.sender.start()
+
+
+@then('each upload got status 200 or 503, and at least one got 200')
+def check_uploads(context):
+    """Check the statuses of the uploads."""
+    assert context.found[200], context.found
+    assert set(context.found) <= {200, 503}, context.found
+
+
 @when(
     '{count:d} clients of "{name}" send {sent:d} of {size:d} bytes to '
     '"{target}" and leave, {times:d} times'
--- a/oleanderknot/node/local_upstream.py
+++ b/oleanderknot/node/local_upstream.py
@@ -12,7 +12,10 @@
 from oleanderknot.node import upstream_log
 from oleanderknot.node import upstream_notices
 from oleanderknot.tasks import admission
+from oleanderknot.tasks import body_budget
+from oleanderknot.tasks import body_lease
 from oleanderknot.tasks import buffered_body
+from oleanderknot.tasks import call_refusal
 from oleanderknot.tasks import departure_store
 from oleanderknot.tasks import detached_runner
 from oleanderknot.tasks import http_dialect
@@ -41,6 +44,7 @@
     """Tracks the local upstream by its heartbeats and runs calls at it.
 
     Attributes:
+        body_budget: Bounds the memory of request bodies.
         runner: Runs calls at the upstream.
         heartbeat_filter: Separates new heartbeats from late and foreign ones.
         leaving: Reasons for which the upstream takes no new work.
@@ -63,12 +67,14 @@
         self,
         *,
         settings: border.SidecarSettings,
+        body_budget: body_budget.BodyBudget,
         chains: decisions.ChainTable,
         members: decisions.MemberTable,
         recorder: sidecar_recorder.SidecarRecorder,
         dialect: http_dialect.HttpDialect,
     ) -> None:
         host, _, port = settings.upstream.address.rpartition(':')
+        self.body_budget = body_budget
         self.recorder = recorder
         self.members = members
         self.chains = chains
@@ -121,9 +127,22 @@
     ) -> Result[model.Answer, model.Refusal]:
         """Run a call of another node after receiving its entire body."""
         self.notices.adopt(call.notice)
-        if body is not None:
-            content = await buffered_body.join_body(content, body)
-        result = await self.run(call, content, None)
+        lease = body_lease.BodyLease(budget=self.body_budget)
+        try:
+            lease.extend(len(content))
+            content = await buffered_body.join_body(
+                content, body, lease.extend
+            )
+            result = await self.run(call, content, None)
+        except body_lease.NoMemoryError as error:
+            return call_refusal.refuse(
+                call,
+                model.Verdict.NOT_RUN,
+                model.Rule.QUEUE_FULL,
+                str(error),
+            )
+        finally:
+            lease.end()
         if result.is_ok():
             answer = result.ok
             answer.content, answer.body = buffered_body.split_body(
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -20,6 +20,7 @@
 from oleanderknot.node import sidecar_drain
 from oleanderknot.node import sidecar_gauges
 from oleanderknot.node import sidecar_recorder
+from oleanderknot.tasks import body_budget
 from oleanderknot.tasks import client_listener
 from oleanderknot.tasks import control_traffic
 from oleanderknot.tasks import departure_store
@@ -232,8 +233,12 @@
         )
         self.store_availability = store_availability.StoreAvailability()
         self.store_epoch = store_epoch.StoreEpoch()
+        self.body_budget = body_budget.BodyBudget(
+            limits=lambda: self.policies.limits
+        )
         self.local_upstream = local_upstream.LocalUpstream(
             settings=settings,
+            body_budget=self.body_budget,
             chains=self.chains,
             members=self.members,
             recorder=self.recorder,
@@ -309,6 +314,7 @@
             handle=handle,
             limits=lambda: self.policies.limits,
             count=self.recorder.count,
+            body_budget=self.body_budget,
         )
 
     def build_peer_handlers(self) -> peer_handlers.PeerHandlers:
--- a/oleanderknot/platform/http_client.py
+++ b/oleanderknot/platform/http_client.py
@@ -153,7 +153,7 @@
                     )
             done = False
             try:
-                answer = await connection.request(data, '')
+                answer = await connection.request([data], '')
                 done = True
                 return Ok(answer)
             except transport.ConnectionCutError as error:
--- a/oleanderknot/tasks/buffered_body.py
+++ b/oleanderknot/tasks/buffered_body.py
@@ -1,5 +1,7 @@
 """Bodies that are completely held in memory."""
 
+import collections.abc
+
 from oleanderknot import model
 from oleanderknot.tasks import send_window
 
@@ -35,9 +37,18 @@
     return content[:size], BufferedBody(content=content, offset=size)
 
 
-async def join_body(content: bytes, body: model.Body | None) -> bytes:
+async def join_body(
+    content: bytes,
+    body: model.Body | None,
+    on_part: collections.abc.Callable[[int], None] = lambda size: None,
+) -> bytes:
     """Return the complete body from its first bytes and the rest.
 
+    Args:
+        content: The first bytes.
+        body: The rest, if there is any.
+        on_part: Called with the size of each further part.
+
     Raises:
         IncompleteBodyError: The body ended before it was complete.
     """
@@ -45,5 +56,6 @@
         return content
     parts = [content]
     while data := await body.read():
+        on_part(len(data))
         parts.append(data)
     return b''.join(parts)
--- a/oleanderknot/tasks/client_connection.py
+++ b/oleanderknot/tasks/client_connection.py
@@ -20,6 +20,13 @@
 # number the connection stops reading from the socket.
 MAX_PIPELINED = 4
 
+# Time for which the rest of a rejected body is read and discarded.
+LINGER_S = 5.0
+
+# Delay after which a client may send a body again for which there was no
+# memory.
+RETRY_AFTER_S = 1
+
 REASON_PHRASES = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
 }
@@ -31,6 +38,7 @@
     Attributes:
         listener: The listener that accepted the connection.
         parser: Parses requests from the received bytes.
+        held_bytes: Size of the request bodies that the connection holds.
         pending_requests: Complete requests that are not answered yet, each
             with whether the client keeps the connection after it.
         task: Task that answers the requests; None while there are none.
@@ -47,8 +55,11 @@
         self.listener = listener
         self.loop = listener.loop
         self.parser = client_parser.ClientParser(
-            limits=listener.limits, on_request=self.queue_request
+            limits=listener.limits,
+            on_request=self.queue_request,
+            reserve=self.reserve,
         )
+        self.held_bytes = 0
         self.pending_requests: collections.deque[
             tuple[model.HttpRequest, bool]
         ] = collections.deque()
@@ -72,11 +83,25 @@
         self.closing = True
         self.pending_requests.clear()
         self.parser.close()
+        self.release(self.held_bytes)
         if self.writable is not None and not self.writable.done():
             self.writable.cancel()
         if self.task is not None:
             self.task.cancel()
 
+    def reserve(self, size: int) -> bool:
+        """Reserve memory for a request body; called by the parser."""
+        if not self.listener.body_budget.reserve(size):
+            return False
+        self.held_bytes += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Release the memory of a request body."""
+        size = min(size, self.held_bytes)
+        self.held_bytes -= size
+        self.listener.body_budget.release(size)
+
     def eof_received(self) -> bool:
         """Close the connection when the client closes its sending side."""
         return False
@@ -135,6 +160,7 @@
                     and not self.listener.closing
                 )
                 self.write(request, response, keep_alive)
+                self.release(len(request.content))
                 if self.writable is not None:
                     await self.writable
                 if not keep_alive:
@@ -195,11 +221,26 @@
         """Write an error response and close the connection."""
         if self.closing:
             return
+        retry_after = b''
+        if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+            retry_after = b'Retry-After: %d\r\n' % RETRY_AFTER_S
         self.transport.write(
-            b'HTTP/1.1 %d %b\r\nContent-Length: 0\r\n'
-            b'Connection: close\r\n\r\n' % (status, REASON_PHRASES[status])
+            b'HTTP/1.1 %d %b\r\n%bContent-Length: 0\r\n'
+            b'Connection: close\r\n\r\n'
+            % (status, REASON_PHRASES[status], retry_after)
         )
-        self.close_transport()
+        if not self.parser.head_complete:
+            self.close_transport()
+            return
+        # Closing at once would reset the connection, and the client might
+        # lose the response, while it still sends the body.
+        self.closing = True
+        self.release(self.held_bytes)
+        self.parser.close()
+        if self.paused:
+            self.transport.resume_reading()
+        self.transport.write_eof()
+        self.loop.call_later(LINGER_S, self.transport.close)
 
     def close_transport(self) -> None:
         """Close the connection after the pending writes."""
--- a/oleanderknot/tasks/client_listener.py
+++ b/oleanderknot/tasks/client_listener.py
@@ -6,6 +6,7 @@
 from absl import logging
 
 from oleanderknot import model
+from oleanderknot.tasks import body_budget as body_budgets
 from oleanderknot.tasks import client_connection
 
 HandleFunction = collections.abc.Callable[
@@ -31,6 +32,7 @@
         handle: Returns the response to a request.
         limits: Returns the limits in force.
         count: Counts an event by name.
+        body_budget: Bounds the memory of request bodies.
         connections: Open connections.
         active: Number of connections that answer requests.
         idle: Set while ``active`` is 0.
@@ -44,10 +46,14 @@
         handle: HandleFunction,
         limits: collections.abc.Callable[[], model.ClientLimits],
         count: collections.abc.Callable[[str], None],
+        body_budget: body_budgets.BodyBudget | None = None,
     ) -> None:
         self.handle = handle
         self.limits = limits
         self.count = count
+        self.body_budget = body_budget or body_budgets.BodyBudget(
+            limits=limits
+        )
         self.loop = asyncio.get_running_loop()
         self.connections: set[client_connection.ClientConnection] = set()
         self.tcp_server: asyncio.Server | None = None
--- a/oleanderknot/tasks/client_parser.py
+++ b/oleanderknot/tasks/client_parser.py
@@ -17,6 +17,8 @@
         limits: Returns the limits in force.
         on_request: Called with each complete request and whether the client
             keeps the connection.
+        reserve: Called with the size of a body, or of a part of it, before it
+            is held; returns whether there is memory for it.
         started: Whether a request has begun and is not complete.
         head_complete: Whether the head of the request has been parsed.
         wants_continue: Whether the client waits for status 100 before it
@@ -30,8 +32,10 @@
         *,
         limits: collections.abc.Callable[[], model.ClientLimits],
         on_request: RequestCallback,
+        reserve: collections.abc.Callable[[int], bool],
     ) -> None:
         self.limits = limits
+        self.reserve = reserve
         self.on_request = on_request
         self.parser: httptools.HttpRequestParser | None = (
             httptools.HttpRequestParser(self)
@@ -47,6 +51,7 @@
         self.head_bytes = 0
         self.fed_bytes = 0
         self.body_bytes = 0
+        self.body_reserved = False
         self.target = b''
         self.headers: model.Headers = []
         self.body_parts: list[bytes] = []
@@ -150,12 +155,14 @@
         """
         self.head_complete = True
         hosts = 0
+        body_size = None
         for name, value in self.headers:
             lower = name.lower()
             if lower == b'host':
                 hosts += 1
             elif lower == b'content-length':
-                if int(value) > self.limits().max_body_bytes:
+                body_size = int(value)
+                if body_size > self.limits().max_body_bytes:
                     raise invalid_request.InvalidRequestError(
                         413, 'Content-Length exceeds the size limit'
                     )
@@ -175,6 +182,9 @@
                 400, 'the target must be a path'
             )
         self.offers_upgrade = self.parser.should_upgrade()
+        if body_size and not self.offers_upgrade:
+            self.reserve_body(body_size)
+        self.body_reserved = body_size is not None
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body.
@@ -187,8 +197,21 @@
             raise invalid_request.InvalidRequestError(
                 413, 'the request body exceeds the size limit'
             )
+        if not self.body_reserved:
+            self.reserve_body(len(data))
         self.body_parts.append(data)
 
+    def reserve_body(self, size: int) -> None:
+        """Reserve memory for a body or a part of it.
+
+        Raises:
+            InvalidRequestError: There is not enough memory.
+        """
+        if not self.reserve(size):
+            raise invalid_request.InvalidRequestError(
+                503, 'the node holds too many request bodies'
+            )
+
     def on_message_complete(self) -> None:
         """Pass a complete request to ``on_request``."""
         if self.offers_upgrade:
--- a/oleanderknot/tasks/upstream_pool.py
+++ b/oleanderknot/tasks/upstream_pool.py
@@ -258,9 +258,11 @@
         call.started = True
         sent_at = self.loop.time()
         left_s = max(0.0, call.deadline - sent_at)
-        data = self.build_head(call, content, left_s) + content
+        head = self.build_head(call, content, left_s)
         waiter = connection.request(
-            data, call.span_id, head_only=call.method == 'HEAD'
+            [head, content] if content else [head],
+            call.span_id,
+            head_only=call.method == 'HEAD',
         )
         # The answer to a non-idempotent call is still useful shortly after
         # the deadline, since the call has started; an idempotent call can be
--- a/oleanderknot/transport/response_connection.py
+++ b/oleanderknot/transport/response_connection.py
@@ -96,12 +96,16 @@
         self.transport = transport
 
     def request(
-        self, data: bytes, request_id: str, *, head_only: bool = False
+        self,
+        data: collections.abc.Sequence[bytes],
+        request_id: str,
+        *,
+        head_only: bool = False,
     ) -> asyncio.Future[raw_answer.RawAnswer]:
         """Send a request.
 
         Args:
-            data: Head and body.
+            data: Head, and body if there is one.
             request_id: Id that the answer must carry.
             head_only: Whether the answer has no body.
 
@@ -117,7 +121,7 @@
             if len(self.sent_ids) >= MAX_REQUESTS:
                 self.reusable = False
         self.head_only = head_only
-        self.transport.write(data)
+        self.transport.writelines(data)
         return self.waiter
 
     def data_received(self, data: bytes) -> None:
