Ask nodes over a new connection about calls that got no answer

Cause: a call on a connection that does not respond could only end with its deadline, or with the connection 1.5 s later, and nobody asked the node that would have run it.

Change: when a probe is unanswered for 0.1 s, the node opens a new connection to the same incarnation and asks which of the calls without an answer have arrived. One that has not is revoked there, so that it does not run if it arrives later, and is sent again or refused as not run. One that has arrived is left alone.

--- a/oleanderknot/decisions/rule_texts.py
+++ b/oleanderknot/decisions/rule_texts.py
@@ -28,6 +28,9 @@
     model.Rule.CONNECTION_LOST: (
         'the connection to the copy of the service broke'
     ),
+    model.Rule.CALL_LOST: (
+        'they were lost on a connection that no longer responded'
+    ),
     model.Rule.CONNECTION_REFUSED: (
         'the copy of the service could not be reached'
     ),
--- a/oleanderknot/model/rule.py
+++ b/oleanderknot/model/rule.py
@@ -21,6 +21,7 @@
     EARLY_REFUSAL = 'early_refusal'
     RETRY_ALLOWANCE = 'retry_allowance'
     RETRY_BUDGET = 'retry_budget'
+    CALL_LOST = 'call_lost'
     CONNECTION_LOST = 'connection_lost'
     CONNECTION_REFUSED = 'connection_refused'
     WRONG_RECEIVER = 'wrong_receiver'
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -11,7 +11,6 @@
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot import platform
-from oleanderknot import wire
 from oleanderknot.node import incarnation
 from oleanderknot.node import lifecycle_log
 from oleanderknot.node import local_upstream
@@ -21,12 +20,14 @@
 from oleanderknot.node import sidecar_gauges
 from oleanderknot.node import sidecar_recorder
 from oleanderknot.tasks import body_budget
+from oleanderknot.tasks import call_sessions
 from oleanderknot.tasks import client_listener
 from oleanderknot.tasks import control_traffic
 from oleanderknot.tasks import departure_store
 from oleanderknot.tasks import heartbeat_ingress
 from oleanderknot.tasks import http_dialect
 from oleanderknot.tasks import leaving_reasons
+from oleanderknot.tasks import lost_call_recovery
 from oleanderknot.tasks import membership
 from oleanderknot.tasks import peer_connection
 from oleanderknot.tasks import peer_handlers
@@ -172,6 +173,7 @@
         ):
             listener.close()
         self.reconnector.stop()
+        self.recovery.close()
         self.peers.close()
         self.pool.close()
         await self.local_upstream.runner.close()
@@ -244,10 +246,16 @@
             recorder=self.recorder,
             dialect=DIALECT,
         )
+        self.call_sessions = call_sessions.CallSessions()
         handlers = self.build_peer_handlers()
         self.pool = peer_pool.PeerPool(
             identity=self.identity, handlers=handlers
         )
+        self.recovery = lost_call_recovery.LostCallRecovery(
+            members=self.members,
+            pool=self.pool,
+            count=self.recorder.count,
+        )
         self.peers = peer_listener.PeerListener(
             identity=self.identity, handlers=handlers
         )
@@ -321,20 +329,19 @@
         """Build the callbacks that handle messages of peers."""
         return peer_handlers.PeerHandlers(
             handle_call=self.local_upstream.run_call,
-            answer_key_query=refuse_query,
+            answer_key_query=self.call_sessions.answer,
             handle_gossip=lambda peer, message: peer_events.handle_gossip(
                 self.membership, self.policies, peer, message
             ),
             handle_policy_sync=lambda peer, item: self.policies.handle(
                 peer, item
             ),
-            on_opened=lambda peer: peer_events.register_connection(
-                self.pool, self.membership, self.policies, peer
-            ),
+            on_opened=self.add_connection,
             on_closed=self.remove_connection,
             count_event=self.recorder.count,
             on_closing=lambda peer: self.pool.retire(peer),
             control_bytes=control_traffic.ControlTraffic(),
+            on_overdue=lambda peer: self.recovery.start(peer),
             may_cancel=lambda call: call.idempotent or not call.started,
         )
 
@@ -393,11 +400,21 @@
         """Return whether clients may send requests to this node."""
         return not self.stopping and self.policies.policy is not None
 
+    def add_connection(
+        self, connection: peer_connection.PeerConnection
+    ) -> None:
+        """Register a connection whose handshake is complete."""
+        self.call_sessions.add(connection)
+        peer_events.register_connection(
+            self.pool, self.membership, self.policies, connection
+        )
+
     def remove_connection(
         self, connection: peer_connection.PeerConnection
     ) -> None:
         """Remove a closed connection; the peer may be redialled."""
         self.pool.remove(connection)
+        self.call_sessions.expire(connection)
         if not self.stopping:
             self.reconnector.note_closed(connection)
 
@@ -406,8 +423,3 @@
     """Split an address of the form ``ip:port``."""
     host, _, port = address.rpartition(':')
     return host, int(port)
-
-
-async def refuse_query(key: str, wait_s: float) -> wire.KeyState:
-    """Answer that a key is unknown; sidecar nodes keep no order keys."""
-    return wire.build_key_state(model.OrderState.UNKNOWN)
--- a/oleanderknot/tasks/incoming_calls.py
+++ b/oleanderknot/tasks/incoming_calls.py
@@ -28,6 +28,8 @@
         handlers: Functions that run calls and answer key queries.
         open_calls: Calls whose response is not complete, by call number.
         used_numbers: Call numbers that the peer has used.
+        revoked: Numbers of calls that the peer has given up before they
+            arrived; they must not run.
         on_ended: Called when a call has ended.
     """
 
@@ -41,6 +43,7 @@
         self.handlers = handlers
         self.open_calls: dict[int, incoming_call.IncomingCall] = {}
         self.used_numbers = decisions.CallNumbers()
+        self.revoked: set[int] = set()
         self.on_ended: collections.abc.Callable[[], None] = lambda: None
         self.loop = asyncio.get_running_loop()
 
@@ -50,6 +53,9 @@
         Raises:
             BadFrame: The call is malformed or its number was used before.
         """
+        if number in self.revoked:
+            self.handlers.count_event('peer.revoked_call')
+            return
         if not self.used_numbers.accept(number):
             raise wire.BadFrame('call number %d was used before' % number)
         call = wire.call_from_open(
@@ -75,6 +81,15 @@
         )
         entry.task.add_done_callback(task_log.log_failure)
 
+    def revoke(self, number: int) -> bool:
+        """Revoke a call; return whether it had not arrived."""
+        if number in self.revoked:
+            return True
+        if not self.used_numbers.accept(number):
+            return False
+        self.revoked.add(number)
+        return True
+
     async def run_call(
         self, number: int, entry: incoming_call.IncomingCall, content: bytes
     ) -> None:
--- a/oleanderknot/tasks/liveness_monitor.py
+++ b/oleanderknot/tasks/liveness_monitor.py
@@ -32,6 +32,7 @@
         awaits_response: Returns whether a call or key query is open.
         send_probe: Sends a probe.
         on_silent: Called when the connection is found to be silent.
+        on_overdue: Called when a probe becomes overdue.
         response_expected: Whether a message was sent that requires a
             response, such as a call whose deadline has passed in the
             meantime.
@@ -40,6 +41,7 @@
         probe_sent_at: Loop time in seconds of the unanswered probe; 0 if
             there is none.
         timer: Timer of the next check.
+        overdue_timer: Timer at which the last probe becomes overdue.
     """
 
     def __init__(
@@ -48,15 +50,18 @@
         awaits_response: collections.abc.Callable[[], bool],
         send_probe: collections.abc.Callable[[], None],
         on_silent: collections.abc.Callable[[], None],
+        on_overdue: collections.abc.Callable[[], None] = lambda: None,
     ) -> None:
         self.awaits_response = awaits_response
         self.send_probe = send_probe
         self.on_silent = on_silent
+        self.on_overdue = on_overdue
         self.loop = asyncio.get_running_loop()
         self.response_expected = False
         self.last_response_at = self.loop.time()
         self.probe_sent_at = 0.0
         self.timer: asyncio.TimerHandle | None = None
+        self.overdue_timer: asyncio.TimerHandle | None = None
 
     def note_response(self) -> None:
         """Record that a response has arrived."""
@@ -91,6 +96,15 @@
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
+        if self.overdue_timer is not None:
+            self.overdue_timer.cancel()
+            self.overdue_timer = None
+
+    def report_overdue(self) -> None:
+        """Report a probe without an answer; called by the timer."""
+        self.overdue_timer = None
+        if self.probe_sent_at:
+            self.on_overdue()
 
     def check(self) -> None:
         """Probe an idle connection; report one that is silent."""
@@ -107,5 +121,8 @@
             self.probe_sent_at = now
             self.send_probe()
             self.schedule(PROBE_TIMEOUT_S)
+            self.overdue_timer = self.loop.call_later(
+                PROBE_OVERDUE_S, self.report_overdue
+            )
         else:
             self.schedule(self.last_response_at + PROBE_AFTER_S - now)
--- a/oleanderknot/tasks/outgoing_calls.py
+++ b/oleanderknot/tasks/outgoing_calls.py
@@ -263,6 +263,36 @@
         if future is not None and not future.done():
             future.set_result(state)
 
+    def list_unanswered(self) -> list[int]:
+        """Return the numbers of the calls without any part of an answer."""
+        return [
+            number
+            for number, entry in self.open_calls.items()
+            if not entry.future.done()
+        ]
+
+    def refuse_lost(self, number: int) -> bool:
+        """Refuse a call that the peer has not received and will not run.
+
+        Returns:
+            Whether the call still waited for its answer.
+        """
+        entry = self.open_calls.get(number)
+        if entry is None or entry.future.done():
+            return False
+        self.remove(number)
+        entry.future.set_result(
+            Error(
+                model.build_refusal(
+                    entry.call,
+                    model.Verdict.NOT_RUN,
+                    model.Rule.CALL_LOST,
+                    '%s has not received the call' % self.get_peer_name(),
+                )
+            )
+        )
+        return True
+
     def fail(self, number: int, detail: str) -> None:
         """Fail a call that may have run."""
         entry = self.remove(number)
--- a/oleanderknot/tasks/peer_connection.py
+++ b/oleanderknot/tasks/peer_connection.py
@@ -76,6 +76,7 @@
             awaits_response=self.awaits_response,
             send_probe=lambda: self.send(0, ping=wire.Ping(number=0)),
             on_silent=self.close_silent,
+            on_overdue=lambda: handlers.on_overdue(self),
         )
         self.graceful_close = graceful_close.GracefulClose(
             is_idle=self.is_idle,
--- a/oleanderknot/tasks/peer_handlers.py
+++ b/oleanderknot/tasks/peer_handlers.py
@@ -39,6 +39,7 @@
         count_event: Counts an event by name, for metrics.
         on_closing: Called when this node opens no more calls on a connection.
         control_bytes: Counts the bytes of control messages.
+        on_overdue: Called when a connection does not respond to a probe.
         may_cancel: Returns whether a call may be cancelled once the peer no
             longer waits for it.
     """
@@ -64,4 +65,7 @@
         ['peer_connection.PeerConnection'], None
     ]
     control_bytes: control_traffic.ControlTraffic
+    on_overdue: collections.abc.Callable[
+        ['peer_connection.PeerConnection'], None
+    ] = lambda connection: None
     may_cancel: collections.abc.Callable[[model.Call], bool] = is_idempotent
--- a/oleanderknot/tasks/routed_dispatcher.py
+++ b/oleanderknot/tasks/routed_dispatcher.py
@@ -25,6 +25,7 @@
 # attempt after these is no repeat, since the call cost no upstream work.
 UNREACHED_RULES = frozenset(
     (
+        model.Rule.CALL_LOST,
         model.Rule.CONNECTION_REFUSED,
         model.Rule.EARLY_REFUSAL,
         model.Rule.LEAVING,
@@ -113,6 +114,7 @@
             The answer, or a refusal whose verdict covers all attempts.
         """
         tried: set[str] = set()
+        resent: set[str] = set()
         reached = 0
         may_have_run = False
         result: Result[model.Answer, model.Refusal] | None = None
@@ -141,6 +143,13 @@
                 may_have_run = True
                 if not call.idempotent:
                     break
+            if (
+                refusal.rule is model.Rule.CALL_LOST
+                and member.instance not in resent
+            ):
+                # The node responds on another connection.
+                resent.add(member.instance)
+                tried.discard(member.instance)
             if refusal.rule not in UNREACHED_RULES:
                 reached += 1
             if reached >= max_attempts or refusal.rule in NON_RETRYABLE_RULES:
