Let a restarted node outbid a later incarnation of its own

Callers were refused for as long as a process lived: a node that restarted after its clock had been set back was held for dead.

Cause: incarnations are taken from the time of day, and records of a lower one are ignored.

Change: a node on a platform that hears of a higher incarnation at its own address takes one above it.

--- a/features/membership_decisions.feature
+++ b/features/membership_decisions.feature
@@ -44,6 +44,18 @@
       | 3   | dead    | 4           | 9     | 0      |
       | 3   | taking  | 6           | 1     | 0      |
 
+  Scenario Outline: An earlier process of the node is outbid, another node is not
+    Guards against a node whose records are held for outdated after its clock
+    was set back, and against two nodes that outbid each other for ever.
+    Given the own record with incarnation 5 and version 3
+    When a record with incarnation 9 at <address> arrives
+    Then the own incarnation is <incarnation>
+
+    Examples:
+      | address         | incarnation |
+      | the same port   | 10          |
+      | another port    | 5           |
+
   Scenario: A data centre does not believe others about its own members
     Guards against a partition after whose end neighbours give each other no
     work.
--- a/features/platform_changes.feature
+++ b/features/platform_changes.feature
@@ -92,6 +92,15 @@
     Then "three" serves "/page/1" within 6 seconds
     And "one" serves "/order/2" within 6 seconds
 
+  Scenario: A node whose clock was set back is believed after a restart
+    Guards against a node that the others hold for dead, since its records
+    seem to be older than those of its earlier process.
+    When the node of "two" is killed
+    And "one" logs that "two" is dead
+    And the node of "two" is started with a clock 3600 s behind
+    Then "one" serves "/order/again" again
+    And "two" logs "incarnation_raised"
+
   Scenario: A node that was told to stop finishes its requests
     Guards against a payment cut off by planned work.
     When a client of "two" sends POST "/order/1?delay_ms=1500" as "f1" and waits
--- a/features/steps/membership_decision_steps.py
+++ b/features/steps/membership_decision_steps.py
@@ -199,6 +199,24 @@
     )
 
 
+@when('a record with incarnation {incarnation:d} at {address} port arrives')
+def outbid_record(context, incarnation, address):
+    """Outbid a received record of the own instance."""
+    own = context.own_record
+    port = own.peer_port + (address == 'another')
+    context.successor = decisions.outbid(
+        own,
+        dataclasses.replace(own, incarnation=incarnation, peer_port=port),
+    )
+
+
+@then('the own incarnation is {incarnation:d}')
+def check_incarnation(context, incarnation):
+    """Check the record that outbids; none leaves the own one."""
+    found = (context.successor or context.own_record).incarnation
+    assert found == incarnation, context.successor
+
+
 @then('the refutation has version {version:d}')
 def check_refutation(context, version):
     """Check the refutation; version 0 stands for none."""
--- a/features/steps/platform_change_steps.py
+++ b/features/steps/platform_change_steps.py
@@ -91,6 +91,28 @@
     context.fleet.restart(item)
 
 
+@when('the node of "{name}" is killed')
+def kill(context, name):
+    """Kill a node without starting it again."""
+    context.fleet.sidecars[name].process.kill()
+
+
+@when('"{name}" logs that "{other}" is dead')
+def wait_for_death(context, name, other):
+    """Wait until a node believes another one dead."""
+    item = context.fleet.sidecars[name]
+    wait.wait_until(
+        lambda: '"%s is dead"' % other in item.process.read_log(),
+        '%s is dead at %s' % (other, name),
+    )
+
+
+@when('the node of "{name}" is started with a clock {behind_s:d} s behind')
+def start_behind(context, name, behind_s):
+    """Start a node whose time of day has been set back."""
+    context.fleet.restart_shifted(context.fleet.sidecars[name], -behind_s)
+
+
 @when('the nodes "{first}" and "{second}" are killed and started')
 def restart_two(context, first, second):
     """Kill two nodes before either is started again."""
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -202,6 +202,15 @@
             str(path),
         )
 
+    def restart_shifted(self, item: sidecar.Sidecar, shift_s: float) -> None:
+        """Start the sidecar process with a time of day that is wrong."""
+        item.process = self.system.start_process(
+            'sidecar-' + item.name,
+            'features.support.shifted_sidecar',
+            str(shift_s),
+            str(self.system.folder / (item.name + '.yaml')),
+        )
+
     def wait_until_listening(self, item: sidecar.Sidecar) -> None:
         """Wait until a sidecar accepts client connections."""
         host, port = item.requests.split(':')
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -73,7 +73,7 @@
         'RecordVersion',
         'VERSION_LIST_BYTES_PER_S',
     ),
-    'refutation': ('refute', 'split_claims'),
+    'refutation': ('outbid', 'refute', 'split_claims'),
     'repeat_budget': ('RepeatBudget',),
     'request_trace': ('describe_line', 'find_context', 'find_lines'),
     'retry_budget': ('RetryBudget',),
--- a/oleanderknot/decisions/refutation.py
+++ b/oleanderknot/decisions/refutation.py
@@ -26,6 +26,26 @@
     return dataclasses.replace(own, version=claim.version + 1)
 
 
+def outbid(own: model.Member, claim: model.Member) -> model.Member | None:
+    """Build a record that supersedes one of an earlier process of this node.
+
+    Incarnations are taken from the time of day, which may have been set back
+    since the earlier process started. The others would then hold all records
+    of this process for outdated ones.
+
+    Args:
+        own: This node's own record.
+        claim: Record of the same instance with a higher incarnation.
+
+    Returns:
+        The record; None if the claim is about another address, so that
+        another process runs under the same instance.
+    """
+    if (claim.host, claim.peer_port) != (own.host, own.peer_port):
+        return None
+    return dataclasses.replace(own, incarnation=claim.incarnation + 1)
+
+
 def split_claims(
     records: collections.abc.Iterable[model.Member],
     *,
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -1,6 +1,7 @@
 """Sidecar node, discovered, configured and probed by its platform."""
 
 import asyncio
+import dataclasses
 import gc
 import random
 import time
@@ -112,6 +113,7 @@
         )
         self.local_upstream.membership = self.membership
         self.membership.on_own_departure = self.local_upstream.adopt_departure
+        self.membership.on_incarnation = self.change_incarnation
         self.start_background()
         await self.peers.start()
         for listener, address in (
@@ -400,6 +402,13 @@
         """Return whether clients may send requests to this node."""
         return not self.stopping and self.policies.policy is not None
 
+    def change_incarnation(self, incarnation: int) -> None:
+        """Take a higher incarnation in the handshakes from now on."""
+        self.identity = dataclasses.replace(
+            self.identity, incarnation=incarnation
+        )
+        self.pool.identity = self.peers.identity = self.identity
+
     def add_connection(
         self, connection: peer_connection.PeerConnection
     ) -> None:
--- a/oleanderknot/tasks/membership.py
+++ b/oleanderknot/tasks/membership.py
@@ -36,6 +36,8 @@
         exchange_limiter: Limits the rate of full exchanges for a data centre.
         on_change: Called with each changed record of another node.
         on_probe: Called with messages for the failure detector.
+        on_incarnation: Called with the higher incarnation that this node
+            takes; None if it keeps the one that it started with.
         on_own_departure: Called with a departure that an earlier incarnation
             of this node has acknowledged.
         count_event: Counts an event by name.
@@ -60,6 +62,9 @@
         self.on_probe: collections.abc.Callable[
             [peer_connection.PeerConnection, wire.Gossip], None
         ] = lambda connection, message: None
+        self.on_incarnation: collections.abc.Callable[[int], None] | None = (
+            None
+        )
         self.on_own_departure: collections.abc.Callable[
             [model.Departure], None
         ] = lambda departure: None
@@ -192,10 +197,7 @@
                 self.count_event('member.refuted')
                 self.replace_own_record(refutation)
             elif record.incarnation > self.own.incarnation:
-                self.count_event('member.replaced')
-                logging.error(
-                    'another node runs under the instance of this one'
-                )
+                self.handle_higher_incarnation(record)
         mergeable, claims = decisions.split_claims(
             others,
             data_centre=self.own.data_centre,
@@ -208,6 +210,28 @@
             if claimant is not None:
                 self.send_records(claimant, [claim])
 
+    def handle_higher_incarnation(self, record: model.Member) -> None:
+        """Handle a record of this instance that supersedes the own one."""
+        successor = decisions.outbid(self.own, record)
+        if successor is None or self.on_incarnation is None:
+            self.count_event('member.replaced')
+            logging.error('another node runs under the instance of this one')
+            return
+        self.count_event('member.incarnation_raised')
+        logging.warning(
+            'an earlier process of this node has the later incarnation %d',
+            record.incarnation,
+            extra={
+                'call_fields': {
+                    'event': 'incarnation_raised',
+                    'incarnation': successor.incarnation,
+                    'before': self.own.incarnation,
+                }
+            },
+        )
+        self.on_incarnation(successor.incarnation)
+        self.replace_own_record(successor)
+
     def compare_hashes(
         self,
         connection: peer_connection.PeerConnection,
