--- a/features/steps/unanswered_call_steps.py
+++ b/features/steps/unanswered_call_steps.py
@@ -11,7 +11,7 @@
 
 from features.support import silent_service
 from oleanderknot import model
-from oleanderknot.node import sidecar_application
+from oleanderknot.node import sidecar_dialect
 from oleanderknot.platform import http_client
 from oleanderknot.tasks import upstream_pool
 
@@ -127,7 +127,7 @@
             host='127.0.0.1',
             port=port,
             upstream='i-1',
-            dialect=sidecar_application.DIALECT,
+            dialect=sidecar_dialect.DIALECT,
             authorize_send=lambda call, resend: True,
             check_start=lambda call: None,
             record_latency=lambda seconds: None,
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -1,7 +1,7 @@
 """Sidecar node, discovered, configured and probed by its platform."""
 
 import asyncio
-import dataclasses
+import functools
 import gc
 import random
 import time
@@ -15,30 +15,24 @@
 from oleanderknot.node import incarnation
 from oleanderknot.node import lifecycle_log
 from oleanderknot.node import local_upstream
-from oleanderknot.node import peer_events
-from oleanderknot.node import platform_endpoints
+from oleanderknot.node import sidecar_dialect
 from oleanderknot.node import sidecar_drain
 from oleanderknot.node import sidecar_gauges
+from oleanderknot.node import sidecar_listeners
+from oleanderknot.node import sidecar_peers
 from oleanderknot.node import sidecar_recorder
 from oleanderknot.tasks import body_budget
 from oleanderknot.tasks import call_sessions
-from oleanderknot.tasks import client_listener
-from oleanderknot.tasks import control_traffic
 from oleanderknot.tasks import departure_store
-from oleanderknot.tasks import heartbeat_ingress
-from oleanderknot.tasks import http_dialect
 from oleanderknot.tasks import leaving_reasons
 from oleanderknot.tasks import lost_call_recovery
 from oleanderknot.tasks import membership
-from oleanderknot.tasks import peer_connection
-from oleanderknot.tasks import peer_handlers
 from oleanderknot.tasks import peer_listener
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import peer_reconnector
 from oleanderknot.tasks import policy_feed
 from oleanderknot.tasks import prober
 from oleanderknot.tasks import routed_dispatcher
-from oleanderknot.tasks import routed_ingress
 from oleanderknot.tasks import stop_schedule
 from oleanderknot.tasks import store_availability
 from oleanderknot.tasks import store_discovery
@@ -52,14 +46,6 @@
 # collections for each request.
 GC_THRESHOLDS = (20000, 20, 20)
 
-DIALECT = http_dialect.HttpDialect(
-    parse_request_headers=platform.message_headers.parse_request_headers,
-    parse_response_headers=platform.message_headers.parse_response_headers,
-    add_calling_service=platform.message_headers.add_calling_service,
-    add_upstream_headers=platform.message_headers.add_upstream_headers,
-    build_refusal_response=platform.message_headers.build_refusal_response,
-)
-
 
 class SidecarApplication(aiomisc.Service):
     """Service that runs one sidecar node next to its local upstream.
@@ -113,7 +99,9 @@
         )
         self.local_upstream.membership = self.membership
         self.membership.on_own_departure = self.local_upstream.adopt_departure
-        self.membership.on_incarnation = self.change_incarnation
+        self.membership.on_incarnation = functools.partial(
+            sidecar_peers.change_incarnation, self
+        )
         self.start_background()
         await self.peers.start()
         for listener, address in (
@@ -246,10 +234,10 @@
             chains=self.chains,
             members=self.members,
             recorder=self.recorder,
-            dialect=DIALECT,
+            dialect=sidecar_dialect.DIALECT,
         )
         self.call_sessions = call_sessions.CallSessions()
-        handlers = self.build_peer_handlers()
+        handlers = sidecar_peers.build_handlers(self)
         self.pool = peer_pool.PeerPool(
             identity=self.identity, handlers=handlers
         )
@@ -287,65 +275,11 @@
         self.local_upstream.runner.downstream_level.find_service_levels = (
             self.dispatcher.chooser.find_service_levels
         )
-        self.build_listeners()
-
-    def build_listeners(self) -> None:
-        """Build the listeners and their request handlers."""
-        self.requests = self.build_listener(
-            routed_ingress.build_handler(
-                service=self.settings.upstream.service,
-                policies=self.policies,
-                calls=self.dispatcher,
-                chains=self.chains,
-                dialect=DIALECT,
-                rng=self.rng,
-                measure=self.recorder.requests.observe,
-                schedule=self.schedule,
-            )
-        )
-        self.heartbeats = self.build_listener(
-            heartbeat_ingress.build_handler(
-                on_heartbeat=self.local_upstream.handle_heartbeat,
-                on_deregister=self.local_upstream.handle_deregistration,
-            )
-        )
-        self.readiness = self.build_listener(
-            platform_endpoints.build_readiness_handler(self.is_ready)
-        )
-        self.metrics = self.build_listener(
-            platform_endpoints.build_metrics_handler(self.recorder)
-        )
-
-    def build_listener(
-        self, handle: client_listener.HandleFunction
-    ) -> client_listener.ClientListener:
-        """Build a listener with the request limits of the current policy."""
-        return client_listener.ClientListener(
-            handle=handle,
-            limits=lambda: self.policies.limits,
-            count=self.recorder.count,
-            body_budget=self.body_budget,
-        )
-
-    def build_peer_handlers(self) -> peer_handlers.PeerHandlers:
-        """Build the callbacks that handle messages of peers."""
-        return peer_handlers.PeerHandlers(
-            handle_call=self.local_upstream.run_call,
-            answer_key_query=self.call_sessions.answer,
-            handle_gossip=lambda peer, message: peer_events.handle_gossip(
-                self.membership, self.policies, peer, message
-            ),
-            handle_policy_sync=lambda peer, item: self.policies.handle(
-                peer, item
-            ),
-            on_opened=self.add_connection,
-            on_closed=self.remove_connection,
-            count_event=self.recorder.count,
-            on_closing=lambda peer: self.pool.retire(peer),
-            control_bytes=control_traffic.ControlTraffic(),
-            on_overdue=lambda peer: self.recovery.start(peer),
-            may_cancel=lambda call: call.idempotent or not call.started,
-        )
+        listeners = sidecar_listeners.build_listeners(self)
+        self.requests = listeners.requests
+        self.heartbeats = listeners.heartbeats
+        self.readiness = listeners.readiness
+        self.metrics = listeners.metrics
 
     def start_background(self) -> None:
         """Start probing, peer discovery, connections and policy updates."""
@@ -402,31 +336,6 @@
         """Return whether clients may send requests to this node."""
         return not self.stopping and self.policies.policy is not None
 
-    def change_incarnation(self, incarnation: int) -> None:
-        """Take a higher incarnation in the handshakes from now on."""
-        self.identity = dataclasses.replace(
-            self.identity, incarnation=incarnation
-        )
-        self.pool.identity = self.peers.identity = self.identity
-
-    def add_connection(
-        self, connection: peer_connection.PeerConnection
-    ) -> None:
-        """Register a connection whose handshake is complete."""
-        self.call_sessions.add(connection)
-        peer_events.register_connection(
-            self.pool, self.membership, self.policies, connection
-        )
-
-    def remove_connection(
-        self, connection: peer_connection.PeerConnection
-    ) -> None:
-        """Remove a closed connection; the peer may be redialled."""
-        self.pool.remove(connection)
-        self.call_sessions.expire(connection)
-        if not self.stopping:
-            self.reconnector.note_closed(connection)
-
 
 def split_address(address: str) -> tuple[str, int]:
     """Split an address of the form ``ip:port``."""
