--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -91,7 +91,7 @@
                     )
                     break
                 time.sleep(RETRY_S)
-    missing = set(cluster.names) - cluster.fleet.list_node_rows()
+    missing = set(cluster.names) - cluster.fleet.list_rows()
     findings += ['%s has no row in the store' % name for name in missing]
     return findings
 
