List the counters of recovered calls and raised incarnations

Cause: three new counters were missing from the list that the page of metrics is made from, and the check of the pages failed.

--- a/oleanderknot/tasks/metric_list.py
+++ b/oleanderknot/tasks/metric_list.py
@@ -39,6 +39,11 @@
         'claims',
         'Wrong reports of the departure or death of this node, refuted by it.',
     ),
+    (
+        'member.incarnation_raised',
+        'claims',
+        'Records of an earlier process of this node with a later incarnation.',
+    ),
     (
         'member.replaced',
         'claims',
@@ -69,6 +74,16 @@
         'connections',
         'Connections to nodes that had disappeared without a goodbye.',
     ),
+    (
+        'peer.recovered',
+        'connections',
+        'Connections whose node was asked on a new one about their calls.',
+    ),
+    (
+        'peer.revoked_call',
+        'calls',
+        'Calls that arrived after their sender had given them up; not run.',
+    ),
     (
         'peer.silent',
         'connections',
