Keep the last departure of an instance in its row

Cause: a late deregistration of an earlier upstream replaced the departure of the one that had just left, so that a restarted node used it again; found by reading the change. A departure that only other nodes knew was not written to the store again.

Change: the departure of another upstream than the current one is noted in memory alone. What a restarted node reads or is told is kept in the row as well.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -17,6 +17,15 @@
     And a late heartbeat of the back end of "two" arrives
     Then no request of "one" for "/order/" is served for 2.5 seconds
 
+  Scenario: A late departure of an earlier upstream does not replace the last one
+    Guards against a row that forgets the upstream that has just left.
+    When the back end of "two" deregisters
+    And a late deregistration of "i-earlier" reaches the node of "two"
+    And the nodes "one" and "two" are killed and started
+    Then "one" serves "/page/1" again
+    When a late heartbeat of the back end of "two" arrives
+    Then no request of "one" for "/order/" is served for 2.5 seconds
+
   Scenario: Nodes that were all killed do not use an upstream that has left
     Guards against a departure that is kept by other nodes alone.
     When the back end of "two" deregisters
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -9,6 +9,7 @@
 from behave import then
 from behave import when
 
+from features.support import http as http_client
 from features.support import wait
 
 
@@ -18,6 +19,18 @@
     assert context.fleet.query_backend(name, '/-/deregister') == 200
 
 
+@when('a late deregistration of "{upstream}" reaches the node of "{name}"')
+def send_late_deregistration(context, upstream, name):
+    """Deliver the deregistration of an upstream that is long gone."""
+    item = context.fleet.sidecars[name]
+    status, _, _ = http_client.request(
+        'POST',
+        'http://%s/v1/instances/%s/deregister' % (item.heartbeats, upstream),
+        body=b'{"born": 1000}',
+    )
+    assert status == 200, status
+
+
 @when('a late heartbeat of the back end of "{name}" arrives')
 def send_late_heartbeat(context, name):
     """Send a heartbeat from before the departure once the node listens."""
--- a/oleanderknot/node/local_upstream.py
+++ b/oleanderknot/node/local_upstream.py
@@ -290,12 +290,19 @@
             'recorded the deregistration of %s' % upstream,
             departure,
         )
-        await self.publish_departure(departure)
+        # One upstream has this address, so another one than the current left
+        # earlier, and its departure must not replace that of the current one.
+        if (
+            outcome is decisions.HeartbeatOutcome.ACCEPTED
+            or self.heartbeat_filter.current is None
+        ):
+            await self.publish_departure(departure)
         return True
 
     async def publish_departure(self, departure: model.Departure) -> None:
         """Make a departure known beyond the end of this process."""
-        self.membership.update_own_record(departure=departure)
+        if departure != self.membership.own.departure:
+            self.membership.update_own_record(departure=departure)
         await self.departures.save(departure)
 
     def adopt_departure(self, departure: model.Departure) -> None:
@@ -312,6 +319,7 @@
         )
         if current_left:
             self.leaving.set(leaving_reasons.LeavingReason.UPSTREAM, True)
+        self.departures.keep(departure)
         if self.membership.own.departure is None:
             self.membership.update_own_record(departure=departure)
 
--- a/oleanderknot/tasks/departure_store.py
+++ b/oleanderknot/tasks/departure_store.py
@@ -123,9 +123,13 @@
             if row.key != self.instance:
                 continue
             try:
-                self.on_loaded(border.parse_departure(row.value))
+                departure = border.parse_departure(row.value)
             except ValueError as error:
                 logging.error('malformed departure row %s: %s', row.key, error)
+                continue
+            if self.latest is None:
+                self.latest = departure
+            self.on_loaded(departure)
         return True
 
     async def save(self, departure: model.Departure) -> None:
@@ -134,6 +138,8 @@
         Args:
             departure: The departure, which is acknowledged afterwards.
         """
+        if departure == self.latest and self.saved.is_set():
+            return
         self.latest = departure
         self.save_again()
         if not await wait_for(self.saved, MAX_WAIT_S):
@@ -149,6 +155,12 @@
                 },
             )
 
+    def keep(self, departure: model.Departure) -> None:
+        """Write a departure that other nodes know, unless there is one."""
+        if self.latest is None:
+            self.latest = departure
+            self.save_again()
+
     def save_again(self) -> None:
         """Write the row again, such as after the store has lost it."""
         if self.latest is not None:
