Count a connection as busy from the read of its request

Cause: a connection counted as busy once its task began, a turn of the event loop after the request was read. A drain that looked in between ended, and cut the request.

Change: the connection counts when the task is created, and until it is done, also if it is cancelled before it begins.

Result: both examples of "A request counts from the moment at which it was read" failed before, and pass.

--- a/features/late_requests.feature
+++ b/features/late_requests.feature
@@ -58,6 +58,19 @@
       | 10.0  | 8.33    |
       | 30.0  | 25.0    |
 
+  Scenario Outline: A request counts from the moment at which it was read
+    Guards against a stop that ends between the read of a request and its
+    handling, so that the request is passed on and cut.
+    Given a listener whose drain has just begun
+    When a client's request is read and <then>
+    Then <count> connection is busy at once
+    And no connection is busy after the request
+
+    Examples:
+      | then                     | count |
+      | it is handled            | 1     |
+      | the client leaves        | 1     |
+
   Scenario: A running request makes its calls until the end of a stop
     Guards against work that fails because the node refuses the calls that it
     still needs.
--- a/features/steps/late_request_steps.py
+++ b/features/steps/late_request_steps.py
@@ -1,14 +1,19 @@
 """Steps that send requests in parts while their node stops."""
 
+import asyncio
 import socket
 import threading
 import time
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 
 from features.support import wait
+from oleanderknot import model
+from oleanderknot.tasks import client_connection
+from oleanderknot.tasks import client_listener
 from oleanderknot.tasks import stop_schedule
 
 TIMEOUT_S = 10.0
@@ -116,3 +121,63 @@
 def check_drain_end(context, grace_s):
     """Check that the process is not killed during its drain."""
     assert context.schedule.end_at < 100.0 + grace_s, context.schedule.end_at
+
+
+@given('a listener whose drain has just begun')
+def build_listener(context):
+    """Build a listener on an event loop that runs step by step."""
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+
+    async def handle(request):
+        await asyncio.sleep(0)
+        return model.HttpResponse(status=200)
+
+    async def build():
+        context.listener = client_listener.ClientListener(
+            handle=handle,
+            limits=lambda: model.ClientLimits(
+                max_header_bytes=1000,
+                max_body_bytes=1000,
+                header_timeout_s=1.0,
+                idle_timeout_s=1.0,
+            ),
+            count=lambda name: None,
+        )
+        context.connection = client_connection.ClientConnection(
+            listener=context.listener
+        )
+
+    context.loop.run_until_complete(build())
+
+
+@when("a client's request is read and {then}")
+def read_request(context, then):
+    """Let the connection read a request within one turn of the loop."""
+
+    async def read():
+        context.connection.connection_made(mock.Mock())
+        context.connection.data_received(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+        context.busy_at_once = context.listener.active
+        if then == 'the client leaves':
+            context.connection.connection_lost(None)
+
+    context.loop.run_until_complete(read())
+
+
+@then('{count:d} connection is busy at once')
+def check_busy(context, count):
+    """Check the count before the task of the connection could begin."""
+    assert context.busy_at_once == count, context.busy_at_once
+
+
+@then('no connection is busy after the request')
+def check_idle(context):
+    """Check the count some turns of the loop later."""
+
+    async def wait_for_idle():
+        async with asyncio.timeout(5):
+            await context.listener.idle.wait()
+
+    context.loop.run_until_complete(wait_for_idle())
+    assert context.listener.active == 0, context.listener.active
--- a/oleanderknot/tasks/client_connection.py
+++ b/oleanderknot/tasks/client_connection.py
@@ -142,14 +142,19 @@
         self.reading = False
         self.pending_requests.append((request, keep_alive))
         if self.task is None:
+            # Counted here, since a stop may look before the task begins. The
+            # task may also be cancelled before that.
+            self.listener.count_busy()
             self.task = self.loop.create_task(self.answer())
+            self.task.add_done_callback(
+                lambda task: self.listener.count_idle()
+            )
         elif len(self.pending_requests) >= MAX_PIPELINED and not self.paused:
             self.paused = True
             self.transport.pause_reading()
 
     async def answer(self) -> None:
         """Answer the queued requests one after the other."""
-        self.listener.count_busy()
         try:
             while self.pending_requests and not self.closing:
                 request, keep_alive = self.pending_requests.popleft()
@@ -167,7 +172,6 @@
                     self.close_transport()
         finally:
             self.task = None
-            self.listener.count_idle()
         if not self.closing and not self.rejected:
             if self.paused:
                 self.paused = False
