Stop parsing a connection that was given up

Callers got 502 for requests between two sound services while a faulty upstream sent interim responses without end to one of the nodes.

Cause: after a connection was given up, the rest of each read was still parsed, up to 9,000 responses. The event loop stood still for more than a second, and the other node took this one for silent. A body with an announced length above the bound was read up to the bound, which takes longer than the deadline beside load.

Change: the parse ends with the connection, and a body that is announced as too large is refused at its head.

The scenario on a hundred slow answers also has chunked ones now, since announced bodies are refused earlier.

--- a/features/faulty_upstreams.feature
+++ b/features/faulty_upstreams.feature
@@ -66,6 +66,13 @@
       | endless_unframed   |
       | endless_interim    |
 
+  Scenario: Nothing more is parsed of a connection that was given up
+    Guards against an event loop that stands still for a second and more, so
+    that other nodes hold this one for silent and lose their requests.
+    Given a connection to an upstream that waits for an answer
+    When one read brings 9000 interim responses
+    Then at most 17 of them were parsed, and the request has failed
+
   Scenario: Uploads that are broken off leave nothing behind
     Guards against a node that still holds the bodies of clients that left.
     When 30 clients of "one" send 3900000 of 4000000 bytes to "/order/1" and leave, 5 times
@@ -87,14 +94,19 @@
       | one  |
       | two  |
 
-  Scenario: A hundred slow answers without an end are given up in time
+  Scenario Outline: A hundred slow answers without an end are given up in time
     Guards against connections that stay in use as long as bytes arrive.
-    When 100 clients of "one" send POST "/order/1?fault=endless_length&pace_ms=50" at once
+    When 100 clients of "one" send POST "/order/1?fault=<fault>&pace_ms=50" at once
     Then all of them get status 502, 503 or 504 before 4 s have passed
     And "two" used at most 160 MB of memory
     When a client of "one" sends POST "/order/2?size=9" as "c1"
     Then it gets status 200 and 9 bytes
 
+    Examples:
+      | fault          |
+      | endless_length |
+      | endless_chunks |
+
   Scenario: A store whose answers have no end costs no request anything
     Guards against a node that keeps what its store sends until its memory is
     full.
--- a/features/lost_calls.feature
+++ b/features/lost_calls.feature
@@ -36,6 +36,12 @@
       | 1200  | 0.3  |
       | 300   | 0.2  |
 
+  Scenario: A call that ends after its connection has closed is no error
+    Guards against an attempt to close the sending direction once more.
+    Given a connection between nodes that both have said goodbye on
+    When it is lost while a call of the other node runs
+    Then the end of the call closes nothing
+
   Scenario: A call to a node that is paused runs at most once
     Guards against a call that is recovered, and that the node still reads from
     the old connection when it goes on.
--- a/features/steps/faulty_upstream_steps.py
+++ b/features/steps/faulty_upstream_steps.py
@@ -1,5 +1,6 @@
 """Steps about bytes that faulty upstreams send."""
 
+import asyncio
 import collections
 import concurrent.futures
 import pathlib
@@ -7,11 +8,15 @@
 import socket
 import threading
 import time
+from unittest import mock
 
+from behave import given
 from behave import then
 from behave import when
 
 from features.support import wait
+from oleanderknot import transport
+from oleanderknot.platform import message_headers
 from oleanderknot.standins import backend
 
 # Deadline of the requests; their route ends them after 2 s.
@@ -108,6 +113,42 @@
     assert set(found) == {status}, found
 
 
+@given('a connection to an upstream that waits for an answer')
+def build_connection(context):
+    """Build a connection without a socket that has sent a request."""
+    context.parsed = 0
+
+    def decode(headers):
+        context.parsed += 1
+        return message_headers.parse_response_headers(headers)
+
+    async def build():
+        context.connection = transport.ResponseConnection(
+            decode_headers=decode, budget=transport.ReceiveBudget()
+        )
+        context.connection.connection_made(mock.Mock())
+        context.waiter = context.connection.request([b''], 'r1')
+
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.loop.run_until_complete(build())
+
+
+@when('one read brings {count:d} interim responses')
+def receive_interim(context, count):
+    """Pass the bytes of one read to the connection."""
+    context.connection.data_received(
+        b'HTTP/1.1 102 Processing\r\n\r\n' * count
+    )
+
+
+@then('at most {limit:d} of them were parsed, and the request has failed')
+def check_parsed(context, limit):
+    """Check how many responses were decoded."""
+    assert 0 < context.parsed <= limit, context.parsed
+    assert context.waiter.exception() is not None
+
+
 @when('the largest body is set to {size:d} bytes')
 def set_body_limit(context, size):
     """Put a policy with this limit, and wait for it."""
--- a/features/steps/lost_call_steps.py
+++ b/features/steps/lost_call_steps.py
@@ -1,15 +1,20 @@
 """Steps about calls on connections between nodes that go silent."""
 
+import asyncio
 import collections
 import time
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 
+from features.support import fake_peer
 from features.support import http
 from features.support import ports
 from features.support import wait
+from oleanderknot import model
+from oleanderknot.tasks import peer_connection
 
 
 @given('the proxied instances')
@@ -67,6 +72,46 @@
         )
 
 
+@given('a connection between nodes that both have said goodbye on')
+def build_connection(context):
+    """Build a connection whose transport fails when it is used again."""
+    context.transport = mock.Mock()
+    context.transport.write_eof.side_effect = RuntimeError('closed')
+
+    async def build():
+        context.connection = peer_connection.PeerConnection(
+            identity=model.NodeIdentity(
+                instance='a', incarnation=1, data_centre='dc1'
+            ),
+            handlers=fake_peer.build_handlers(),
+            target=None,
+        )
+        context.connection.connection_made(context.transport)
+        context.connection.graceful_close.goodbye_sent = True
+        context.connection.graceful_close.goodbye_received = True
+
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.loop.run_until_complete(build())
+
+
+@when('it is lost while a call of the other node runs')
+def lose_connection(context):
+    """Close the connection with a call open."""
+    context.connection.incoming.open_calls[1] = mock.Mock(
+        request_body=None, task=None
+    )
+    context.connection.connection_lost(OSError('reset'))
+
+
+@then('the end of the call closes nothing')
+def check_end(context):
+    """End the call; this must not use the transport."""
+    context.connection.incoming.open_calls.clear()
+    context.connection.incoming.on_ended()
+    context.transport.write_eof.assert_not_called()
+
+
 @then('all of them are answered')
 def check_answered(context):
     """Wait for the answers to all requests."""
--- a/oleanderknot/tasks/lost_call_recovery.py
+++ b/oleanderknot/tasks/lost_call_recovery.py
@@ -73,8 +73,6 @@
         states = await asyncio.gather(
             *(self.ask(fresh, connection, number) for number in numbers)
         )
-        # After a pause of the node, the old connection works again.
-        connection.graceful_close.start()
         self.count('peer.recovered')
         logging.info(
             '%s responds on a new connection and has not received %d of %d'
--- a/oleanderknot/tasks/peer_connection.py
+++ b/oleanderknot/tasks/peer_connection.py
@@ -261,6 +261,8 @@
 
     def close_write(self) -> None:
         """Close the sending direction; the peer then closes its own."""
+        if self.closed:
+            return
         self.write_closed = True
         if self.transport.can_write_eof():
             self.transport.write_eof()
--- a/oleanderknot/transport/response_connection.py
+++ b/oleanderknot/transport/response_connection.py
@@ -49,6 +49,7 @@
             earlier answer again, so an id must not be sent twice.
         overhead_bytes: Bytes received outside bodies since the answer in
             progress began.
+        body_size: Size of the body that the head announces.
         body_bytes: Size of the body in progress.
         counted: Whether the budget counts the body in progress.
         unexpected: Number of responses that preceded the expected one.
@@ -146,11 +147,19 @@
             self.budget.hold(self.abort_oversized, self.body_bytes)
 
     def on_message_begin(self) -> None:
-        """Start an answer; called by the parser."""
+        """Start an answer; called by the parser.
+
+        Raises:
+            ConnectionCutError: The connection was given up. The rest of a
+                read may hold thousands of answers; the error ends its parse.
+        """
+        if self.closed:
+            raise connection_cut.ConnectionCutError('the connection is closed')
         self.headers: model.Headers = []
         self.parts: list[bytes] = []
         self.metadata: model.ResponseMetadata | None = None
         self.framed = False
+        self.body_size = 0
         self.body_bytes = 0
         if self.transport is not None and self.waiter is None:
             self.reusable = False
@@ -159,11 +168,25 @@
         """Collect a header; called by the parser."""
         if self.metadata is None and not self.closed:
             self.headers.append((name, value))
-            if name.lower() in (b'content-length', b'transfer-encoding'):
+            lower = name.lower()
+            if lower in (b'content-length', b'transfer-encoding'):
                 self.framed = True
+            if lower == b'content-length' and value.isdigit():
+                self.body_size = int(value)
 
     def on_headers_complete(self) -> None:
-        """Decode the head of an answer; called by the parser."""
+        """Decode the head of an answer; called by the parser.
+
+        Raises:
+            ConnectionCutError: The body is too large to be received.
+        """
+        if (
+            self.body_size > self.budget.max_response_bytes
+            and not self.head_only
+        ):
+            raise connection_cut.ConnectionCutError(
+                'the body of the answer is too large'
+            )
         self.metadata = self.decode_headers(self.headers)
         if self.head_only:
             # The parser would wait for a body that is never sent.
