Expect the transaction that stores a departure

Cause: the scenario counts all transactions of two nodes. Since a departure is written before it is acknowledged, so a node whose upstream leaves makes two in place of one: its departure, and the removal of its row. The count of three was that of the code before. Change: the exact count is four.

--- a/features/task_failures.feature
+++ b/features/task_failures.feature
@@ -47,4 +47,4 @@
     When "two" is stopped and started again
     Then the store got 2 transactions
     When the back end of "two" leaves and "two" is stopped
-    Then the store got 3 transactions
+    Then the store got 4 transactions
