Cancel a request at another node once its whole body is there

Cause: OutgoingCalls.abandon ended the body of each non-idempotent call by a failure frame. A body that has arrived whole ignores it, so the node beside the upstream was never told that the caller had left. The review saw this by reading. Change: the failure frame is for a body that is still being sent; after it the call is cancelled like one without a body. The node beside the upstream drops it only if it has not been sent yet, as before.

--- /dev/null
+++ b/features/departed_clients.feature
@@ -0,0 +1,26 @@
+Feature: Nothing is done or kept for clients that have left
+
+  Background:
+    Given a platform with the routes
+      | name  | prefix  | kind   | service   |
+      | page  | /page/  | safe   | catalogue |
+      | order | /order/ | unsafe | orders    |
+    And the instance "one" with a back end of "catalogue"
+    And the instance "two" with a back end of "orders"
+    And "one" serves "/order/ready" and "/page/ready"
+
+  Scenario Outline: A request that waits at another node is dropped when its client leaves
+    Guards against an upload that waits for a slot, and that runs although its
+    client left long before.
+    Given the back end of "two" is killed and started with 1 slots
+    And the node of "two" knows 1 slots
+    When 1 clients of "one" send POST "/order/1?delay_ms=1500" with 6 s left
+    And the back end of "two" runs 1 request
+    And 3 clients of "one" send <size> bytes to "/order/2", wait 0.3 s and leave
+    Then all of them are answered, 1 with status 200
+    And the back end of "two" ran nothing for the clients that left
+
+    Examples:
+      | size   |
+      | 1000   |
+      | 200000 |
--- a/oleanderknot/tasks/outgoing_calls.py
+++ b/oleanderknot/tasks/outgoing_calls.py
@@ -150,13 +150,18 @@
     def abandon(self, number: int) -> None:
         """Drop a call and notify the peer, which may still run it.
 
-        A non-idempotent call must not run with an incomplete body, so its
-        body is ended by a failure frame instead of a cancel frame.
+        A non-idempotent call must not run with an incomplete body, so a body
+        that is still being sent is ended by a failure frame instead of a
+        cancel frame.
         """
-        entry = self.remove(number)
+        entry = self.open_calls.get(number)
         if entry is None:
             return
-        if entry.call.idempotent or entry.body_sender is None:
+        sending = (
+            entry.body_sender is not None and not entry.body_sender.done()
+        )
+        self.remove(number)
+        if entry.call.idempotent or not sending:
             self.frame_writer.send(number, cancel=wire.Cancel())
         else:
             self.frame_writer.send(
