Cancel the rest of an answer whose client has left

Callers saw: nothing, as they had left; the node beside the upstream kept the rest of each such answer, and a task, as long as its connection to the caller's node lived. Cause: the node of the caller joins the parts of an answer, and a cancelled join told nobody. Answers of more than the flow control window wait for credit that never comes. Change: join_body cancels what it does not read. Result: "An answer of another node is not received for a client that has left" failed before with no cancel frame, and passes.

--- a/features/departed_clients.feature
+++ b/features/departed_clients.feature
@@ -24,3 +24,10 @@
       | size   |
       | 1000   |
       | 200000 |
+
+  Scenario: An answer of another node is not received for a client that has left
+    Guards against the rest of a long answer that the other node keeps, and its
+    task with it, as long as the connection lives.
+    Given a call whose answer of another node has arrived in part
+    When its client leaves
+    Then the other node is told to cancel it
--- a/features/steps/departed_client_steps.py
+++ b/features/steps/departed_client_steps.py
@@ -1,10 +1,19 @@
 """Steps about clients that leave before their answer is complete."""
 
+import asyncio
 import socket
 import time
+from unittest import mock
 
+from behave import given
 from behave import then
 from behave import when
+from expression import Ok
+
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.tasks import body_pipe
+from oleanderknot.tasks import routed_dispatcher
 
 
 @when(
@@ -36,3 +45,65 @@
     runs = context.fleet.query_backend(name, '/-/runs')['runs']
     late = [run['id'] for run in runs if run['id'].startswith('gone')]
     assert not late, late
+
+
+@given('a call whose answer of another node has arrived in part')
+def build_partial_answer(context):
+    """Build a dispatcher with a connection that holds half an answer."""
+    context.on_cancel = mock.Mock()
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    body = body_pipe.BodyPipe(
+        on_credit=lambda size: None, on_cancel=context.on_cancel
+    )
+    body.put(b'x' * 1000, False)
+    connection = mock.Mock()
+    connection.open = mock.AsyncMock(
+        return_value=Ok(
+            model.Answer(status=200, headers=[], content=b'x', body=body)
+        )
+    )
+    pool = mock.Mock()
+    pool.find.return_value = connection
+    context.dispatcher = routed_dispatcher.RoutedDispatcher(
+        identity=model.NodeIdentity(
+            instance='one', incarnation=1, data_centre='dc1'
+        ),
+        members=decisions.MemberTable(),
+        runner=mock.Mock(),
+        pool=pool,
+        record=mock.Mock(),
+        run_local=mock.Mock(),
+        rng=mock.Mock(),
+    )
+    context.member = model.Member(
+        instance='two',
+        incarnation=1,
+        version=1,
+        state=model.MemberState.TAKING,
+        data_centre='dc1',
+        host='127.0.0.1',
+        peer_port=1,
+    )
+
+
+@when('its client leaves')
+def cancel_attempt(context):
+    """Cancel the task of the call once it waits for the rest."""
+
+    async def leave():
+        task = asyncio.ensure_future(
+            context.dispatcher.attempt(context.member, mock.Mock(), b'')
+        )
+        await asyncio.sleep(0.01)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert task.cancelled()
+
+    context.loop.run_until_complete(leave())
+
+
+@then('the other node is told to cancel it')
+def check_told(context):
+    """Check that the rest of the answer was cancelled once."""
+    context.on_cancel.assert_called_once_with()
--- a/oleanderknot/tasks/buffered_body.py
+++ b/oleanderknot/tasks/buffered_body.py
@@ -44,6 +44,9 @@
 ) -> bytes:
     """Return the complete body from its first bytes and the rest.
 
+    The rest is cancelled if the reader stops early, so that its sender does
+    not keep it.
+
     Args:
         content: The first bytes.
         body: The rest, if there is any.
@@ -55,7 +58,10 @@
     if body is None:
         return content
     parts = [content]
-    while data := await body.read():
-        on_part(len(data))
-        parts.append(data)
+    try:
+        while data := await body.read():
+            on_part(len(data))
+            parts.append(data)
+    finally:
+        body.cancel()
     return b''.join(parts)
