Refuse a request whose body was given up as not run

Callers saw: 502 in place of 503 where the connection between two nodes had a fault while a body was passed on; operators saw a traceback for each client that left then. Cause: the node beside the upstream let the error of the incomplete body pass, which the connection took for an unexpected error of its own and answered "may have run", although no send had begun. Change: LocalUpstream.run_call refuses such a call as not run, with the rule of the error. Result: "A body that another node gives up is no error" failed before with may-have-run and internal_error, and passes.

--- a/features/departed_clients.feature
+++ b/features/departed_clients.feature
@@ -31,3 +31,10 @@
     Given a call whose answer of another node has arrived in part
     When its client leaves
     Then the other node is told to cancel it
+
+  Scenario: A body that another node gives up is no error
+    Guards against a traceback, and a refusal that says "may have run", for a
+    client that leaves while its body is passed on.
+    When another node sends a part of a body to "two" and gives it up
+    Then it is told that the call has not run
+    And "two" logs no unexpected error
--- a/features/steps/departed_client_steps.py
+++ b/features/steps/departed_client_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import time
+import types
 from unittest import mock
 
 from behave import given
@@ -10,8 +11,10 @@
 from behave import when
 from expression import Ok
 
+from features.support import raw_peer
 from oleanderknot import decisions
 from oleanderknot import model
+from oleanderknot import wire
 from oleanderknot.tasks import body_pipe
 from oleanderknot.tasks import routed_dispatcher
 
@@ -107,3 +110,62 @@
 def check_told(context):
     """Check that the rest of the answer was cancelled once."""
     context.on_cancel.assert_called_once_with()
+
+
+@when('another node sends a part of a body to "{name}" and gives it up')
+def give_up_body(context, name):
+    """Open a call whose body ends with a failure."""
+    host, port = context.fleet.sidecars[name].peers.split(':')
+    peer = raw_peer.RawPeer(
+        node=types.SimpleNamespace(host=host, peer_port=int(port))
+    )
+    context.add_cleanup(peer.close)
+    now = time.monotonic()
+    call = model.Call(
+        service='orders',
+        method='POST',
+        path='/order/1',
+        headers=[],
+        request_class=model.RequestClass.ORDER,
+        depth=0,
+        deadline=now + 5.0,
+        idempotent=False,
+        trace_id='t1',
+        span_id='s1',
+        route='order',
+        ticket=0,
+        sampled=False,
+        has_body=True,
+    )
+    peer.send(
+        1,
+        open=wire.open_from_call(
+            call,
+            body=b'first part',
+            body_complete=False,
+            now=now,
+            unix_time_s=time.time(),
+        ),
+    )
+    peer.send(
+        1,
+        failure=wire.Failure(
+            verdict=1, rule='body_cut', detail='the caller left'
+        ),
+    )
+    context.failure = peer.wait_for('failure')
+
+
+@then('it is told that the call has not run')
+def check_not_run(context):
+    """Check the verdict and the rule of the refusal."""
+    refusal = wire.refusal_from_failure(context.failure)
+    assert refusal.verdict is model.Verdict.NOT_RUN, refusal
+    assert refusal.rule is model.Rule.BODY_CUT, refusal
+
+
+@then('"{name}" logs no unexpected error')
+def check_no_error(context, name):
+    """Check the log of a node."""
+    log = context.fleet.sidecars[name].process.read_log()
+    assert 'unexpected error' not in log, log[-4000:]
--- a/oleanderknot/node/local_upstream.py
+++ b/oleanderknot/node/local_upstream.py
@@ -141,6 +141,10 @@
                 model.Rule.QUEUE_FULL,
                 str(error),
             )
+        except model.IncompleteBodyError as error:
+            return call_refusal.refuse(
+                call, model.Verdict.NOT_RUN, error.rule, str(error)
+            )
         finally:
             lease.end()
         if result.is_ok():
