--- a/features/platform_changes.feature
+++ b/features/platform_changes.feature
@@ -101,6 +101,19 @@
     Then "one" serves "/order/again" again
     And "two" logs "incarnation_raised"
 
+  Scenario Outline: Calls pass between nodes whose times of day differ
+    Guards against a deadline that is compared with the time of day of another
+    machine, so that each call seems to arrive too late.
+    When the node of "two" is killed
+    And the node of "two" is started with a clock <shift> s ahead
+    Then "one" serves "/order/again" again
+    And "two" serves "/page/again" again
+
+    Examples:
+      | shift |
+      | 20    |
+      | -20   |
+
   Scenario: A node that was told to stop finishes its requests
     Guards against a payment cut off by planned work.
     When a client of "two" sends POST "/order/1?delay_ms=1500" as "f1" and waits
--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -226,6 +226,21 @@
       | no sequence | i-1      | 900     | not left |
       | no sequence | i-0      | 1000    | not left |
 
+  Scenario: The delay of a message does not depend on whose clock is right
+    Guards against a call that is taken for late because a clock differs, and
+    against one that waited in the buffer of a suspended process and is not.
+    When messages sent at these times of one clock arrive at these of another
+      | sent  | arrived | delay |
+      | 5000  | 1.0     | 0     |
+      | 5001  | 2.25    | 0.25  |
+      | 5002  | 6.0     | 3.0   |
+      | 5003  | 6.0     | 2.0   |
+      | 5028  | 29.0    | 0     |
+      | 5040  | 41.5    | 0.5   |
+      | 5080  | 81.5    | 0     |
+      | 9000  | 8000.0  | 0     |
+    Then their delays are as given
+
   Scenario: Names of the wire stay in the adapter
     Guards against a product that depends on one platform's words.
     Then no source outside the adapter holds a name of the platform's wire
--- a/features/steps/departed_client_steps.py
+++ b/features/steps/departed_client_steps.py
@@ -145,6 +145,7 @@
             body_complete=False,
             now=now,
             unix_time_s=time.time(),
+            clock_s=now,
         ),
     )
     peer.send(
--- a/features/steps/platform_change_steps.py
+++ b/features/steps/platform_change_steps.py
@@ -113,6 +113,12 @@
     context.fleet.restart_shifted(context.fleet.sidecars[name], -behind_s)
 
 
+@when('the node of "{name}" is started with a clock {ahead_s:d} s ahead')
+def start_ahead(context, name, ahead_s):
+    """Start a node whose time of day is wrong by a number of seconds."""
+    context.fleet.restart_shifted(context.fleet.sidecars[name], ahead_s)
+
+
 @when('the nodes "{first}" and "{second}" are killed and started')
 def restart_two(context, first, second):
     """Kill two nodes before either is started again."""
--- a/features/steps/platform_decision_steps.py
+++ b/features/steps/platform_decision_steps.py
@@ -265,3 +265,24 @@
     ends = [0.0] + [end for end, _ in context.ends if end <= 120]
     gap = max(later - earlier for earlier, later in itertools.pairwise(ends))
     assert gap <= gap_s, gap
+
+
+@when('messages sent at these times of one clock arrive at these of another')
+def observe_messages(context):
+    """Estimate the delays of messages on one connection, in seconds."""
+    delay = decisions.ArrivalDelay()
+    context.delays = [
+        (
+            delay.observe(float(row['sent']), float(row['arrived'])),
+            float(row['delay']),
+        )
+        for row in context.table
+    ]
+
+
+@then('their delays are as given')
+def check_delays(context):
+    """Compare the estimated delays with those of the table."""
+    assert all(found == given for found, given in context.delays), (
+        context.delays
+    )
--- a/features/steps/ticket_peer_steps.py
+++ b/features/steps/ticket_peer_steps.py
@@ -102,7 +102,12 @@
         has_body=False,
     )
     message = wire.open_from_call(
-        call, body=b'', body_complete=True, now=now, unix_time_s=time.time()
+        call,
+        body=b'',
+        body_complete=True,
+        now=now,
+        unix_time_s=time.time(),
+        clock_s=now,
     )
     peer.send(1, open=message)
     failure = peer.wait_for('failure')
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -11,6 +11,7 @@
     'admission_queue': ('AdmissionQueue',),
     'alert_reporters': ('find_dead_data_centres', 'is_reporter'),
     'alert_texts': ('ALERT_TEXTS', 'summarise'),
+    'arrival_delay': ('ArrivalDelay',),
     'balanced_choice': ('choose_balanced',),
     'call_cohort': ('CallCohort',),
     'call_numbers': ('CallNumbers',),
--- a/oleanderknot/tasks/incoming_calls.py
+++ b/oleanderknot/tasks/incoming_calls.py
@@ -16,7 +16,8 @@
 from oleanderknot.tasks import send_window
 from oleanderknot.tasks import task_log
 
-# Largest tolerated difference between the wall clocks of two instances.
+# Largest tolerated difference between the wall clocks of two instances, for
+# nodes of earlier versions, whose messages have no other time.
 MAX_CLOCK_SKEW_S = 5.0
 
 
@@ -30,6 +31,7 @@
         used_numbers: Call numbers that the peer has used.
         revoked: Numbers of calls that the peer has given up before they
             arrived; they must not run.
+        arrival_delay: Estimates how long calls wait before they are read.
         on_ended: Called when a call has ended.
     """
 
@@ -44,6 +46,7 @@
         self.open_calls: dict[int, incoming_call.IncomingCall] = {}
         self.used_numbers = decisions.CallNumbers()
         self.revoked: set[int] = set()
+        self.arrival_delay = decisions.ArrivalDelay()
         self.on_ended: collections.abc.Callable[[], None] = lambda: None
         self.loop = asyncio.get_running_loop()
 
@@ -61,8 +64,7 @@
         call = wire.call_from_open(
             message,
             now=self.loop.time(),
-            unix_time_s=time.time(),
-            max_skew_s=MAX_CLOCK_SKEW_S,
+            find_delay_s=self.find_delay_s,
         )
         entry = incoming_call.IncomingCall(
             call=call, window=send_window.SendWindow()
@@ -81,6 +83,15 @@
         )
         entry.task.add_done_callback(task_log.log_failure)
 
+    def find_delay_s(self, message: wire.Open) -> float:
+        """Return how long a message waited before it was read, in seconds."""
+        if message.sent_ms is not None:
+            return self.arrival_delay.observe(
+                message.sent_ms / 1000, time.clock_gettime(time.CLOCK_BOOTTIME)
+            )
+        sent_unix_ms = message.deadline_epoch_ms - message.deadline_ms
+        return max(0.0, time.time() - sent_unix_ms / 1000 - MAX_CLOCK_SKEW_S)
+
     def revoke(self, number: int) -> bool:
         """Revoke a call; return whether it had not arrived."""
         if number in self.revoked:
--- a/oleanderknot/tasks/outgoing_calls.py
+++ b/oleanderknot/tasks/outgoing_calls.py
@@ -80,6 +80,7 @@
                 body_complete=body is None,
                 now=self.loop.time(),
                 unix_time_s=time.time(),
+                clock_s=time.clock_gettime(time.CLOCK_BOOTTIME),
             ),
         )
         if body is not None:
--- a/oleanderknot/wire/gen/peer/ttypes.py
+++ b/oleanderknot/wire/gen/peer/ttypes.py
@@ -400,6 +400,7 @@
      - sampled
      - repeat
      - notice
+     - sent_ms
 
     """
 
@@ -424,10 +425,11 @@
         'sampled',
         'repeat',
         'notice',
+        'sent_ms',
     )
 
 
-    def __init__(self, service_name=None, method=None, path=None, headers=None, body=None, body_complete=None, request_class=None, depth=None, deadline_ms=None, deadline_epoch_ms=None, allowance=None, key=None, idempotent=None, trace_id=None, span_id=None, root_route=None, ticket=None, sampled=None, repeat=None, notice=None,):
+    def __init__(self, service_name=None, method=None, path=None, headers=None, body=None, body_complete=None, request_class=None, depth=None, deadline_ms=None, deadline_epoch_ms=None, allowance=None, key=None, idempotent=None, trace_id=None, span_id=None, root_route=None, ticket=None, sampled=None, repeat=None, notice=None, sent_ms=None,):
         self.service_name = service_name
         self.method = method
         self.path = path
@@ -448,6 +450,7 @@
         self.sampled = sampled
         self.repeat = repeat
         self.notice = notice
+        self.sent_ms = sent_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -564,6 +567,11 @@
                     self.notice.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I64:
+                    self.sent_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -657,6 +665,10 @@
             oprot.writeFieldBegin('notice', TType.STRUCT, 20)
             self.notice.write(oprot)
             oprot.writeFieldEnd()
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I64, 21)
+            oprot.writeI64(self.sent_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2776,6 +2788,7 @@
     (18, TType.BOOL, 'sampled', None, None, ),  # 18
     (19, TType.I32, 'repeat', None, None, ),  # 19
     (20, TType.STRUCT, 'notice', [UpstreamNotice, None], None, ),  # 20
+    (21, TType.I64, 'sent_ms', None, None, ),  # 21
 )
 all_structs.append(Head)
 Head.thrift_spec = (
--- a/oleanderknot/wire/peer.thrift
+++ b/oleanderknot/wire/peer.thrift
@@ -28,6 +28,8 @@
   6: optional UpstreamNotice notice
 }
 
+// deadline_epoch_ms is read by nodes of earlier versions; sent_ms is the time
+// of sending by a clock of the sender that is never set.
 struct Open {
   1: string service_name
   2: string method
@@ -49,6 +51,7 @@
   18: bool sampled
   19: i32 repeat
   20: optional UpstreamNotice notice
+  21: optional i64 sent_ms
 }
 
 struct Head {
--- a/oleanderknot/wire/translate_call.py
+++ b/oleanderknot/wire/translate_call.py
@@ -1,5 +1,7 @@
 """Converts calls, answers and refusals to and from thrift structs."""
 
+import collections.abc
+
 from oleanderknot import model
 from oleanderknot.wire import bad_frame
 from oleanderknot.wire import field_check
@@ -36,6 +38,7 @@
     body_complete: bool,
     now: float,
     unix_time_s: float,
+    clock_s: float,
 ) -> ttypes.Open:
     """Build the message that opens a call.
 
@@ -45,6 +48,8 @@
         body_complete: Whether ``body`` is the whole body.
         now: Monotonic time in seconds.
         unix_time_s: Wall-clock time in seconds since 1970 (UTC).
+        clock_s: Time in seconds of a clock that is never set and runs on
+            while the machine is suspended.
 
     Returns:
         The message.
@@ -71,24 +76,24 @@
         sampled=call.sampled,
         repeat=call.repeat,
         notice=translate_notice.notice_to_wire(call.notice),
+        sent_ms=int(clock_s * 1000),
     )
 
 
 def call_from_open(
-    message: ttypes.Open, *, now: float, unix_time_s: float, max_skew_s: float
+    message: ttypes.Open,
+    *,
+    now: float,
+    find_delay_s: collections.abc.Callable[[ttypes.Open], float],
 ) -> model.Call:
     """Build a call from the message that opens it, and validate it.
 
-    The deadline is the earlier of two: the time of arrival plus the remaining
-    time, and the sender's wall-clock deadline plus the allowed clock skew.
-    The second one detects that a call is late when it has waited in the
-    socket buffer of a suspended process.
-
     Args:
         message: The message.
         now: Monotonic time in seconds.
-        unix_time_s: Wall-clock time in seconds since 1970 (UTC).
-        max_skew_s: Allowed skew between wall clocks in seconds.
+        find_delay_s: Returns how long a valid message waited before it was
+            read, in seconds. One that waited in the socket buffer of a
+            suspended process has less time left than it says.
 
     Returns:
         The call.
@@ -139,9 +144,9 @@
     field_check.require(
         message.deadline_ms >= 0, 'open message with a negative deadline'
     )
-    remaining = min(
-        message.deadline_ms / 1000,
-        message.deadline_epoch_ms / 1000 + max_skew_s - unix_time_s,
+    field_check.require(
+        message.sent_ms is None or message.sent_ms >= 0,
+        'open message with a negative time',
     )
     return model.Call(
         service=message.service_name,
@@ -150,7 +155,7 @@
         headers=pair_headers(message.headers),
         request_class=REQUEST_CLASSES[message.request_class],
         depth=message.depth,
-        deadline=now + remaining,
+        deadline=now + message.deadline_ms / 1000 - find_delay_s(message),
         allowance=message.allowance,
         key=message.key,
         idempotent=message.idempotent,
