--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -97,8 +97,9 @@
             pool=self.pool,
             count_event=self.recorder.count,
         )
-        self.local_upstream.membership = self.membership
-        self.membership.on_own_departure = self.local_upstream.adopt_departure
+        heartbeats = self.local_upstream.heartbeats
+        heartbeats.membership = self.membership
+        self.membership.on_own_departure = heartbeats.adopt_departure
         self.membership.on_incarnation = functools.partial(
             sidecar_peers.change_incarnation, self
         )
@@ -138,7 +139,7 @@
             requests=self.requests.active,
             runs=self.local_upstream.runner.running,
         )
-        self.local_upstream.leaving.set(
+        self.local_upstream.heartbeats.leaving.set(
             leaving_reasons.LeavingReason.STOP, True
         )
         self.requests.close_after_requests()
@@ -180,7 +181,7 @@
         The instance goes away once its upstream has left. If the node alone
         is stopped, it starts again at the same address.
         """
-        leaving = self.local_upstream.leaving
+        leaving = self.local_upstream.heartbeats.leaving
         if leaving.holds(
             leaving_reasons.LeavingReason.UPSTREAM
         ) or leaving.holds(leaving_reasons.LeavingReason.ANSWER):
@@ -303,10 +304,10 @@
             store=self.store,
             availability=self.store_availability,
             rng=self.rng,
-            on_loaded=self.local_upstream.adopt_departure,
+            on_loaded=self.local_upstream.heartbeats.adopt_departure,
             first_start=self.settings.first_start,
         )
-        self.local_upstream.departures = self.departures
+        self.local_upstream.heartbeats.departures = self.departures
         self.store_epoch.on_change.append(self.departures.save_again)
         self.reconnector = peer_reconnector.PeerReconnector(
             members=self.membership, pool=self.pool, rng=self.rng
--- a/oleanderknot/node/sidecar_listeners.py
+++ b/oleanderknot/node/sidecar_listeners.py
@@ -45,6 +45,7 @@
             body_budget=node.body_budget,
         )
 
+    upstream = node.local_upstream.heartbeats
     return SidecarListeners(
         requests=build_listener(
             routed_ingress.build_handler(
@@ -60,8 +61,8 @@
         ),
         heartbeats=build_listener(
             heartbeat_ingress.build_handler(
-                on_heartbeat=node.local_upstream.handle_heartbeat,
-                on_deregister=node.local_upstream.handle_deregistration,
+                on_heartbeat=upstream.handle_heartbeat,
+                on_deregister=upstream.handle_deregistration,
             )
         ),
         readiness=build_listener(
