Acknowledge a departure only once another process holds it

Cause: the acknowledgement was given after 0.5 s whether or not anything but the process held the departure. Change: DepartureStore.wait_until_kept waits for the store and then until another node has received the record; a response to a query shows that, as messages are handled in order. Else the call is answered 503, which the upstream repeats. A repeated announcement waits in the same way.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -42,6 +42,21 @@
     And a late heartbeat of the back end of "two" arrives
     Then no request of "one" for "/order/" is served for 2.5 seconds after "two" logs "departure_adopted"
 
+  Scenario Outline: A departure that nothing but its node holds is not acknowledged
+    Guards against an acknowledgement that a kill of the node makes untrue.
+    When the node of "one" is killed
+    And the store has the faults "silent"
+    And the back end of "two" <leaves> without an acknowledgement
+    Then no request of "two" for "/order/" is served for 0.5 seconds
+    When the store has no faults
+    Then the back end of "two" <leaves> with an acknowledgement in time
+    And the store has a departure of "two"
+
+    Examples:
+      | leaves           |
+      | says "draining"  |
+      | deregisters      |
+
   Scenario: A departure that the store has lost is stored again
     Guards against a store that returns from a copy without the departure.
     Given a copy is made of the store
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -19,6 +19,31 @@
     assert context.fleet.query_backend(name, '/-/deregister') == 200
 
 
+def leave(context, name, action):
+    """Send the departure of a back end; return the status of the answer."""
+    path = {
+        'says "draining"': '/-/state?value=draining',
+        'deregisters': '/-/deregister',
+    }
+    return context.fleet.query_backend(name, path[action])
+
+
+@when('the back end of "{name}" {action} without an acknowledgement')
+def leave_without_acknowledgement(context, name, action):
+    """Announce a departure that the node cannot keep."""
+    status = leave(context, name, action)
+    assert status == 503, status
+
+
+@then('the back end of "{name}" {action} with an acknowledgement in time')
+def leave_with_acknowledgement(context, name, action):
+    """Announce the departure again until it is acknowledged."""
+    wait.wait_until(
+        lambda: leave(context, name, action) == 200,
+        'the departure is acknowledged',
+    )
+
+
 @when('a late deregistration of "{upstream}" reaches the node of "{name}"')
 def send_late_deregistration(context, upstream, name):
     """Deliver the deregistration of an upstream that is long gone."""
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -127,6 +127,16 @@
         )
         return {row['key'] for row in content['rows']}
 
+    def list_row_values(self, table: str) -> dict[str, str]:
+        """Return the values of the rows of a table by key."""
+        content = plain_http.get_json(
+            self.store_url('/v1/rows-get?table=%s&part=' % table)
+        )
+        return {
+            row['key']: base64.b64decode(row['value']).decode()
+            for row in content['rows']
+        }
+
     def start(
         self,
         name: str,
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -27,6 +27,7 @@
 from oleanderknot.tasks import leaving_reasons
 from oleanderknot.tasks import lost_call_recovery
 from oleanderknot.tasks import membership
+from oleanderknot.tasks import message_receipt
 from oleanderknot.tasks import peer_listener
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import peer_reconnector
@@ -46,6 +47,10 @@
 # collections for each request.
 GC_THRESHOLDS = (20000, 20, 20)
 
+# Peers that are asked whether they have received a departure. One of them is
+# enough; more cover those that have just stopped responding.
+MAX_ASKED_PEERS = 8
+
 
 class SidecarApplication(aiomisc.Service):
     """Service that runs one sidecar node next to its local upstream.
@@ -305,6 +310,9 @@
             availability=self.store_availability,
             rng=self.rng,
             on_loaded=self.local_upstream.heartbeats.adopt_departure,
+            wait_for_peer=lambda wait_s: message_receipt.wait_until_received(
+                list(self.pool.open_connections)[:MAX_ASKED_PEERS], wait_s
+            ),
             first_start=self.settings.first_start,
         )
         self.local_upstream.heartbeats.departures = self.departures
--- a/oleanderknot/node/upstream_heartbeats.py
+++ b/oleanderknot/node/upstream_heartbeats.py
@@ -68,7 +68,10 @@
             await self.apply_heartbeat(report)
         else:
             upstream_log.log_heartbeat('heartbeat_' + outcome.value, report)
-        return outcome is not decisions.HeartbeatOutcome.UNCONFIRMED
+        if outcome is decisions.HeartbeatOutcome.UNCONFIRMED:
+            return False
+        # It may repeat an announcement that could not be acknowledged yet.
+        return not report.draining or await self.departures.wait_until_kept()
 
     async def apply_heartbeat(self, report: model.UpstreamHeartbeat) -> None:
         """Apply a new heartbeat of the local upstream."""
@@ -104,7 +107,7 @@
                 report,
             )
         if is_change and report.draining:
-            await self.publish_departure(
+            self.publish_departure(
                 model.Departure(
                     upstream=report.upstream,
                     started_ms=report.started_ms,
@@ -152,14 +155,15 @@
             outcome is decisions.HeartbeatOutcome.ACCEPTED
             or self.heartbeat_filter.current is None
         ):
-            await self.publish_departure(departure)
+            self.publish_departure(departure)
+            return await self.departures.wait_until_kept()
         return True
 
-    async def publish_departure(self, departure: model.Departure) -> None:
+    def publish_departure(self, departure: model.Departure) -> None:
         """Make a departure known beyond the end of this process."""
         if departure != self.membership.own.departure:
             self.membership.update_own_record(departure=departure)
-        await self.departures.save(departure)
+        self.departures.save(departure)
 
     def adopt_departure(self, departure: model.Departure) -> None:
         """Adopt a departure that an earlier process has acknowledged."""
--- a/oleanderknot/tasks/departure_store.py
+++ b/oleanderknot/tasks/departure_store.py
@@ -14,9 +14,10 @@
 
 DEPARTURE_TABLE = 'departures'
 
-# Largest delay of an acknowledgement while the store does not respond. The
-# upstream waits 1 s for it.
+# Largest delays of an acknowledgement while the store and then the other nodes
+# do not respond. The upstream waits 1 s for it.
 MAX_WAIT_S = 0.5
+MAX_PEER_WAIT_S = 0.3
 
 # Bounds of the delay between attempts while the store does not respond.
 MIN_RETRY_DELAY_S = 0.2
@@ -37,11 +38,14 @@
         availability: Tracks whether the store responds.
         rng: Source of randomness.
         on_loaded: Called with the departure that the row holds.
+        wait_for_peer: Waits for the given time in seconds until another node
+            has received the membership record; returns whether one has.
         latest: Departure that the row must hold; None before the first.
         load_pending: Whether the row has not been read since the start.
         save_pending: Whether the row does not hold ``latest`` yet.
         tried: Set after the first attempt to read the row.
         saved: Set while the row holds ``latest``.
+        held: Whether another node holds ``latest``.
         changed: Set when the row must be written.
     """
 
@@ -53,6 +57,9 @@
         availability: store_availability.StoreAvailability,
         rng: random.Random,
         on_loaded: collections.abc.Callable[[model.Departure], None],
+        wait_for_peer: collections.abc.Callable[
+            [float], collections.abc.Awaitable[bool]
+        ],
         first_start: bool,
     ) -> None:
         self.instance = instance
@@ -60,12 +67,14 @@
         self.availability = availability
         self.rng = rng
         self.on_loaded = on_loaded
+        self.wait_for_peer = wait_for_peer
         self.latest: model.Departure | None = None
         # No row can exist when the whole system starts for the first time.
         self.load_pending = not first_start
         self.save_pending = False
         self.tried = asyncio.Event()
         self.saved = asyncio.Event()
+        self.held = False
         self.changed = asyncio.Event()
         if first_start:
             self.tried.set()
@@ -129,36 +138,51 @@
                 continue
             if self.latest is None:
                 self.latest = departure
+                self.saved.set()
             self.on_loaded(departure)
         return True
 
-    async def save(self, departure: model.Departure) -> None:
-        """Write a departure, or leave that to ``run`` after a bounded wait.
+    def save(self, departure: model.Departure) -> None:
+        """Write a departure; ``run`` does so as soon as the store responds."""
+        if departure != self.latest:
+            self.latest = departure
+            self.held = False
+            self.save_again()
+
+    async def wait_until_kept(self) -> bool:
+        """Wait until the latest departure would outlive this process.
 
-        Args:
-            departure: The departure, which is acknowledged afterwards.
+        Returns:
+            Whether the store or another node holds it, so that it may be
+            acknowledged.
         """
-        if departure == self.latest and self.saved.is_set():
-            return
-        self.latest = departure
-        self.save_again()
-        if not await wait_for(self.saved, MAX_WAIT_S):
-            logging.warning(
-                'the departure of %s is acknowledged before it is stored',
-                departure.upstream,
-                extra={
-                    'call_fields': {
-                        'event': 'departure_unsaved',
-                        'upstream': departure.upstream,
-                        'started_ms': departure.started_ms,
-                    }
-                },
-            )
+        if self.latest is None or self.held:
+            return True
+        if await wait_for(self.saved, MAX_WAIT_S):
+            return True
+        self.held = await self.wait_for_peer(MAX_PEER_WAIT_S)
+        logging.warning(
+            'the store has not taken the departure of %s; %s',
+            self.latest.upstream,
+            'another node holds it'
+            if self.held
+            else 'no other node holds it, so it is not acknowledged',
+            extra={
+                'call_fields': {
+                    'event': 'departure_unsaved',
+                    'upstream': self.latest.upstream,
+                    'started_ms': self.latest.started_ms,
+                    'held': self.held,
+                }
+            },
+        )
+        return self.held
 
     def keep(self, departure: model.Departure) -> None:
         """Write a departure that other nodes know, unless there is one."""
         if self.latest is None:
             self.latest = departure
+            self.held = True
             self.save_again()
 
     def save_again(self) -> None:
