Keep the departure of a start that drains with its first heartbeat

Callers saw: nothing so far; after a kill of the node they could have been sent to an upstream that had said that it leaves. Cause: a departure was kept when the node began to refuse work. A start that drains at once follows one that had left, so the node refused work already, and the row named the earlier start. Change: the departure is kept if the latest one is of another start.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -57,6 +57,13 @@
       | says "draining"  |
       | deregisters      |
 
+  Scenario: The departure of a start that drains at once is kept
+    Guards against the departure of an earlier start that stays in its place,
+    as the node was leaving already.
+    When the back end of "two" says "draining"
+    And the back end of "two" reports "draining" as number 1 of a later start
+    Then the departure of "two" in the store is that of the later start
+
   Scenario: A departure that the store has lost is stored again
     Guards against a store that returns from a copy without the departure.
     Given a copy is made of the store
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import json
 import threading
 import time
 
@@ -99,6 +100,34 @@
     )
 
 
+@when(
+    'the back end of "{name}" reports "{state}" as number {sequence:d} of a '
+    'later start'
+)
+def report_later_start(context, name, state, sequence):
+    """Send a heartbeat as the next start of the back end would."""
+    context.later_ms = int((time.time() + 60) * 1000)
+    status = context.fleet.query_backend(
+        name,
+        '/-/report?state=%s&born=%d&sequence=%d'
+        % (state, context.later_ms, sequence),
+    )
+    assert status == 200, status
+
+
+@then('the departure of "{name}" in the store is that of the later start')
+def check_later_departure(context, name):
+    """Wait until the row names the later start."""
+
+    def find_start():
+        value = context.fleet.list_row_values('departures')[name]
+        return json.loads(value)['started_ms']
+
+    wait.wait_until(
+        lambda: find_start() == context.later_ms, 'departure of %s' % name
+    )
+
+
 @then('the store has a departure of "{name}"')
 def check_departure_row(context, name):
     """Wait until the departure is in the store."""
--- a/oleanderknot/node/upstream_heartbeats.py
+++ b/oleanderknot/node/upstream_heartbeats.py
@@ -106,7 +106,10 @@
                 'upstream_draining' if report.draining else 'upstream_back',
                 report,
             )
-        if is_change and report.draining:
+        if report.draining and (
+            is_change
+            or not self.departures.is_about(report.upstream, report.started_ms)
+        ):
             self.publish_departure(
                 model.Departure(
                     upstream=report.upstream,
--- a/oleanderknot/tasks/departure_store.py
+++ b/oleanderknot/tasks/departure_store.py
@@ -178,6 +178,13 @@
         )
         return self.held
 
+    def is_about(self, upstream: str, started_ms: int) -> bool:
+        """Return whether the latest departure is that of a start."""
+        return self.latest is not None and (
+            self.latest.upstream,
+            self.latest.started_ms,
+        ) == (upstream, started_ms)
+
     def keep(self, departure: model.Departure) -> None:
         """Write a departure that other nodes know, unless there is one."""
         if self.latest is None:
