Tell again the answers that went into a silent connection

Callers saw: 502, "may have run", for calls that had reached their node when the connection between the nodes went silent, although the node had the answer or would have it in time. Orders may not be sent again then. Cause: the node that is asked over a new connection could say only which calls it had not received. Change: it also waits for the end of a call that runs, until the caller's deadline, and tells the result of one that has ended. A call that is being asked about does not fail with its connection. Key queries have a module of their own.

--- a/features/lost_calls.feature
+++ b/features/lost_calls.feature
@@ -36,6 +36,33 @@
       | 1200  | 0.3  |
       | 300   | 0.2  |
 
+  Scenario Outline: The answer of a call that has arrived comes over a new connection
+    Guards against "may have run" for an order whose answer went into a silent
+    connection, or that still runs.
+    When "one" has a connection to "two" and "three"
+    And 8 clients of "one" send POST "/order/1?delay_ms=<delay>" with 4 s left
+    And <span> seconds pass
+    And the open connections between the instances freeze "<direction>"
+    Then all of them are answered, 8 with status 200
+    And each of them ran once
+
+    Examples:
+      | delay | span | direction |
+      | 1200  | 0.3  | both      |
+      | 300   | 0.2  | both      |
+      | 300   | 0.2  | back      |
+
+  Scenario: A call whose node ends while it is asked is answered
+    Guards against a call that waits for its result without end.
+    When "one" has a connection to "two" and "three"
+    And 8 clients of "one" send POST "/order/1?delay_ms=1500" with 4 s left
+    And 0.3 seconds pass
+    And the open connections between the instances freeze "both"
+    And 0.9 seconds pass
+    And the node of "two" is killed
+    Then all of them are answered
+    And no order that was refused has run, and none twice
+
   Scenario: A call that ends after its connection has closed is no error
     Guards against an attempt to close the sending direction once more.
     Given a connection between nodes that both have said goodbye on
--- a/oleanderknot/tasks/call_sessions.py
+++ b/oleanderknot/tasks/call_sessions.py
@@ -1,11 +1,13 @@
-"""Tells other nodes which of their calls this node has not received."""
+"""Tells other nodes what has become of their calls."""
 
 import asyncio
+import functools
 
 from oleanderknot import model
 from oleanderknot import wire
 from oleanderknot.tasks import incoming_calls
 from oleanderknot.tasks import peer_connection
+from oleanderknot.tasks import recent_results
 
 # Time for which a closed connection can still be asked about. Calls end by
 # their deadlines long before.
@@ -15,20 +17,25 @@
 class CallSessions:
     """Owns the calls received on each connection, by session number.
 
-    A node that believes a connection to be silent asks over a new one whether
-    its calls have arrived. A call that has not is revoked: it does not run
-    either if it arrives later.
+    A node that believes a connection to be silent asks over a new one about
+    its calls. A call that has not arrived is revoked: it does not run either
+    if it arrives later. The result of one that has is told again.
 
     Attributes:
         sessions: Received calls by the session of their connection.
+        results: Results of the latest calls.
     """
 
     def __init__(self) -> None:
         self.sessions: dict[int, incoming_calls.IncomingCalls] = {}
+        self.results = recent_results.RecentResults()
 
     def add(self, connection: peer_connection.PeerConnection) -> None:
         """Add a connection whose handshake is complete."""
         self.sessions[connection.session] = connection.incoming
+        connection.incoming.on_result = functools.partial(
+            self.results.add, connection.session
+        )
 
     def expire(self, connection: peer_connection.PeerConnection) -> None:
         """Remove a closed connection after a while."""
@@ -42,19 +49,42 @@
 
         Args:
             key: Text built by ``format_key``.
-            wait_s: Not used; the state is known at once.
+            wait_s: Longest wait for the end of a running call, in seconds.
 
         Returns:
-            ``REFUSED`` for a call that is revoked, ``UNKNOWN`` for one that
-            has arrived or is on a connection that is not known.
+            ``REFUSED`` for a call that is revoked, ``DONE`` with the answer or
+            the refusal of one that has ended, and ``UNKNOWN`` if its result is
+            not kept or its connection is not known.
         """
-        state = model.OrderState.UNKNOWN
         session, _, number = key.partition('/')
-        if is_number(session) and is_number(number):
-            calls = self.sessions.get(int(session))
-            if calls is not None and calls.revoke(int(number)):
-                state = model.OrderState.REFUSED
-        return wire.build_key_state(state)
+        if not is_number(session) or not is_number(number):
+            return wire.build_key_state(model.OrderState.UNKNOWN)
+        return await self.find_state(int(session), int(number), wait_s)
+
+    async def find_state(
+        self, session: int, number: int, wait_s: float
+    ) -> wire.KeyState:
+        """Return the state of a call; see ``answer``."""
+        calls = self.sessions.get(session)
+        if calls is None:
+            return wire.build_key_state(model.OrderState.UNKNOWN)
+        if calls.revoke(number):
+            return wire.build_key_state(model.OrderState.REFUSED)
+        running = calls.open_calls.get(number)
+        if running is not None and wait_s > 0:
+            await asyncio.wait((running.task,), timeout=wait_s)
+        result = self.results.find(session, number)
+        if result is None:
+            return wire.build_key_state(
+                model.OrderState.RUNNING
+                if number in calls.open_calls
+                else model.OrderState.UNKNOWN
+            )
+        return wire.build_key_state(
+            model.OrderState.DONE,
+            answer=result.ok if result.is_ok() else None,
+            refusal=result.error if result.is_error() else None,
+        )
 
 
 def format_key(session: int, number: int) -> str:
--- a/oleanderknot/tasks/incoming_calls.py
+++ b/oleanderknot/tasks/incoming_calls.py
@@ -5,6 +5,7 @@
 import time
 
 from absl import logging
+from expression import Result
 
 from oleanderknot import decisions
 from oleanderknot import model
@@ -32,6 +33,8 @@
         revoked: Numbers of calls that the peer has given up before they
             arrived; they must not run.
         arrival_delay: Estimates how long calls wait before they are read.
+        on_result: Called with the number and the result of each call before
+            the result is sent.
         on_ended: Called when a call has ended.
     """
 
@@ -47,6 +50,9 @@
         self.used_numbers = decisions.CallNumbers()
         self.revoked: set[int] = set()
         self.arrival_delay = decisions.ArrivalDelay()
+        self.on_result: collections.abc.Callable[
+            [int, Result[model.Answer, model.Refusal]], None
+        ] = lambda number, result: None
         self.on_ended: collections.abc.Callable[[], None] = lambda: None
         self.loop = asyncio.get_running_loop()
 
@@ -109,6 +115,7 @@
             result = await self.handlers.handle_call(
                 entry.call, content, entry.request_body
             )
+            self.on_result(number, result)
             if result.is_error():
                 self.frame_writer.send(
                     number, failure=wire.failure_from_refusal(result.error)
--- a/oleanderknot/tasks/outgoing_call.py
+++ b/oleanderknot/tasks/outgoing_call.py
@@ -19,6 +19,8 @@
         response_body: Rest of the response body, if it arrives in chunks.
         body_sender: Task that sends the request body.
         deadline_timer: Fires at the call's deadline.
+        recovering: Whether the peer is being asked about the call over
+            another connection.
     """
 
     call: model.Call
@@ -27,3 +29,4 @@
     response_body: body_pipe.BodyPipe | None = None
     body_sender: asyncio.Task | None = None
     deadline_timer: asyncio.TimerHandle | None = None
+    recovering: bool = False
--- a/oleanderknot/tasks/outgoing_calls.py
+++ b/oleanderknot/tasks/outgoing_calls.py
@@ -12,6 +12,7 @@
 from oleanderknot import wire
 from oleanderknot.tasks import body_pipe
 from oleanderknot.tasks import body_sender
+from oleanderknot.tasks import key_queries
 from oleanderknot.tasks import outgoing_call
 from oleanderknot.tasks import send_window
 from oleanderknot.tasks import task_log
@@ -29,8 +30,9 @@
         count_event: Counts an event by name.
         last_number: Last call number used.
         open_calls: Calls whose response is not complete, by call number.
-        key_queries: Pending key queries, by call number.
-        on_ended: Called when a call or key query has ended.
+        queries: Queries about keys.
+        lost: Error that ended the connection; None while it is open.
+        on_ended: Called when a call has ended.
     """
 
     def __init__(
@@ -46,10 +48,18 @@
         self.count_event = count_event
         self.last_number = first_number - 2
         self.open_calls: dict[int, outgoing_call.OutgoingCall] = {}
-        self.key_queries: dict[int, asyncio.Future[wire.KeyState]] = {}
+        self.queries = key_queries.KeyQueries(
+            frame_writer=frame_writer, take_number=self.take_number
+        )
+        self.lost: ConnectionError | None = None
         self.on_ended: collections.abc.Callable[[], None] = lambda: None
         self.loop = asyncio.get_running_loop()
 
+    def take_number(self) -> int:
+        """Return the number of the next call or query."""
+        self.last_number += 2
+        return self.last_number
+
     async def open(
         self, call: model.Call, content: bytes, body: model.Body | None
     ) -> Result[model.Answer, model.Refusal]:
@@ -63,8 +73,7 @@
         Returns:
             The response, or a refusal by the peer or by this connection.
         """
-        self.last_number += 2
-        number = self.last_number
+        number = self.take_number()
         entry = outgoing_call.OutgoingCall(
             call=call, future=self.loop.create_future()
         )
@@ -107,35 +116,6 @@
         )
         entry.body_sender.add_done_callback(task_log.log_failure)
 
-    async def query_key(self, key: str, wait_s: float) -> wire.KeyState:
-        """Ask the peer for the state of a key.
-
-        Args:
-            key: The key.
-            wait_s: Seconds that the peer may wait for a running call.
-
-        Returns:
-            The state of the key.
-
-        Raises:
-            ConnectionError: The connection closed before the response.
-            TimeoutError: No response came within ``wait_s`` plus one second.
-        """
-        self.last_number += 2
-        number = self.last_number
-        future = self.loop.create_future()
-        self.key_queries[number] = future
-        self.frame_writer.send(
-            number,
-            key_query=wire.KeyQuery(key=key, wait_ms=int(wait_s * 1000)),
-        )
-        try:
-            async with asyncio.timeout(wait_s + 1):
-                return await future
-        finally:
-            self.key_queries.pop(number, None)
-            self.on_ended()
-
     def remove(self, number: int) -> outgoing_call.OutgoingCall | None:
         """Remove a call and cancel its timer and its body sender."""
         entry = self.open_calls.pop(number, None)
@@ -263,41 +243,39 @@
         if entry is not None and entry.window is not None:
             entry.window.add_credit(size)
 
-    def handle_key_state(self, number: int, state: wire.KeyState) -> None:
-        """Pass the response to a key query to the caller."""
-        future = self.key_queries.pop(number, None)
-        if future is not None and not future.done():
-            future.set_result(state)
-
-    def list_unanswered(self) -> list[int]:
-        """Return the numbers of the calls without any part of an answer."""
-        return [
-            number
-            for number, entry in self.open_calls.items()
-            if not entry.future.done()
-        ]
+    def begin_recovery(self) -> dict[int, model.Call]:
+        """Keep the calls without any part of an answer until further notice.
 
-    def refuse_lost(self, number: int) -> bool:
-        """Refuse a call that the peer has not received and will not run.
+        They do not fail with the connection before ``end_recovery``.
 
         Returns:
-            Whether the call still waited for its answer.
+            The calls by their numbers.
+        """
+        calls = {}
+        for number, entry in self.open_calls.items():
+            if not entry.future.done():
+                entry.recovering = True
+                calls[number] = entry.call
+        return calls
+
+    def end_recovery(
+        self, number: int, result: Result[model.Answer, model.Refusal] | None
+    ) -> None:
+        """Complete a call with its recovered result.
+
+        Args:
+            number: Number of the call.
+            result: The result; None if the peer could not tell it.
         """
         entry = self.open_calls.get(number)
         if entry is None or entry.future.done():
-            return False
-        self.remove(number)
-        entry.future.set_result(
-            Error(
-                model.build_refusal(
-                    entry.call,
-                    model.Verdict.NOT_RUN,
-                    model.Rule.CALL_LOST,
-                    '%s has not received the call' % self.get_peer_name(),
-                )
-            )
-        )
-        return True
+            return
+        entry.recovering = False
+        if result is not None:
+            self.remove(number)
+            entry.future.set_result(result)
+        elif self.lost is not None:
+            self.fail(number, str(self.lost))
 
     def fail(self, number: int, detail: str) -> None:
         """Fail a call that may have run."""
@@ -319,9 +297,9 @@
             )
 
     def fail_all(self, error: ConnectionError) -> None:
-        """Fail all pending key queries and calls."""
-        for future in self.key_queries.values():
-            if not future.done():
-                future.set_exception(error)
-        for number in list(self.open_calls):
-            self.fail(number, str(error))
+        """Fail all pending key queries and calls but those in recovery."""
+        self.lost = error
+        self.queries.fail_all(error)
+        for number, entry in list(self.open_calls.items()):
+            if not entry.recovering:
+                self.fail(number, str(error))
--- a/oleanderknot/tasks/peer_connection.py
+++ b/oleanderknot/tasks/peer_connection.py
@@ -87,6 +87,7 @@
         self.outgoing.on_ended = self.incoming.on_ended = (
             self.graceful_close.close_if_done
         )
+        self.outgoing.queries.on_ended = self.graceful_close.close_if_done
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the handshake; called by the event loop."""
@@ -217,7 +218,7 @@
         elif frame.key_query is not None and not opened_here:
             self.incoming.handle_key_query(number, frame.key_query)
         elif frame.key_state is not None and opened_here:
-            self.outgoing.handle_key_state(number, frame.key_state)
+            self.outgoing.queries.handle_state(number, frame.key_state)
         elif frame.goodbye is not None:
             self.graceful_close.handle_goodbye()
         elif frame.pong is None:
@@ -240,15 +241,15 @@
         return await self.outgoing.open(call, content, body)
 
     async def query_key(self, key: str, wait_s: float) -> wire.KeyState:
-        """Ask for the state of a key; see ``OutgoingCalls.query_key``."""
+        """Ask for the state of a key; see ``KeyQueries.query``."""
         if self.closed:
             raise ConnectionError('the connection is closed')
         self.liveness.expect_response()
-        return await self.outgoing.query_key(key, wait_s)
+        return await self.outgoing.queries.query(key, wait_s)
 
     def awaits_response(self) -> bool:
         """Return whether this node waits for a response of the peer."""
-        return bool(self.outgoing.open_calls or self.outgoing.key_queries)
+        return bool(self.outgoing.open_calls or self.outgoing.queries.pending)
 
     def is_idle(self) -> bool:
         """Return whether no call or key query is open in either direction."""
