Tell a call that could not be connected in time that it has not run

Cause: aiohttp reports a time-out of the connect as ConnectionTimeoutError, which is no ClientConnectorError, so it counted as a cut connection. Change: UpstreamClient catches both. Connections on a platform are opened by UpstreamPool, which told the truth already. Result: "A call to an upstream that accepts no connection has not run" got may-have-run before, and passes.

--- a/features/steps/unanswered_call_steps.py
+++ b/features/steps/unanswered_call_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import socket
 import threading
 import time
 
@@ -13,6 +14,7 @@
 from oleanderknot import model
 from oleanderknot.node import sidecar_dialect
 from oleanderknot.platform import http_client
+from oleanderknot.tasks import upstream_client
 from oleanderknot.tasks import upstream_pool
 
 CALL_TIMEOUT_S = 2.0
@@ -179,3 +181,57 @@
     for _ in range(count):
         result = run(context, call_upstream(context, '/'))
         assert result.is_ok(), result
+
+
+@given('an upstream whose queue of new connections is full')
+def fill_accept_queue(context):
+    """Open connections until the next one gets no response."""
+    listener = socket.socket()
+    context.add_cleanup(listener.close)
+    listener.bind(('127.0.0.1', 0))
+    listener.listen(0)
+    context.port = listener.getsockname()[1]
+    while True:
+        client = socket.socket()
+        context.add_cleanup(client.close)
+        client.settimeout(0.3)
+        try:
+            client.connect(('127.0.0.1', context.port))
+        except TimeoutError:
+            return
+
+
+@when("a call is sent to it through the product's own interface")
+def send_own_call(context):
+    """Send a call whose deadline is later than the time-out."""
+
+    async def send():
+        client = upstream_client.UpstreamClient(
+            host='127.0.0.1', port=context.port, slots=1
+        )
+        now = time.monotonic()
+        call = model.Call(
+            service='orders',
+            method='POST',
+            path='/1',
+            headers=[],
+            request_class=model.RequestClass.ORDER,
+            deadline=now + 10,
+            trace_id='0' * 32,
+            span_id='0' * 16,
+            idempotent=False,
+        )
+        try:
+            return await client.request(call, b'', None, now=now)
+        finally:
+            await client.close()
+
+    context.result = asyncio.run(send())
+
+
+@then('the call is refused as not run, since the upstream cannot be reached')
+def check_refusal(context):
+    """Check verdict and rule of the refusal."""
+    refusal = context.result.error
+    assert refusal.verdict is model.Verdict.NOT_RUN, refusal
+    assert refusal.rule is model.Rule.CONNECTION_REFUSED, refusal
--- a/features/unanswered_calls.feature
+++ b/features/unanswered_calls.feature
@@ -22,3 +22,10 @@
     When its open connections go silent
     And a call to it gets no answer within 0.3 s
     Then each of 3 calls to it is answered
+
+  Scenario: A call to an upstream that accepts no connection has not run
+    Guards against "may have run" for a request that was never sent, as its
+    connection could not be opened in time.
+    Given an upstream whose queue of new connections is full
+    When a call is sent to it through the product's own interface
+    Then the call is refused as not run, since the upstream cannot be reached
--- a/oleanderknot/tasks/upstream_client.py
+++ b/oleanderknot/tasks/upstream_client.py
@@ -140,7 +140,10 @@
                 data=data if call.has_body else None,
                 allow_redirects=False,
             )
-        except aiohttp.ClientConnectorError as error:
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
             return call_refusal.refuse(
                 call,
                 model.Verdict.NOT_RUN,
