Dial unreachable nodes again before the next read of the store

Callers saw: 503 for services that their zone lacks, for up to 90 s after a cut between zones in which all nodes had been restarted. Cause: a node that could not be reached was forgotten with the read of the rows that named it, and the reconnector cares for lost connections only. The review saw this by reading. Change: StoreDiscovery keeps such nodes and dials up to four of them every 2 s; in large deployments 16 nodes on average do so. No read is added.

--- a/oleanderknot/tasks/store_discovery.py
+++ b/oleanderknot/tasks/store_discovery.py
@@ -1,6 +1,7 @@
 """Discovers other nodes through the platform's store."""
 
 import asyncio
+import collections.abc
 import random
 
 from absl import logging
@@ -22,6 +23,16 @@
 MIN_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 1.5
 
+# Period of the attempts to connect to nodes that could not be reached, and the
+# largest number of them in one attempt. After a restart of all nodes behind a
+# cut, nothing else connects both sides before the next read.
+REDIAL_PERIOD_S = 2.0
+MAX_DIALS_PER_ATTEMPT = 4
+
+# Average number of nodes that make these attempts, so that a machine that is
+# gone for good is not dialled by all nodes.
+MEAN_DIALLING_NODES = 16
+
 # Average period of reads while no other live node is known.
 ISOLATED_READ_PERIOD_S = 2.0
 
@@ -51,6 +62,8 @@
         row_written: Whether the row of this node has been written.
         withdrawn: Whether the row of this node is removed for good.
         read_due: Set when the rows must be read without delay.
+        unreached: Rows of the nodes that could not be reached since the last
+            read.
     """
 
     def __init__(
@@ -74,6 +87,7 @@
         self.row_written = False
         self.withdrawn = False
         self.read_due = asyncio.Event()
+        self.unreached: dict[str, border.NodeRow] = {}
         epoch.on_change.append(self.read_due.set)
 
     async def run(self) -> None:
@@ -89,14 +103,19 @@
             retry_delay_s = min(MAX_RETRY_DELAY_S, retry_delay_s * 2)
 
     async def wait_for_next_read(self) -> None:
-        """Wait until the next read of the rows is due."""
+        """Dial the nodes that were not reached until the next read is due."""
         isolated = len(self.members.table.list_live()) <= 1
         period_s = ISOLATED_READ_PERIOD_S if isolated else READ_PERIOD_S
-        try:
-            async with asyncio.timeout(period_s * (0.5 + self.rng.random())):
-                await self.read_due.wait()
-        except TimeoutError:
-            return
+        loop = asyncio.get_running_loop()
+        next_read_at = loop.time() + period_s * (0.5 + self.rng.random())
+        while (left_s := next_read_at - loop.time()) > 0:
+            delay_s = REDIAL_PERIOD_S * (0.5 + self.rng.random())
+            try:
+                async with asyncio.timeout(min(left_s, delay_s)):
+                    await self.read_due.wait()
+                return
+            except TimeoutError:
+                await self.dial_again()
 
     async def sync_rows(self) -> bool:
         """Correct the row of this node, and connect to unknown nodes.
@@ -117,7 +136,9 @@
             return False
         if not self.withdrawn:
             self.row_written = True
-            await self.dial_unknown_nodes(rows)
+            await self.dial_unknown_nodes(rows, MAX_DIALS_PER_READ)
+            if self.unreached:
+                log_unreached(self.unreached)
         return True
 
     def build_row(self) -> border.NodeRow:
@@ -162,15 +183,27 @@
             # The smallest key after the last one.
             start = result.ok.rows[-1].key + '\0'
 
+    async def dial_again(self) -> None:
+        """Try again to connect to nodes that could not be reached."""
+        node_count = len(self.members.table.members)
+        if self.rng.random() * node_count <= MEAN_DIALLING_NODES:
+            await self.dial_unknown_nodes(
+                self.unreached, MAX_DIALS_PER_ATTEMPT
+            )
+
     async def dial_unknown_nodes(
-        self, addresses: dict[str, border.NodeRow]
+        self, addresses: dict[str, border.NodeRow], max_dials: int
     ) -> None:
-        """Connect to a random choice of the nodes that are not known yet."""
+        """Connect to a random choice of the nodes that are not known yet.
+
+        Args:
+            addresses: Rows of nodes; those that stay unknown are kept as
+                ``unreached``.
+            max_dials: Largest number of attempts.
+        """
         known = {item.instance for item in self.members.table.list_live()}
         unknown = [name for name in addresses if name not in known]
-        chosen = self.rng.sample(
-            unknown, min(len(unknown), MAX_DIALS_PER_READ)
-        )
+        chosen = self.rng.sample(unknown, min(len(unknown), max_dials))
         results = await asyncio.gather(
             *(
                 self.pool.dial(
@@ -180,18 +213,14 @@
             ),
             return_exceptions=True,
         )
-        failed = [
+        reached = {
             name
             for name, result in zip(chosen, results, strict=True)
-            if isinstance(result, BaseException)
-        ]
-        if failed:
-            logging.info(
-                'cannot connect to %d of %d nodes listed in the store: %s',
-                len(failed),
-                len(chosen),
-                ', '.join(failed[:5]),
-            )
+            if not isinstance(result, BaseException)
+        }
+        self.unreached = {
+            name: addresses[name] for name in unknown if name not in reached
+        }
 
     async def withdraw_row(self) -> None:
         """Remove the row of this node when its instance goes away."""
@@ -211,3 +240,12 @@
         except ValueError as error:
             logging.error('malformed node row %s: %s', row.key, error)
     return nodes
+
+
+def log_unreached(nodes: collections.abc.Collection[str]) -> None:
+    """Log which nodes of the table could not be reached."""
+    logging.info(
+        'cannot connect to %d nodes listed in the store: %s',
+        len(nodes),
+        ', '.join(list(nodes)[:5]),
+    )
