Answer requests that wait on a connection before a stop ends it

Cause: ClientConnection closed after the answer under way, and dropped the complete requests behind it. Change: the connection ends with the last of them.

--- a/features/platform_requests.feature
+++ b/features/platform_requests.feature
@@ -91,3 +91,12 @@
       | 200 200  | GET /page/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: u1\r\nConnection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AA\r\n\r\nGET /page/2 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: u2\r\nConnection: close\r\n\r\n |
       | 200 200  | POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: u3\r\nConnection: Upgrade\r\nUpgrade: websocket\r\nContent-Length: 2\r\n\r\nabGET /page/2 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: u4\r\nConnection: close\r\n\r\n |
       | 200 200 400 | GET /page/1?delay_ms=100 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: u5\r\n\r\nGET /page/2 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: u6\r\n\r\nno request\r\n\r\n |
+
+  Scenario: Requests that wait behind another one are answered during a stop
+    Guards against requests that were read whole and that a planned stop drops
+    with the connection, as an earlier one on it had to be answered first.
+    When a client of "one" sends the requests "GET /page/1?delay_ms=700", "POST /order/2" and "POST /order/3" on one connection
+    And 0.3 seconds pass
+    And the node of "one" gets SIGTERM
+    Then the answers on the connection have the statuses 200 200 200
+    And only the last of them ends the connection
--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -3,7 +3,9 @@
 import http.client
 import itertools
 import json
+import re
 import signal
+import socket
 import threading
 import time
 
@@ -141,3 +143,35 @@
     late = [item for item in context.outcomes if item[0] >= after_s]
     wrong = [item for item in late if item[1] != status or item[2] > longest_s]
     assert late and not wrong, (len(late), wrong)
+
+
+@when('a client of "{name}" sends the requests {requests} on one connection')
+def send_pipelined(context, name, requests):
+    """Send several requests without waiting for the answers."""
+    host, port = context.fleet.sidecars[name].requests.split(':')
+    context.pipeline = socket.create_connection((host, int(port)), timeout=10)
+    context.add_cleanup(context.pipeline.close)
+    for number, text in enumerate(re.findall('"([^"]+)"', requests)):
+        head = (
+            '%s HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: p%d\r\n'
+            'Deadline-Milliseconds: 4000\r\nContent-Length: 0\r\n\r\n'
+        )
+        context.pipeline.sendall((head % (text, number)).encode())
+
+
+@then('the answers on the connection have the statuses {statuses}')
+def check_pipelined(context, statuses):
+    """Read until the connection ends, and check all answers."""
+    context.received = b''
+    while part := context.pipeline.recv(65536):
+        context.received += part
+    found = re.findall(rb'HTTP/1.1 (\d+) ', context.received)
+    assert b' '.join(found).decode() == statuses, context.received
+
+
+@then('only the last of them ends the connection')
+def check_last_ends(context):
+    """Check that no answer before the last one says that it is the last."""
+    heads = context.received.split(b'HTTP/1.1 ')[1:]
+    ends = [b'connection: close' in head.lower() for head in heads]
+    assert ends == [False] * (len(heads) - 1) + [True], context.received
--- a/oleanderknot/tasks/client_connection.py
+++ b/oleanderknot/tasks/client_connection.py
@@ -159,10 +159,11 @@
             while self.pending_requests and not self.closing:
                 request, keep_alive = self.pending_requests.popleft()
                 response = await self.handle(request)
-                keep_alive = (
-                    keep_alive
-                    and not response.close
-                    and not self.listener.closing
+                # A request that was read whole must not be dropped with the
+                # connection, so those that wait are answered first.
+                keep_alive = keep_alive and (
+                    bool(self.pending_requests)
+                    or not (response.close or self.listener.closing)
                 )
                 self.write(request, response, keep_alive)
                 self.release(len(request.content))
