--- a/oleanderknot/tasks/upstream_chooser.py
+++ b/oleanderknot/tasks/upstream_chooser.py
@@ -185,10 +185,11 @@
         return self.loads.find_service_levels(
             service,
             route,
-            [
+            # A generator, since nothing is listed while the cache holds.
+            (
                 member
                 for member in self.members.list_service(service)
                 if not self.is_node_unreachable(member)
-            ],
+            ),
             time.monotonic(),
         )
