Test that cached levels list no nodes

Cause: had no test. Change: a pure scenario counts how often the nodes of a service are looked at while its levels are cached.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -241,6 +241,12 @@
       | 9000  | 8000.0  | 0     |
     Then their delays are as given
 
+  Scenario: Nodes of a service are not looked at while its levels are cached
+    Guards against a cost of each request that grows with the size of its service.
+    Given a choice among 90 nodes of a service
+    When the levels of the service are asked for 10 times at once
+    Then each node was looked at once
+
   Scenario: Names of the wire stay in the adapter
     Guards against a product that depends on one platform's words.
     Then no source outside the adapter holds a name of the platform's wire
--- a/features/steps/platform_decision_steps.py
+++ b/features/steps/platform_decision_steps.py
@@ -3,7 +3,9 @@
 import itertools
 import os
 import pathlib
+import random
 import re
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -12,6 +14,7 @@
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot.tasks import log_stream
+from oleanderknot.tasks import upstream_chooser
 
 SOURCE = pathlib.Path(__file__).resolve().parents[2] / 'oleanderknot'
 
@@ -286,3 +289,51 @@
     assert all(found == given for found, given in context.delays), (
         context.delays
     )
+
+
+@given('a choice among {count:d} nodes of a service')
+def build_chooser(context, count):
+    """Build a chooser that counts how often a node is looked at."""
+    members = decisions.MemberTable()
+    members.merge(
+        model.Member(
+            instance='i%d' % number,
+            incarnation=1,
+            version=1,
+            state=model.MemberState.TAKING,
+            data_centre='dc1',
+            host='127.0.0.1',
+            peer_port=1,
+            service='orders',
+            slots=4,
+        )
+        for number in range(count)
+    )
+    context.looks = mock.Mock(return_value=False)
+    context.node_count = count
+    context.chooser = upstream_chooser.UpstreamChooser(
+        identity=model.NodeIdentity(
+            instance='own', incarnation=1, data_centre='dc1'
+        ),
+        members=members,
+        policy=decisions.PolicyTable(),
+        runner=mock.Mock(),
+        rng=random.Random(1),
+        is_node_unreachable=context.looks,
+    )
+
+
+@when('the levels of the service are asked for {times:d} times at once')
+def ask_levels(context, times):
+    """Ask within the time for which levels are cached."""
+    with mock.patch('time.monotonic', return_value=100.0):
+        for _ in range(times):
+            context.chooser.find_service_levels('orders', '/order/')
+
+
+@then('each node was looked at once')
+def check_looks(context):
+    """Check that the cache was asked before the nodes were listed."""
+    assert context.looks.call_count == context.node_count, (
+        context.looks.call_count
+    )
