--- a/features/steps/silent_steps.py
+++ b/features/steps/silent_steps.py
@@ -167,11 +167,12 @@
     )
 
 
-@then('a working connection between the nodes is open')
-def check_working(context):
-    """Check that a connection was opened after the freeze."""
+@then('a frozen and a working connection between the nodes are there')
+def check_links(context):
+    """Check that the freeze took place and that a connection followed it."""
     nodes = context.system.nodes.values()
     links = [http.get_json(node.fault_url()) for node in nodes]
+    assert any(item['frozen'] for item in links), links
     assert any(item['working'] for item in links), links
 
 
--- a/oleanderknot/standins/fault_proxy.py
+++ b/oleanderknot/standins/fault_proxy.py
@@ -43,8 +43,8 @@
     prefixes. ``thaw`` (true) resumes forwarding, starting with the buffered
     data. ``drop_answers`` discards the next chunk towards the caller on each
     open connection and closes the connection. ``GET /<port>`` returns how many
-    connections are ``working``, and how many ends of frozen ones are
-    ``still_open``.
+    connections are ``working`` and ``frozen``, and how many ends of frozen
+    ones are ``still_open``.
 
     Attributes:
         targets: Target host and port by listening port.
@@ -123,6 +123,7 @@
         ]
         return {
             'working': len(self.links[port]) - len(frozen),
+            'frozen': len(frozen),
             'still_open': sum(
                 not direction.source_closed
                 for link in frozen
