Add the data and messages of organisations, limits and load reports

Cause: calls, policies and messages between nodes had no organisation, no request for tokens and no measured speed or share. Change: data classes, settings of client memory and time-outs, and new optional fields and messages of the peer protocol. Result: older nodes skip the new fields.

--- a/oleanderknot/border/__init__.py
+++ b/oleanderknot/border/__init__.py
@@ -25,7 +25,13 @@
     'node_row': ('NodeRow',),
     'node_status': ('MemberStatus', 'NodeStatus'),
     'peer_row': ('parse_peer_row', 'PEER_ROW_PREFIX', 'PeerRow'),
+    'route_query': (
+        'format_route_query',
+        'parse_route_query',
+        'PATH:ROUTE_QUERY_PATH',
+    ),
     'scopes': ('dump_policy', 'parse_policy'),
+    'client_settings': ('ClientSettings',),
     'settings': (
         'ListenSettings',
         'NodeSettings',
--- a/oleanderknot/border/sidecar_settings.py
+++ b/oleanderknot/border/sidecar_settings.py
@@ -5,38 +5,10 @@
 import pydantic
 
 from oleanderknot.border import base
+from oleanderknot.border import client_settings
+from oleanderknot.border import durations
 from oleanderknot.border import log_settings
-
-
-def parse_seconds(value: object) -> object:
-    """Convert a duration such as ``1500ms`` or ``6s`` to seconds.
-
-    Raises:
-        ValueError: The text is not a valid duration.
-    """
-    if not isinstance(value, str):
-        return value
-    number, unit = (
-        (value[:-2], 1000)
-        if value.endswith('ms')
-        else (
-            value.removesuffix('s'),
-            1,
-        )
-    )
-    try:
-        return float(number) / unit
-    except ValueError:
-        raise ValueError(
-            'a number of seconds, or a number with ms or s'
-        ) from None
-
-
-Seconds = typing.Annotated[
-    float,
-    pydantic.BeforeValidator(parse_seconds),
-    pydantic.Field(gt=0, description='a time such as 2s or 1500ms'),
-]
+from oleanderknot.border import memory_settings
 
 
 class SidecarAddresses(base.Model):
@@ -71,7 +43,7 @@
 
     service: typing.Annotated[str, pydantic.Field(min_length=1)]
     address: base.Address
-    heartbeat_interval: Seconds = 1.5
+    heartbeat_interval: durations.Seconds = 1.5
 
 
 class StoreSettings(base.Model):
@@ -83,7 +55,7 @@
     """
 
     address: base.Address
-    timeout: Seconds = 1.0
+    timeout: durations.Seconds = 1.0
 
 
 class RetrySettings(base.Model):
@@ -97,8 +69,8 @@
     """
 
     ratio: typing.Annotated[float, pydantic.Field(ge=0)] = 0.1
-    slack: typing.Annotated[int, pydantic.Field(ge=0)] = 0
-    window: Seconds = 10.0
+    slack: typing.Annotated[float, pydantic.Field(ge=0)] = 0.0
+    window: durations.Seconds = 10.0
 
 
 class SidecarSettings(base.Model):
@@ -107,21 +79,33 @@
     Attributes:
         instance: Name of the instance, unique across the system.
         data_centre: Data centre of the instance.
+        data_centres: All data centres, of which each creates an equal part
+            of the tokens of an organisation. If empty, those of the known
+            nodes, which a node that has just started does not know yet.
         addresses: Addresses that the node listens on.
         upstream: The upstream on the same instance.
         store: The platform's store.
         retries: System-wide retry budget.
         grace: Time from SIGTERM until the process is killed.
         log: Level and rate limits of the log.
+        remembered_refusals: Number of refused requests that the node remembers
+            so that their clients come before newcomers when they return; 0
+            turns this off.
+        clients: Limits on connections of clients.
+        memory: Bound on what the node holds for others.
         first_start: Whether the whole system starts for the first time.
     """
 
     instance: base.Name
     data_centre: base.Name
+    data_centres: tuple[base.Name, ...] = ()
     addresses: SidecarAddresses
     upstream: SidecarUpstream
     store: StoreSettings
     retries: RetrySettings = RetrySettings()
-    grace: Seconds = 6.0
+    grace: durations.Seconds = 6.0
     log: log_settings.LogSettings = log_settings.LogSettings()
+    remembered_refusals: typing.Annotated[int, pydantic.Field(ge=0)] = 0
+    clients: client_settings.ClientSettings = client_settings.ClientSettings()
+    memory: memory_settings.MemorySettings = memory_settings.MemorySettings()
     first_start: bool = False
--- a/oleanderknot/model/call.py
+++ b/oleanderknot/model/call.py
@@ -36,6 +36,11 @@
         notice: What the upstream has said about itself to the sender; None
             for nothing.
         started: Whether it has been sent to this node's upstream.
+        organisation: Name of the organisation whose client sent the root
+            request; empty for none.
+        rank: Fraction of the priority number within the class, from 0 to
+            below 1, assigned by the first node; None if it is that of the
+            trace id.
         failed_attempts: Instance and rule of each failed attempt, for logging.
     """
 
@@ -58,4 +63,6 @@
     repeat: repeat_kind.RepeatKind = repeat_kind.RepeatKind.FIRST
     notice: upstream_notice.UpstreamNotice | None = None
     started: bool = False
+    organisation: str = ''
+    rank: float | None = None
     failed_attempts: list[str] = dataclasses.field(default_factory=list)
--- a/oleanderknot/model/request_metadata.py
+++ b/oleanderknot/model/request_metadata.py
@@ -15,9 +15,12 @@
         client_timeout_s: Seconds that the client will wait; None when not
             given.
         headers: End-to-end headers that are forwarded unchanged.
+        key_digest: Hexadecimal SHA-256 digest of its API key; empty if it
+            carries none, or more than one.
     """
 
     request_id: str
     host: str
     client_timeout_s: float | None
     headers: call.Headers
+    key_digest: str = ''
--- a/oleanderknot/model/route.py
+++ b/oleanderknot/model/route.py
@@ -20,6 +20,7 @@
             value for the customer.
         max_attempts: Maximum number of upstreams that one request is sent to.
         priority: Priority; 0 is the highest.
+        anonymous: Whether clients need no API key.
     """
 
     name: str
@@ -31,3 +32,4 @@
     latency_target_s: float
     max_attempts: int
     priority: int
+    anonymous: bool = False
--- a/oleanderknot/wire/__init__.py
+++ b/oleanderknot/wire/__init__.py
@@ -26,6 +26,8 @@
         'PolicyDigest',
         'PolicySync',
         'Pong',
+        'QuotaGrant',
+        'QuotaRequest',
         'ScopeState',
     ),
     'gossip': (
@@ -52,6 +54,12 @@
         'scope_from_wire',
         'scope_to_wire',
     ),
+    'translate_quota': (
+        'quota_grant_from_wire',
+        'quota_grant_to_wire',
+        'quota_request_from_wire',
+        'quota_request_to_wire',
+    ),
 }
 
 __all__, __getattr__ = lazy_exports.build_exports(__name__, MODULES)
--- a/oleanderknot/wire/codec.py
+++ b/oleanderknot/wire/codec.py
@@ -3,9 +3,10 @@
 import struct
 
 from thrift.protocol import TCompactProtocol
-from thrift.transport import TTransport
 
 from oleanderknot.wire import bad_frame
+from oleanderknot.wire import frame_sink
+from oleanderknot.wire import frame_source
 from oleanderknot.wire.gen.peer import ttypes
 
 # Exceeds the largest chunk, inline body and headers together.
@@ -21,14 +22,20 @@
 class Codec:
     """Encodes and decodes the frames of one connection.
 
-    The thrift protocol objects are reused, since creating them takes longer
-    than the encoding itself. A codec is not thread-safe.
+    The thrift protocol objects and their transports are reused, since
+    creating them takes longer than the encoding itself. A codec is not
+    thread-safe.
+
+    Attributes:
+        sink: Receives the bytes of an encoded frame.
+        source: Provides the bytes of a received frame.
     """
 
     def __init__(self) -> None:
-        self.buffer = TTransport.TMemoryBuffer()
-        self.writer = PROTOCOL_FACTORY.getProtocol(self.buffer)
-        self.reader = PROTOCOL_FACTORY.getProtocol(self.buffer)
+        self.sink = frame_sink.FrameSink()
+        self.source = frame_source.FrameSource()
+        self.writer = PROTOCOL_FACTORY.getProtocol(self.sink)
+        self.reader = PROTOCOL_FACTORY.getProtocol(self.source)
 
     def encode(self, frame: ttypes.Frame) -> bytes:
         """Encode a frame with its length prefix.
@@ -42,15 +49,17 @@
         Raises:
             BadFrame: The frame is larger than ``MAX_FRAME_BYTES``.
         """
-        self.writer.trans = buffer = TTransport.TMemoryBuffer()
+        # A frame that could not be encoded may have left a part behind.
+        self.sink.parts.clear()
         frame.write(self.writer)
-        content = buffer.getvalue()
-        if len(content) > MAX_FRAME_BYTES:
+        content = self.sink.take()
+        size = len(content)
+        if size > MAX_FRAME_BYTES:
             raise bad_frame.BadFrame(
                 'frame of %d bytes exceeds the limit of %d'
-                % (len(content), MAX_FRAME_BYTES)
+                % (size, MAX_FRAME_BYTES)
             )
-        return LENGTH_PREFIX.pack(len(content)) + content
+        return LENGTH_PREFIX.pack(size) + content
 
     def decode(self, content: bytes) -> ttypes.Frame:
         """Decode one frame without its length prefix.
@@ -64,7 +73,7 @@
         Raises:
             BadFrame: The bytes are not a valid frame.
         """
-        self.reader.trans = TTransport.TMemoryBuffer(content)
+        self.source.set_content(content)
         frame = ttypes.Frame()
         try:
             frame.read(self.reader)
--- a/oleanderknot/wire/frame_reader.py
+++ b/oleanderknot/wire/frame_reader.py
@@ -33,12 +33,15 @@
         Raises:
             BadFrame: The length or the content of a frame is invalid.
         """
-        pending = self.pending
-        pending += data
+        # Most reads hold whole frames, which need no copy of the buffer.
+        received: bytes | bytearray = data
+        if self.pending:
+            self.pending += data
+            received = self.pending
         start = 0
-        size = len(pending)
+        size = len(received)
         while size - start >= codecs.LENGTH_PREFIX.size:
-            (length,) = codecs.LENGTH_PREFIX.unpack_from(pending, start)
+            (length,) = codecs.LENGTH_PREFIX.unpack_from(received, start)
             if length > codecs.MAX_FRAME_BYTES:
                 raise bad_frame.BadFrame(
                     'frame of %d bytes exceeds the limit of %d'
@@ -47,8 +50,11 @@
             end = start + codecs.LENGTH_PREFIX.size + length
             if end > size:
                 break
-            content = bytes(pending[start + codecs.LENGTH_PREFIX.size : end])
+            content = bytes(received[start + codecs.LENGTH_PREFIX.size : end])
             self.frame_bytes = end - start
             start = end
             yield self.codec.decode(content)
-        del pending[:start]
+        if received is data:
+            self.pending += data[start:]
+        else:
+            del self.pending[:start]
--- a/oleanderknot/wire/gen/peer/ttypes.py
+++ b/oleanderknot/wire/gen/peer/ttypes.py
@@ -257,6 +257,9 @@
      - in_flight
      - limit
      - notice
+     - excess
+     - own_time
+     - start
 
     """
 
@@ -267,16 +270,22 @@
         'in_flight',
         'limit',
         'notice',
+        'excess',
+        'own_time',
+        'start',
     )
 
 
-    def __init__(self, service_name=None, route=None, level=None, in_flight=None, limit=None, notice=None,):
+    def __init__(self, service_name=None, route=None, level=None, in_flight=None, limit=None, notice=None, excess=None, own_time=None, start=None,):
         self.service_name = service_name
         self.route = route
         self.level = level
         self.in_flight = in_flight
         self.limit = limit
         self.notice = notice
+        self.excess = excess
+        self.own_time = own_time
+        self.start = start
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -318,6 +327,27 @@
                     self.notice.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.MAP:
+                    self.excess = {}
+                    (_ktype1, _vtype2, _size0) = iprot.readMapBegin()
+                    for _i4 in range(_size0):
+                        _key5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val6 = iprot.readDouble()
+                        self.excess[_key5] = _val6
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.own_time = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.start = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -352,6 +382,22 @@
             oprot.writeFieldBegin('notice', TType.STRUCT, 6)
             self.notice.write(oprot)
             oprot.writeFieldEnd()
+        if self.excess is not None:
+            oprot.writeFieldBegin('excess', TType.MAP, 7)
+            oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.excess))
+            for kiter7, viter8 in self.excess.items():
+                oprot.writeString(kiter7.encode('utf-8') if sys.version_info[0] == 2 else kiter7)
+                oprot.writeDouble(viter8)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.own_time is not None:
+            oprot.writeFieldBegin('own_time', TType.DOUBLE, 8)
+            oprot.writeDouble(self.own_time)
+            oprot.writeFieldEnd()
+        if self.start is not None:
+            oprot.writeFieldBegin('start', TType.I64, 9)
+            oprot.writeI64(self.start)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -401,6 +447,8 @@
      - repeat
      - notice
      - sent_ms
+     - organisation
+     - rank
 
     """
 
@@ -426,10 +474,12 @@
         'repeat',
         'notice',
         'sent_ms',
+        'organisation',
+        'rank',
     )
 
 
-    def __init__(self, service_name=None, method=None, path=None, headers=None, body=None, body_complete=None, request_class=None, depth=None, deadline_ms=None, deadline_epoch_ms=None, allowance=None, key=None, idempotent=None, trace_id=None, span_id=None, root_route=None, ticket=None, sampled=None, repeat=None, notice=None, sent_ms=None,):
+    def __init__(self, service_name=None, method=None, path=None, headers=None, body=None, body_complete=None, request_class=None, depth=None, deadline_ms=None, deadline_epoch_ms=None, allowance=None, key=None, idempotent=None, trace_id=None, span_id=None, root_route=None, ticket=None, sampled=None, repeat=None, notice=None, sent_ms=None, organisation=None, rank=None,):
         self.service_name = service_name
         self.method = method
         self.path = path
@@ -451,6 +501,8 @@
         self.repeat = repeat
         self.notice = notice
         self.sent_ms = sent_ms
+        self.organisation = organisation
+        self.rank = rank
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -479,10 +531,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = iprot.readBinary()
-                        self.headers.append(_elem5)
+                    (_etype12, _size9) = iprot.readListBegin()
+                    for _i13 in range(_size9):
+                        _elem14 = iprot.readBinary()
+                        self.headers.append(_elem14)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -572,6 +624,16 @@
                     self.sent_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.DOUBLE:
+                    self.rank = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -597,8 +659,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.headers))
-            for iter6 in self.headers:
-                oprot.writeBinary(iter6)
+            for iter15 in self.headers:
+                oprot.writeBinary(iter15)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -669,6 +731,14 @@
             oprot.writeFieldBegin('sent_ms', TType.I64, 21)
             oprot.writeI64(self.sent_ms)
             oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 22)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.DOUBLE, 23)
+            oprot.writeDouble(self.rank)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -741,10 +811,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readBinary()
-                        self.headers.append(_elem12)
+                    (_etype19, _size16) = iprot.readListBegin()
+                    for _i20 in range(_size16):
+                        _elem21 = iprot.readBinary()
+                        self.headers.append(_elem21)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -766,11 +836,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = LoadReport()
-                        _elem18.read(iprot)
-                        self.reports.append(_elem18)
+                    (_etype25, _size22) = iprot.readListBegin()
+                    for _i26 in range(_size22):
+                        _elem27 = LoadReport()
+                        _elem27.read(iprot)
+                        self.reports.append(_elem27)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -791,8 +861,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.headers))
-            for iter19 in self.headers:
-                oprot.writeBinary(iter19)
+            for iter28 in self.headers:
+                oprot.writeBinary(iter28)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -810,8 +880,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter20 in self.reports:
-                iter20.write(oprot)
+            for iter29 in self.reports:
+                iter29.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1132,11 +1202,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = LoadReport()
-                        _elem26.read(iprot)
-                        self.reports.append(_elem26)
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = LoadReport()
+                        _elem35.read(iprot)
+                        self.reports.append(_elem35)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1181,8 +1251,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter27 in self.reports:
-                iter27.write(oprot)
+            for iter36 in self.reports:
+                iter36.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1339,10 +1409,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = iprot.readBinary()
-                        self.headers.append(_elem33)
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = iprot.readBinary()
+                        self.headers.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1378,8 +1448,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.headers))
-            for iter34 in self.headers:
-                oprot.writeBinary(iter34)
+            for iter43 in self.headers:
+                oprot.writeBinary(iter43)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -2110,22 +2180,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Member()
-                        _elem40.read(iprot)
-                        self.changes.append(_elem40)
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = Member()
+                        _elem49.read(iprot)
+                        self.changes.append(_elem49)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.hashes = {}
-                    (_ktype42, _vtype43, _size41) = iprot.readMapBegin()
-                    for _i45 in range(_size41):
-                        _key46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val47 = iprot.readI64()
-                        self.hashes[_key46] = _val47
+                    (_ktype51, _vtype52, _size50) = iprot.readMapBegin()
+                    for _i54 in range(_size50):
+                        _key55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val56 = iprot.readI64()
+                        self.hashes[_key55] = _val56
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2142,11 +2212,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = MemberVersion()
-                        _elem53.read(iprot)
-                        self.versions.append(_elem53)
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = MemberVersion()
+                        _elem62.read(iprot)
+                        self.versions.append(_elem62)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2177,16 +2247,16 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter54 in self.changes:
-                iter54.write(oprot)
+            for iter63 in self.changes:
+                iter63.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hashes is not None:
             oprot.writeFieldBegin('hashes', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.hashes))
-            for kiter55, viter56 in self.hashes.items():
-                oprot.writeString(kiter55.encode('utf-8') if sys.version_info[0] == 2 else kiter55)
-                oprot.writeI64(viter56)
+            for kiter64, viter65 in self.hashes.items():
+                oprot.writeString(kiter64.encode('utf-8') if sys.version_info[0] == 2 else kiter64)
+                oprot.writeI64(viter65)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.target is not None:
@@ -2200,8 +2270,8 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter57 in self.versions:
-                iter57.write(oprot)
+            for iter66 in self.versions:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.policy is not None:
@@ -2363,11 +2433,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.scopes = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = ScopeState()
-                        _elem63.read(iprot)
-                        self.scopes.append(_elem63)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = ScopeState()
+                        _elem72.read(iprot)
+                        self.scopes.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2394,8 +2464,8 @@
         if self.scopes is not None:
             oprot.writeFieldBegin('scopes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.scopes))
-            for iter64 in self.scopes:
-                iter64.write(oprot)
+            for iter73 in self.scopes:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -2477,6 +2547,290 @@
         return not (self == other)
 
 
+class QuotaRequest(object):
+    """
+    Attributes:
+     - number
+     - organisation
+     - tokens
+     - lending
+     - lost
+     - wait_ms
+
+    """
+
+    __slots__ = (
+        'number',
+        'organisation',
+        'tokens',
+        'lending',
+        'lost',
+        'wait_ms',
+    )
+
+
+    def __init__(self, number=None, organisation=None, tokens=None, lending=None, lost=None, wait_ms=None,):
+        self.number = number
+        self.organisation = organisation
+        self.tokens = tokens
+        self.lending = lending
+        self.lost = lost
+        self.wait_ms = wait_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.lending = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.lost = []
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost.append(_elem70)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaRequest')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 2)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 3)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        if self.lending is not None:
+            oprot.writeFieldBegin('lending', TType.BOOL, 4)
+            oprot.writeBool(self.lending)
+            oprot.writeFieldEnd()
+        if self.lost is not None:
+            oprot.writeFieldBegin('lost', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.lost))
+            for iter71 in self.lost:
+                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 6)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaGrant(object):
+    """
+    Attributes:
+     - number
+     - tokens
+     - lifetime_ms
+     - wait_ms
+     - queued
+     - declined
+     - heard
+
+    """
+
+    __slots__ = (
+        'number',
+        'tokens',
+        'lifetime_ms',
+        'wait_ms',
+        'queued',
+        'declined',
+        'heard',
+    )
+
+
+    def __init__(self, number=None, tokens=None, lifetime_ms=None, wait_ms=None, queued=None, declined=None, heard=None,):
+        self.number = number
+        self.tokens = tokens
+        self.lifetime_ms = lifetime_ms
+        self.wait_ms = wait_ms
+        self.queued = queued
+        self.declined = declined
+        self.heard = heard
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.lifetime_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.queued = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.declined = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.heard = []
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.heard.append(_elem77)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaGrant')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 2)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        if self.lifetime_ms is not None:
+            oprot.writeFieldBegin('lifetime_ms', TType.I32, 3)
+            oprot.writeI32(self.lifetime_ms)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 4)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        if self.queued is not None:
+            oprot.writeFieldBegin('queued', TType.BOOL, 5)
+            oprot.writeBool(self.queued)
+            oprot.writeFieldEnd()
+        if self.declined is not None:
+            oprot.writeFieldBegin('declined', TType.BOOL, 6)
+            oprot.writeBool(self.declined)
+            oprot.writeFieldEnd()
+        if self.heard is not None:
+            oprot.writeFieldBegin('heard', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRING, len(self.heard))
+            for iter78 in self.heard:
+                oprot.writeString(iter78.encode('utf-8') if sys.version_info[0] == 2 else iter78)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -2496,6 +2850,8 @@
      - gossip
      - policy_sync
      - goodbye
+     - quota_request
+     - quota_grant
 
     """
 
@@ -2516,10 +2872,12 @@
         'gossip',
         'policy_sync',
         'goodbye',
+        'quota_request',
+        'quota_grant',
     )
 
 
-    def __init__(self, session=None, call=None, hello=None, open=None, head=None, chunk=None, credit=None, cancel=None, failure=None, key_query=None, key_state=None, ping=None, pong=None, gossip=None, policy_sync=None, goodbye=None,):
+    def __init__(self, session=None, call=None, hello=None, open=None, head=None, chunk=None, credit=None, cancel=None, failure=None, key_query=None, key_state=None, ping=None, pong=None, gossip=None, policy_sync=None, goodbye=None, quota_request=None, quota_grant=None,):
         self.session = session
         self.call = call
         self.hello = hello
@@ -2536,6 +2894,8 @@
         self.gossip = gossip
         self.policy_sync = policy_sync
         self.goodbye = goodbye
+        self.quota_request = quota_request
+        self.quota_grant = quota_grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2640,6 +3000,18 @@
                     self.goodbye.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.quota_request = QuotaRequest()
+                    self.quota_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.quota_grant = QuotaGrant()
+                    self.quota_grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2714,6 +3086,14 @@
             oprot.writeFieldBegin('goodbye', TType.STRUCT, 16)
             self.goodbye.write(oprot)
             oprot.writeFieldEnd()
+        if self.quota_request is not None:
+            oprot.writeFieldBegin('quota_request', TType.STRUCT, 17)
+            self.quota_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.quota_grant is not None:
+            oprot.writeFieldBegin('quota_grant', TType.STRUCT, 18)
+            self.quota_grant.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2764,6 +3144,9 @@
     (4, TType.I32, 'in_flight', None, None, ),  # 4
     (5, TType.I32, 'limit', None, None, ),  # 5
     (6, TType.STRUCT, 'notice', [UpstreamNotice, None], None, ),  # 6
+    (7, TType.MAP, 'excess', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 7
+    (8, TType.DOUBLE, 'own_time', None, None, ),  # 8
+    (9, TType.I64, 'start', None, None, ),  # 9
 )
 all_structs.append(Open)
 Open.thrift_spec = (
@@ -2789,6 +3172,8 @@
     (19, TType.I32, 'repeat', None, None, ),  # 19
     (20, TType.STRUCT, 'notice', [UpstreamNotice, None], None, ),  # 20
     (21, TType.I64, 'sent_ms', None, None, ),  # 21
+    (22, TType.STRING, 'organisation', 'UTF8', None, ),  # 22
+    (23, TType.DOUBLE, 'rank', None, None, ),  # 23
 )
 all_structs.append(Head)
 Head.thrift_spec = (
@@ -2920,6 +3305,27 @@
 all_structs.append(Goodbye)
 Goodbye.thrift_spec = (
 )
+all_structs.append(QuotaRequest)
+QuotaRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.STRING, 'organisation', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'tokens', None, None, ),  # 3
+    (4, TType.BOOL, 'lending', None, None, ),  # 4
+    (5, TType.LIST, 'lost', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.I32, 'wait_ms', None, None, ),  # 6
+)
+all_structs.append(QuotaGrant)
+QuotaGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.I32, 'tokens', None, None, ),  # 2
+    (3, TType.I32, 'lifetime_ms', None, None, ),  # 3
+    (4, TType.I32, 'wait_ms', None, None, ),  # 4
+    (5, TType.BOOL, 'queued', None, None, ),  # 5
+    (6, TType.BOOL, 'declined', None, None, ),  # 6
+    (7, TType.LIST, 'heard', (TType.STRING, 'UTF8', False), None, ),  # 7
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -2939,6 +3345,8 @@
     (14, TType.STRUCT, 'gossip', [Gossip, None], None, ),  # 14
     (15, TType.STRUCT, 'policy_sync', [PolicySync, None], None, ),  # 15
     (16, TType.STRUCT, 'goodbye', [Goodbye, None], None, ),  # 16
+    (17, TType.STRUCT, 'quota_request', [QuotaRequest, None], None, ),  # 17
+    (18, TType.STRUCT, 'quota_grant', [QuotaGrant, None], None, ),  # 18
 )
 fix_spec(all_structs)
 del all_structs
--- a/oleanderknot/wire/peer.thrift
+++ b/oleanderknot/wire/peer.thrift
@@ -19,6 +19,10 @@
   3: optional bool leaving
 }
 
+// excess is set while organisations send more than their fair share: by which
+// factor the priority number of their requests is to be worsened.
+// own_time is the mean time in seconds that the upstream works on a call of the
+// route; start tells the starts of the upstream apart.
 struct LoadReport {
   1: string service_name
   2: string route
@@ -26,6 +30,9 @@
   4: i32 in_flight
   5: i32 limit
   6: optional UpstreamNotice notice
+  7: optional map<string, double> excess
+  8: optional double own_time
+  9: optional i64 start
 }
 
 // deadline_epoch_ms is read by nodes of earlier versions; sent_ms is the time
@@ -52,6 +59,8 @@
   19: i32 repeat
   20: optional UpstreamNotice notice
   21: optional i64 sent_ms
+  22: optional string organisation
+  23: optional double rank
 }
 
 struct Head {
@@ -179,6 +188,32 @@
 struct Goodbye {
 }
 
+// Request for tokens of an organisation. wait_ms is how long the sender can
+// wait for them. lending is set between homes of two
+// data centres. Without an organisation it asks for support: lost has the
+// nodes that the sender cannot reach.
+struct QuotaRequest {
+  1: i64 number
+  2: string organisation
+  3: i32 tokens
+  4: optional bool lending
+  5: optional list<string> lost
+  6: i32 wait_ms
+}
+
+// Answer to a request. queued: the request waits, and another answer follows.
+// declined: the sender does not serve or support the receiver now. heard has
+// the nodes that the sender does not agree to be lost.
+struct QuotaGrant {
+  1: i64 number
+  2: i32 tokens
+  3: i32 lifetime_ms
+  4: i32 wait_ms
+  5: optional bool queued
+  6: optional bool declined
+  7: optional list<string> heard
+}
+
 struct Frame {
   1: i64 session
   2: i64 call
@@ -196,4 +231,6 @@
   14: optional Gossip gossip
   15: optional PolicySync policy_sync
   16: optional Goodbye goodbye
+  17: optional QuotaRequest quota_request
+  18: optional QuotaGrant quota_grant
 }
--- a/oleanderknot/wire/translate_call.py
+++ b/oleanderknot/wire/translate_call.py
@@ -12,6 +12,11 @@
 REQUEST_CLASSES = tuple(model.RequestClass)
 REPEAT_KINDS = tuple(model.RepeatKind)
 VERDICTS = (model.Verdict.NOT_RUN, model.Verdict.MAY_HAVE_RUN)
+
+# Largest fraction that a trace id gives. Added to a class, a larger one could
+# round up to the next class.
+MAX_RANK = 1 - 2**-32
+
 RULE_BY_VALUE = {rule.value: rule for rule in model.Rule}
 
 
@@ -77,6 +82,8 @@
         repeat=call.repeat,
         notice=translate_notice.notice_to_wire(call.notice),
         sent_ms=int(clock_s * 1000),
+        organisation=call.organisation or None,
+        rank=call.rank,
     )
 
 
@@ -101,53 +108,43 @@
     Raises:
         BadFrame: A field is missing or out of range.
     """
-    field_check.require(
-        None
-        not in (
-            message.service_name,
-            message.method,
-            message.path,
-            message.body,
-            message.body_complete,
-            message.depth,
-            message.deadline_ms,
-            message.deadline_epoch_ms,
-            message.allowance,
-            message.key,
-            message.idempotent,
-            message.trace_id,
-            message.span_id,
-            message.root_route,
-            message.ticket,
-            message.sampled,
-        ),
-        'open message with a missing field',
-    )
-    field_check.require(
-        message.path.startswith('/'), 'open message with a relative path'
-    )
-    field_check.require(
-        message.request_class in (0, 1, 2, 3),
-        'open message with an invalid class',
-    )
-    field_check.require(
-        0 <= message.depth < 1000, 'open message with an invalid depth'
-    )
-    field_check.require(
-        0 <= message.allowance < 1000, 'open message with an invalid allowance'
-    )
+    if None in (
+        message.service_name,
+        message.method,
+        message.path,
+        message.body,
+        message.body_complete,
+        message.depth,
+        message.deadline_ms,
+        message.deadline_epoch_ms,
+        message.allowance,
+        message.key,
+        message.idempotent,
+        message.trace_id,
+        message.span_id,
+        message.root_route,
+        message.ticket,
+        message.sampled,
+    ):
+        raise bad_frame.BadFrame('open message with a missing field')
+    if message.path[:1] != '/':
+        raise bad_frame.BadFrame('open message with a relative path')
+    if message.request_class not in (0, 1, 2, 3):
+        raise bad_frame.BadFrame('open message with an invalid class')
+    if not 0 <= message.depth < 1000:
+        raise bad_frame.BadFrame('open message with an invalid depth')
+    if not 0 <= message.allowance < 1000:
+        raise bad_frame.BadFrame('open message with an invalid allowance')
     # Nodes of the previous version send no kind.
     repeat = message.repeat or 0
-    field_check.require(
-        0 <= repeat < len(REPEAT_KINDS), 'open message with an invalid repeat'
-    )
-    field_check.require(
-        message.deadline_ms >= 0, 'open message with a negative deadline'
-    )
-    field_check.require(
-        message.sent_ms is None or message.sent_ms >= 0,
-        'open message with a negative time',
-    )
+    if not 0 <= repeat < len(REPEAT_KINDS):
+        raise bad_frame.BadFrame('open message with an invalid repeat')
+    if message.deadline_ms < 0:
+        raise bad_frame.BadFrame('open message with a negative deadline')
+    if message.sent_ms is not None and message.sent_ms < 0:
+        raise bad_frame.BadFrame('open message with a negative time')
+    if message.rank is not None and not 0 <= message.rank <= MAX_RANK:
+        raise bad_frame.BadFrame('open message with an invalid rank')
     return model.Call(
         service=message.service_name,
         method=message.method,
@@ -166,6 +163,8 @@
         ticket=message.ticket,
         repeat=REPEAT_KINDS[repeat],
         notice=translate_notice.notice_from_wire(message.notice),
+        organisation=message.organisation or '',
+        rank=message.rank,
         has_body=bool(message.body) or not message.body_complete,
     )
 
@@ -197,22 +196,22 @@
     Raises:
         BadFrame: A field is missing or out of range.
     """
-    field_check.require(
-        message.status is not None, 'head message without status'
-    )
-    field_check.require(
-        200 <= message.status <= 599, 'head message with an invalid status'
-    )
-    field_check.require(message.body is not None, 'head message without body')
-    field_check.require(
-        (message.unspent or 0) >= 0, 'head message with a negative allowance'
-    )
+    status = message.status
+    if status is None:
+        raise bad_frame.BadFrame('head message without status')
+    if not 200 <= status <= 599:
+        raise bad_frame.BadFrame('head message with an invalid status')
+    if message.body is None:
+        raise bad_frame.BadFrame('head message without body')
+    unspent = message.unspent or 0
+    if unspent < 0:
+        raise bad_frame.BadFrame('head message with a negative allowance')
     return model.Answer(
-        status=message.status,
+        status=status,
         headers=pair_headers(message.headers),
         content=message.body,
         body=body,
-        unspent=message.unspent or 0,
+        unspent=unspent,
         reports=translate_report.reports_from_wire(message.reports),
     )
 
