Decide on shares, returning callers, memory and even load

Cause: a node chose the less loaded of two upstreams by stale reports and equal speeds, refused returning callers behind newcomers, and had no bound on the memory that clients hold. Change: upstream speeds learned from responses, choice by expected finish over all candidates, fair shares by organisation, data centre and kind, memory of refusals, one owner of the memory of a node, and ranks of whole request trees. All without I/O.

--- a/oleanderknot/decisions/admission_level.py
+++ b/oleanderknot/decisions/admission_level.py
@@ -120,9 +120,18 @@
         """Count a call refused by the full queue."""
         self.refused += 1
 
-    def count_upstream_refusal(self) -> None:
-        """Count a call that the upstream refused after all its retries."""
-        self.upstream_refusals += 1
+    def count_upstream_refusal(self, priority: float) -> None:
+        """Count a call that the upstream refused after all its retries.
+
+        Calls of requests that were admitted before the level fell still
+        arrive above it. Their refusals say nothing about those below it, and
+        would lower the level until it admits nothing.
+
+        Args:
+            priority: Priority number of the call.
+        """
+        if priority < self.level:
+            self.upstream_refusals += 1
 
     def advance(self, now: float) -> None:
         """Close the windows that ended before ``now``."""
--- a/oleanderknot/decisions/balanced_choice.py
+++ b/oleanderknot/decisions/balanced_choice.py
@@ -1,6 +1,7 @@
 """Selects an upstream by load first and by data centre second."""
 
 import collections.abc
+import math
 
 from oleanderknot.decisions import upstream_choice
 
@@ -10,6 +11,12 @@
 # wait in its queue.
 LOCAL_PREFERENCE = 0.25
 
+# Load, as a share of the limit, from which a call may have to wait, and the
+# factor by which load above it counts more. Below it, an upstream of another
+# data centre serves no caller earlier.
+BUSY_LOAD = 0.9
+BUSY_FACTOR = 2.0
+
 # Load, as a share of the limit, that is added at a failure share of 1. An
 # upstream that fails fast always looks idle. At this cost, one that fails a
 # quarter of its calls counts as full, and it receives fewer calls than are
@@ -20,8 +27,9 @@
 # than this is excluded, since both upstreams of a small sample may be failing.
 OUTLIER_FAILURE_SHARE = 0.2
 
-# Upstreams compared per group, local and remote. With more, all nodes would
-# choose the same upstream from reports of the same age.
+
+# Upstreams compared per group, local and remote, while all of them fail calls.
+# With more, calls would be sent in turn to the one that has failed least.
 SAMPLE_SIZE = 2
 
 
@@ -32,7 +40,11 @@
     tried: collections.abc.Container[str],
     draw: collections.abc.Callable[[int], int],
 ) -> upstream_choice.Candidate | None:
-    """Choose the least loaded of a sample of local and remote upstreams.
+    """Choose the upstream that is expected to serve the call first.
+
+    All are compared. Nodes that know the same still choose differently, since
+    each has its own turns and the order of its candidates is random where
+    they are equal.
 
     Args:
         candidates: Upstreams of the service that take work.
@@ -47,24 +59,52 @@
     admitting = [item for item in candidates if priority < item.level]
     if len(admitting) < 2:
         return admitting[0] if admitting else None
-    best = min(rank_group(item, tried) for item in admitting)
-    group = [item for item in admitting if rank_group(item, tried) == best]
-    lowest_share = min(item.failure_share for item in group)
-    group = [
-        item
-        for item in group
-        if item.failure_share <= lowest_share + OUTLIER_FAILURE_SHARE
-    ]
-    local_group = [item for item in group if item.local]
-    remote_group = [item for item in group if not item.local]
-    return min(
-        (*sample(local_group, draw), *sample(remote_group, draw)),
-        key=lambda item: (
-            upstream_choice.score(item)
+    group = list_usable(admitting, tried)
+    if min([item.failure_share for item in group]) > 0.0:
+        group = [
+            *sample([item for item in group if item.local], draw),
+            *sample([item for item in group if not item.local], draw),
+        ]
+    else:
+        offset = draw(len(group))
+        group = group[offset:] + group[:offset]
+    choice = None
+    lowest = math.inf
+    for item in group:
+        load = (item.outstanding + item.in_flight + 1) / item.limit
+        cost = (
+            load * item.speed_cost
+            + item.lead
             + FAILURE_COST * item.failure_share
-            + (0.0 if item.local else LOCAL_PREFERENCE)
-        ),
+        )
+        if load > BUSY_LOAD:
+            cost += BUSY_FACTOR * (load - BUSY_LOAD)
+        if not item.local:
+            cost += LOCAL_PREFERENCE
+        if cost < lowest:
+            lowest = cost
+            choice = item
+    return choice
+
+
+def list_usable(
+    candidates: list[upstream_choice.Candidate],
+    tried: collections.abc.Container[str],
+) -> list[upstream_choice.Candidate]:
+    """Return the candidates of the best rank, without failing outliers."""
+    group = candidates
+    if tried or any([item.suspect for item in candidates]):
+        ranks = [rank_group(item, tried) for item in candidates]
+        best = min(ranks)
+        group = [
+            item
+            for item, rank in zip(candidates, ranks, strict=True)
+            if rank == best
+        ]
+    highest_share = OUTLIER_FAILURE_SHARE + min(
+        [item.failure_share for item in group]
     )
+    return [item for item in group if item.failure_share <= highest_share]
 
 
 def rank_group(
--- a/oleanderknot/decisions/chain_account.py
+++ b/oleanderknot/decisions/chain_account.py
@@ -1,6 +1,5 @@
 """Retry allowance and waiting time of a call chain at one node."""
 
-import collections
 import dataclasses
 
 from oleanderknot import model
@@ -17,6 +16,10 @@
         route: Route of the request that the upstream runs.
         ticket: Ticket that set the policy of the chain.
         sampled: Whether the trace is recorded.
+        organisation: Name of the organisation that the chain belongs to;
+            empty for none.
+        rank: Fraction of the priority number that the first node has
+            assigned to the chain; None if it is that of the trace id.
         repeated: Whether a run of the trace was itself a repeat.
         remaining: Retries left for all outgoing calls together.
         requests: Number of requests of the trace that run at the upstream.
@@ -35,6 +38,8 @@
     route: str
     ticket: int
     sampled: bool
+    organisation: str = ''
+    rank: float | None = None
     repeated: bool = False
     remaining: int = 0
     requests: int = 0
@@ -42,9 +47,7 @@
     waiting_since: float = 0.0
     waited_s: float = 0.0
     called: set[tuple[str, str]] = dataclasses.field(default_factory=set)
-    failures: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
+    failures: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def grant(self) -> int:
         """Deduct the part of the allowance that an outgoing call carries.
@@ -103,7 +106,8 @@
 
     def note_failure(self, call: model.Call) -> None:
         """Count an outgoing call without a complete and successful answer."""
-        self.failures[identify(call)] += 1
+        identity = identify(call)
+        self.failures[identity] = self.failures.get(identity, 0) + 1
 
     def start_waiting(self, now: float) -> None:
         """Record the start of an outgoing call.
@@ -148,6 +152,8 @@
         route=call.route,
         ticket=call.ticket,
         sampled=call.sampled,
+        organisation=call.organisation,
+        rank=call.rank,
         remaining=call.allowance,
         requests=1,
     )
--- a/oleanderknot/decisions/concurrency_limit.py
+++ b/oleanderknot/decisions/concurrency_limit.py
@@ -58,7 +58,7 @@
 
     def find_max_running(self) -> int:
         """Return the allowed number of concurrent calls."""
-        return max(1, round(self.limit))
+        return round(self.limit) or 1
 
     def start(self, running: int, now: float) -> call_cohort.CallCohort:
         """Record the start of a call.
@@ -138,6 +138,11 @@
             medians.popleft()
         return min((median for _, median in medians), default=0.0)
 
+    def forget_times(self) -> None:
+        """Discard the medians, since the upstream has started anew."""
+        self.medians.clear()
+        self.slow_reductions = 0
+
     def back_off_slow(self, median: float, now: float) -> None:
         """Reduce the limit for long own times, or undo futile reductions."""
         if self.slow_reductions == 0:
--- a/oleanderknot/decisions/instance_load.py
+++ b/oleanderknot/decisions/instance_load.py
@@ -1,10 +1,12 @@
 """Load of one upstream as estimated by another node."""
 
 import dataclasses
+import math
 
 from oleanderknot import model
 from oleanderknot.decisions import admission_level
 from oleanderknot.decisions import failure_share
+from oleanderknot.decisions import group_load
 
 MAX_LEVEL = admission_level.MAX_LEVEL
 
@@ -17,11 +19,27 @@
 # answers.
 REPORT_FRESH_S = 0.1
 
-# Half-life of the reported number of calls without a new report. Otherwise, an
-# upstream that was busy at its last report would be avoided for as long as it
-# is not called again.
+# Longest half-life of the difference between the reported number of calls and
+# the mean of the group. Otherwise, an upstream that was busy at its last
+# report would be avoided for as long as it is not called again.
 IN_FLIGHT_HALF_LIFE_S = 0.5
 
+# Half-life of that difference, relative to the time of a call. A call ends
+# half of its time after a report on average, and others take its place.
+CALL_TIME_SHARE = 0.25
+
+# Age, in half-lives, after which a report tells nothing more.
+MAX_HALF_LIVES = 7.0
+
+# Exponent of the relative time in the factor of an upstream's load. At 0, all
+# upstreams would be equally loaded; at 1, one that is twice as slow would get
+# a quarter of the calls, and callers would be served earliest on a calm day.
+# Slots of slow upstreams would then stay unused until the others are full.
+SPEED_EXPONENT = 0.1
+
+# Weight of one call or report in the moving averages.
+TIME_WEIGHT = 0.1
+
 # Shortest retry delay for a refused caller: one window of the level.
 RETRY_AFTER_S = 0.1
 
@@ -32,9 +50,17 @@
 
     Attributes:
         limit: Reported concurrency limit; the slots of the upstream at first.
+        service: Service of the upstream.
+        group: Load of the upstreams of the same service and data centre.
         outstanding: Unanswered calls of this node.
-        in_flight: Number of calls in the last report.
+        in_flight: Number of calls of other nodes at the last report.
         reported_at: Monotonic time in seconds of the last report.
+        half_life_s: Half-life in seconds of what a report tells.
+        turn: Turn of the upstream in its group.
+        start: Number of the start of the upstream, from the last report.
+        relative_time: Time that it works on a call, relative to the mean of
+            its service.
+        speed_cost: Factor of its load in the choice.
         levels: Reported admission level and monotonic time of its report in
             seconds, by route.
         notice: What the upstream says about itself, from the last report;
@@ -43,9 +69,18 @@
     """
 
     limit: int
+    service: str = ''
+    group: group_load.GroupLoad = dataclasses.field(
+        default_factory=group_load.GroupLoad
+    )
     outstanding: int = 0
     in_flight: int = 0
-    reported_at: float = 0.0
+    reported_at: float = -math.inf
+    half_life_s: float = IN_FLIGHT_HALF_LIFE_S
+    turn: float = 0.0
+    start: int | None = None
+    relative_time: float = 1.0
+    speed_cost: float = 1.0
     notice: model.UpstreamNotice | None = None
     levels: dict[str, tuple[float, float]] = dataclasses.field(
         default_factory=dict
@@ -61,20 +96,60 @@
             report: Report of the node beside the upstream.
             now: Monotonic time in seconds.
         """
-        self.in_flight = report.in_flight
+        # The report counts the calls of this node as well.
+        self.in_flight = max(0, report.in_flight - self.outstanding)
         self.reported_at = now
         self.limit = max(1, report.limit)
+        self.group.record(self.in_flight / self.limit, now)
         self.notice = report.notice
         self.levels[report.route] = (report.level, now)
 
-    def estimate_in_flight(self, now: float) -> float:
-        """Return the estimated number of calls at the upstream.
+    def estimate_in_flight(self, now: float, usual_load: float = 0.0) -> float:
+        """Return the estimated number of calls of other nodes.
+
+        What the other nodes have sent since the report is estimated by what
+        they keep at the upstreams of the group on average: the difference to
+        this mean fades with the age of the report.
 
         Args:
             now: Monotonic time in seconds.
+            usual_load: Mean load of the group, as a share of the limit.
+        """
+        usual = usual_load * self.limit
+        half_lives = (now - self.reported_at) / self.half_life_s
+        if half_lives > MAX_HALF_LIVES:
+            return usual
+        if half_lives <= 0.0:
+            return self.in_flight
+        return usual + (self.in_flight - usual) * 0.5**half_lives
+
+    def record_call_time(self, call_s: float) -> None:
+        """Adjust the half-life of reports to the time of a call.
+
+        Args:
+            call_s: Seconds from the choice to the answer of a call.
         """
-        age = max(0.0, now - self.reported_at)
-        return self.in_flight * 0.5 ** (age / IN_FLIGHT_HALF_LIFE_S)
+        wanted_s = min(IN_FLIGHT_HALF_LIFE_S, CALL_TIME_SHARE * call_s)
+        self.half_life_s += TIME_WEIGHT * (wanted_s - self.half_life_s)
+
+    def record_ratio(self, ratio: float) -> None:
+        """Adjust the relative time.
+
+        Args:
+            ratio: Reported time, relative to the mean of the service.
+        """
+        self.relative_time += TIME_WEIGHT * (ratio - self.relative_time)
+        self.speed_cost = self.relative_time**SPEED_EXPONENT
+
+    def forget_speed(self) -> None:
+        """Discard what is known of the speed."""
+        self.relative_time = self.speed_cost = 1.0
+
+    def take_turn(self) -> None:
+        """Record that the upstream was chosen."""
+        self.turn = self.group.take_turn(
+            self.turn, self.relative_time * self.speed_cost / self.limit
+        )
 
     def find_reported_level(self, route: str, now: float) -> float:
         """Return the reported admission level.
@@ -87,9 +162,16 @@
             A level from 0 to 4; 4 without a report, or when the report is too
             old to be of use.
         """
-        if self.estimate_level(route, now) >= MAX_LEVEL:
+        reported = self.levels.get(route)
+        if reported is None:
+            return MAX_LEVEL
+        level, reported_at = reported
+        if (
+            level >= MAX_LEVEL
+            or extrapolate_level(level, now - reported_at) >= MAX_LEVEL
+        ):
             return MAX_LEVEL
-        return self.levels[route][0]
+        return level
 
     def estimate_level(self, route: str, now: float) -> float:
         """Return the admission level that is estimated from the last report.
--- a/oleanderknot/decisions/load_view.py
+++ b/oleanderknot/decisions/load_view.py
@@ -3,7 +3,9 @@
 import collections.abc
 
 from oleanderknot import model
+from oleanderknot.decisions import group_load
 from oleanderknot.decisions import instance_load
+from oleanderknot.decisions import route_times
 
 # Levels change every 100 ms. A result is cached for this time, since iterating
 # over all upstreams of a service for each answer would cost more than the
@@ -20,25 +22,51 @@
     """Keeps the load of each upstream that this node has called.
 
     Attributes:
+        data_centre: Data centre of this node.
         loads: Load by instance.
+        groups: Load of all upstreams, by service and data centre.
+        times: Times of all upstreams, by service and route.
         levels: Monotonic time in seconds and value of the cached levels, by
             service and route.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, data_centre: str = '') -> None:
+        self.data_centre = data_centre
         self.loads: dict[str, instance_load.InstanceLoad] = {}
+        self.groups: dict[tuple[str, str], group_load.GroupLoad] = {}
+        self.times: dict[tuple[str, str], route_times.RouteTimes] = {}
         self.levels: dict[
             tuple[str, str], tuple[float, tuple[float, float]]
         ] = {}
 
     def find(self, member: model.Member) -> instance_load.InstanceLoad:
-        """Return the load of an instance, created from its slots if new."""
+        """Return the load of an instance, created from its slots if new.
+
+        What is known of an upstream of another service is discarded.
+        """
         load = self.loads.get(member.instance)
-        if load is None:
-            load = instance_load.InstanceLoad(limit=max(1, member.slots))
+        if load is None or load.service != member.service:
+            group = self.find_group(member.service, member.data_centre)
+            load = instance_load.InstanceLoad(
+                limit=max(1, member.slots),
+                service=member.service,
+                group=group,
+            )
             self.loads[member.instance] = load
         return load
 
+    def find_group(
+        self, service: str, data_centre: str
+    ) -> group_load.GroupLoad:
+        """Return the load of a service in a data centre, created if new."""
+        group = self.groups.get((service, data_centre))
+        if group is None:
+            group = group_load.GroupLoad()
+            if data_centre != self.data_centre:
+                group.half_life_s = group_load.REMOTE_HALF_LIFE_S
+            self.groups[service, data_centre] = group
+        return group
+
     def apply_reports(
         self,
         instance: str,
@@ -56,6 +84,55 @@
         if load is not None:
             for report in reports:
                 load.apply_report(report, now)
+                self.compare_speed(instance, load, report, now)
+
+    def compare_speed(
+        self,
+        instance: str,
+        load: instance_load.InstanceLoad,
+        report: model.LoadReport,
+        now: float,
+    ) -> None:
+        """Compare the speed of an upstream with others of its service.
+
+        What was known is discarded when the upstream has started anew.
+
+        Args:
+            instance: Instance of the upstream.
+            load: Its load.
+            report: Its report.
+            now: Monotonic time in seconds.
+        """
+        if report.start != load.start:
+            load.start = report.start
+            load.forget_speed()
+            for (service, _), times in self.times.items():
+                if service == report.service:
+                    times.remove(instance)
+        if report.own_time_s is None:
+            return
+        times = self.find_times(report.service, report.route)
+        load.record_ratio(times.compare(instance, report.own_time_s, now))
+
+    def find_times(self, service: str, route: str) -> route_times.RouteTimes:
+        """Return the times of a route, created if new."""
+        times = self.times.get((service, route))
+        if times is None:
+            times = self.times[service, route] = route_times.RouteTimes()
+        return times
+
+    def record_call_time(
+        self, instance: str, call: model.Call, call_s: float
+    ) -> None:
+        """Record the time of an answered call.
+
+        Args:
+            instance: Instance that answered.
+            call: The call.
+            call_s: Seconds from the choice to the answer.
+        """
+        self.loads[instance].record_call_time(call_s)
+        self.find_times(call.service, call.route).record_call_time(call_s)
 
     def find_service_levels(
         self,
--- a/oleanderknot/decisions/policy_table.py
+++ b/oleanderknot/decisions/policy_table.py
@@ -99,6 +99,8 @@
 
     def accepts_work(self, instance: str) -> bool:
         """Return whether the policy allows new work for an upstream."""
+        if not self.scopes:
+            return True
         state = self.scopes.get('upstream/' + instance)
         return state is None or state.policy.taking_work
 
--- a/oleanderknot/decisions/priority.py
+++ b/oleanderknot/decisions/priority.py
@@ -36,6 +36,24 @@
     return request_class + int(trace_id[-8:], 16) / HASH_RANGE
 
 
+def rank_call(call: model.Call) -> float:
+    """Return the priority number of a call; see ``compute_priority``.
+
+    The first node may have assigned another fraction than that of the trace
+    id; it travels with the call and its nested calls.
+    """
+    if call.rank is None:
+        return compute_priority(call.request_class, call.trace_id)
+    return call.request_class + call.rank
+
+
+def find_call_band(call: model.Call) -> int:
+    """Return the band within its class that a call belongs to."""
+    if call.rank is None:
+        return find_band(call.trace_id)
+    return int(call.rank * BANDS_PER_CLASS)
+
+
 def find_band(trace_id: str) -> int:
     """Return the band within its class that a trace belongs to.
 
--- a/oleanderknot/decisions/repeat_budget.py
+++ b/oleanderknot/decisions/repeat_budget.py
@@ -1,5 +1,6 @@
 """Limits the repeated calls that reach one upstream."""
 
+from oleanderknot.decisions import admission_level
 from oleanderknot.decisions import retry_budget
 
 # Part of the shared bound that is used. The rest is a margin: whole seconds
@@ -21,6 +22,11 @@
     part of the slack only after a whole window, so that processes which are
     killed again and again do not exceed the bound.
 
+    An upstream that sheds part of its calls may ask for more repeats than the
+    budget holds. A request that makes several calls completes only if all of
+    them do, so the less is left, the lower the priority numbers that it is
+    spent on. These are the same for all calls of a request, at all nodes.
+
     Attributes:
         ratio: Repeats allowed as a share of the requests.
         slack: Repeats allowed in addition to the ratio, for all upstreams of
@@ -30,7 +36,7 @@
     """
 
     def __init__(
-        self, *, ratio: float, slack: int, window_s: float, started_at: float
+        self, *, ratio: float, slack: float, window_s: float, started_at: float
     ) -> None:
         self.ratio = ratio
         self.slack = slack
@@ -38,7 +44,7 @@
         self.started_at = started_at
 
     def reconfigure(
-        self, *, ratio: float, slack: int, window_s: float
+        self, *, ratio: float, slack: float, window_s: float
     ) -> None:
         """Change the bounds and keep the counts."""
         self.ratio = ratio
@@ -53,26 +59,44 @@
         """Count a call of a run that is itself a repeat."""
         self.counts.count_retry(now)
 
-    def take(self, now: float, upstreams: int) -> bool:
+    def take(self, now: float, upstreams: int, priority: float = 0.0) -> bool:
         """Spend one repeat if the budget allows it.
 
         Args:
             now: Monotonic time in seconds.
             upstreams: Upstreams of the service, which share the slack. Those
                 that cannot be reached count too, since they may serve others.
+            priority: Priority number of the call.
 
         Returns:
             Whether the repeat may be sent.
         """
-        if self.find_remaining(now, upstreams) < 1:
+        bound = self.find_bound(now, upstreams)
+        remaining = int(bound) - self.counts.retries
+        if remaining < 1 or priority >= find_rank_limit(remaining, bound):
             return False
         self.counts.count_retry(now)
         return True
 
     def find_remaining(self, now: float, upstreams: int) -> int:
         """Return the number of repeats left; arguments as in ``take``."""
+        bound = self.find_bound(now, upstreams)
+        return max(0, int(bound) - self.counts.retries)
+
+    def find_bound(self, now: float, upstreams: int) -> float:
+        """Return the repeats allowed in a window; arguments as in ``take``."""
         self.counts.advance(now)
         bound = self.ratio * self.counts.successes
         if now - self.started_at >= self.counts.window_s:
             bound += self.slack / max(1, upstreams)
-        return max(0, int(USED_SHARE * bound) - self.counts.retries)
+        return USED_SHARE * bound
+
+
+def find_rank_limit(remaining: int, bound: float) -> float:
+    """Return the priority number from which calls are not repeated.
+
+    Args:
+        remaining: Repeats left.
+        bound: Repeats allowed in the window.
+    """
+    return admission_level.MAX_LEVEL * remaining / bound
--- a/oleanderknot/decisions/route_dependencies.py
+++ b/oleanderknot/decisions/route_dependencies.py
@@ -47,6 +47,9 @@
         for key in called:
             counts[key] = counts.get(key, 0.0) + 1
         # Computed here, since it is read several times per request.
+        if not counts:
+            self.dependencies[route] = []
+            return
         min_count = self.requests[route] * DEPENDENCY_SHARE
         self.dependencies[route] = [
             key for key, count in counts.items() if count >= min_count
--- a/oleanderknot/decisions/rule_texts.py
+++ b/oleanderknot/decisions/rule_texts.py
@@ -4,6 +4,7 @@
 
 RULE_TEXTS = {
     model.Rule.BAD_REQUEST: 'the request was written wrongly',
+    model.Rule.QUOTA: 'the organisation was over its limit of requests',
     model.Rule.NO_UPSTREAM: 'no copy of the service was known',
     model.Rule.LEAVING: 'the copy of the service was being shut down',
     model.Rule.NOT_TAKING_WORK: (
@@ -13,6 +14,7 @@
         'the service was busy and more important requests came first'
     ),
     model.Rule.QUEUE_FULL: 'too many requests were already waiting',
+    model.Rule.NO_MEMORY: 'the answer did not fit the memory of the node',
     model.Rule.QUEUE_DELAY: 'the wait at the service had become too long',
     model.Rule.DEADLINE: 'there was not enough time left to answer',
     model.Rule.EARLY_REFUSAL: (
--- a/oleanderknot/decisions/upstream_choice.py
+++ b/oleanderknot/decisions/upstream_choice.py
@@ -13,10 +13,14 @@
         local: Whether it is in the data centre of the calling node.
         suspect: Whether it is suspected to have failed.
         outstanding: Calls of the calling node that it has not answered.
-        in_flight: Estimated number of its calls, from its last report.
+        in_flight: Estimated number of its calls of other nodes.
         limit: Last reported concurrency limit; its slots at first.
         level: Estimated admission level, from 0 to 4.
         failure_share: Estimated share of its calls that fail.
+        speed_cost: Factor of its load in the choice; above 1 if it is slower
+            than the mean of its service.
+        lead: How far it is ahead of the others in turn, as a share of its
+            limit.
     """
 
     instance: str
@@ -27,6 +31,8 @@
     limit: int
     level: float
     failure_share: float = 0.0
+    speed_cost: float = 1.0
+    lead: float = 0.0
 
 
 def score(candidate: Candidate) -> float:
