--- a/features/platform_changes.feature
+++ b/features/platform_changes.feature
@@ -167,3 +167,9 @@
     And a client of "one" sends POST "/order/1" as "k1"
     Then "one" logs "k1"
     And "two" logs "upstream_draining"
+
+  Scenario: A slack of repeats that is no whole number is accepted
+    Guards against a node that does not start because a bound of its settings
+    has a fraction.
+    Given the instance "three" with a back end of "orders" and a slack of 20.196
+    Then "three" serves "/page/1" again
--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -39,6 +39,13 @@
     When 25 of 50 calls of each window are refused for 20 windows
     Then the level is between 0 and 3
 
+  Scenario: Refusals of calls above the level do not lower it further
+    Guards against a level of 0 while an upstream sheds only the calls that
+    are not repeated, because calls of earlier requests still arrive.
+    Given an admission level at time 0
+    When all 50 calls above number 1.0 of each window are refused for 40 windows, and none of 20 below it
+    Then the level is between 0.7 and 1.5
+
   Scenario Outline: Repeats of a service stay within the shared bound and use it
     Guards against a budget that holds at each node only, or that leaves most
     of the allowed repeats unused where many nodes share them.
@@ -67,6 +74,14 @@
       | 4    |
       | 5    |
 
+  Scenario: Scarce repeats go to whole requests while upstreams shed calls
+    Guards against repeats that are spread over all requests, while each of
+    them still loses one of its calls.
+    Given 5 upstreams of a service with a bound of 0.2 and a slack of 100
+    And they shed 55 in 100 of the calls that they get
+    When requests of 8 calls each arrive for 10 seconds, 200 a second
+    Then at least twice as many complete as with repeats in the order of arrival
+
   Scenario: Calls of a repeated run are counted but not refused
     Guards against a bound that is exceeded by what repeated runs call, or a
     repeated run that is wasted since its calls are refused.
--- a/features/steps/late_request_steps.py
+++ b/features/steps/late_request_steps.py
@@ -156,7 +156,9 @@
     """Let the connection read a request within one turn of the loop."""
 
     async def read():
-        context.connection.connection_made(mock.Mock())
+        transport = mock.Mock()
+        transport.get_write_buffer_size.return_value = 0
+        context.connection.connection_made(transport)
         context.connection.data_received(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
         context.busy_at_once = context.listener.active
         if then == 'the client leaves':
--- a/features/steps/platform_budget_steps.py
+++ b/features/steps/platform_budget_steps.py
@@ -57,6 +57,60 @@
     assert least <= context.granted <= most, context.granted
 
 
+@given('they shed {share:d} in 100 of the calls that they get')
+def set_shed_share(context, share):
+    """Set the share of calls that the upstreams refuse."""
+    context.shed_share = share / 100
+
+
+@when(
+    'requests of {calls:d} calls each arrive for {span_s:d} seconds, {rate:d}'
+    ' a second'
+)
+def send_requests(context, calls, span_s, rate):
+    """Send the requests with and without regard to their priority."""
+    context.completed = {}
+    for by_priority in (True, False):
+        context.budgets = [
+            build_budget_at(context, -WINDOW_S) for _ in context.budgets
+        ]
+        rng = random.Random(7)
+        context.completed[by_priority] = sum(
+            run_request(
+                context,
+                rng,
+                calls,
+                now=WINDOW_S + number / rate,
+                by_priority=by_priority,
+            )
+            for number in range(span_s * rate)
+        )
+
+
+def run_request(context, rng, calls, *, now, by_priority):
+    """Return whether all calls of a request are served."""
+    # Half of the requests are of the first class, as orders are.
+    priority = rng.choice((0, 2)) + rng.random()
+    for _ in range(calls):
+        budget = rng.choice(context.budgets)
+        budget.count_first(now)
+        while rng.random() < context.shed_share:
+            if not budget.take(
+                now, len(context.budgets), priority if by_priority else 0.0
+            ):
+                return False
+    return True
+
+
+@then(
+    'at least twice as many complete as with repeats in the order of arrival'
+)
+def check_completed(context):
+    """Compare the numbers of requests whose calls were all served."""
+    completed = context.completed
+    assert completed[True] >= 2 * completed[False] > 0, completed
+
+
 @when('seed {seed:d} plays {span_s:d} s of calls, repeats and crashes')
 def play_history(context, seed, span_s):
     """Send random calls; all nodes try to repeat as much as they may."""
--- a/features/steps/platform_decision_steps.py
+++ b/features/steps/platform_decision_steps.py
@@ -175,13 +175,34 @@
     for window in range(start, start + windows):
         for index in range(count):
             now = (window + index / count) / 10
-            context.level.admit(2 + index / count, now)
+            priority = 2 + index / count
+            context.level.admit(priority, now)
             if index < refused:
-                context.level.count_upstream_refusal()
+                context.level.count_upstream_refusal(priority)
     context.window_at = start + windows
     context.level.advance(context.window_at / 10 + 0.001)
 
 
+@when(
+    'all {count:d} calls above number {priority:g} of each window are refused'
+    ' for {windows:d} windows, and none of {admitted:d} below it'
+)
+def refuse_calls_above(context, count, priority, windows, admitted):
+    """Simulate an upstream that serves only the calls that matter most."""
+    for window in range(windows):
+        for index in range(count + admitted):
+            now = (window + index / (count + admitted)) / 10
+            number = (
+                priority * index / admitted
+                if index < admitted
+                else priority + (index - admitted) / count
+            )
+            context.level.admit(number, now)
+            if number >= priority:
+                context.level.count_upstream_refusal(number)
+    context.level.advance(windows / 10 + 0.001)
+
+
 @then("no source outside the adapter holds a name of the platform's wire")
 def check_wire_names(context):
     """Check that only the protocol folders contain names of the platform."""
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -32,6 +32,19 @@
     context.fleet.start(name, service)
 
 
+@given(
+    'the instance "{name}" with a back end of "{service}" and a slack of'
+    ' {slack:g}'
+)
+def start_with_slack(context, name, service, slack):
+    """Start a node whose settings allow a number of repeats."""
+    context.fleet.start(
+        name,
+        service,
+        retries={'ratio': 0.2, 'slack': slack, 'window': '10ms'},
+    )
+
+
 @given('"{name}" serves "{first}" and "{second}"')
 def put_policy(context, name, first, second):
     """Put the policy and wait until requests are served."""
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -30,6 +30,10 @@
         store_port: TCP port of the store.
         routes: Route specifications by name.
         version: Version of the latest policy document.
+        organisations: Specifications of organisations by name.
+        other_resources: Further entries of the policy document.
+        client_headers: Headers that all client requests carry.
+        extra_settings: Settings of each sidecar that is started.
     """
 
     def __init__(self, *, system: system.System) -> None:
@@ -37,6 +41,10 @@
         self.sidecars: dict[str, sidecar.Sidecar] = {}
         self.routes: dict[str, dict[str, object]] = {}
         self.version = 0
+        self.organisations: dict[str, dict[str, object]] = {}
+        self.other_resources: list[dict[str, object]] = []
+        self.client_headers: dict[str, str] = {}
+        self.extra_settings: dict[str, object] = {}
         (self.store_port,) = ports.allocate_ports(1)
 
     def store_url(self, path: str) -> str:
@@ -98,6 +106,15 @@
                 'specification': {**DEFAULT_LIMITS, **limits},
             }
         )
+        resources += [
+            {
+                'resourceType': 'tenants',
+                'metadata': {'name': name},
+                'specification': specification,
+            }
+            for name, specification in self.organisations.items()
+        ]
+        resources += self.other_resources
         self.put_policy_document(
             json.dumps({'version': self.version, 'resources': resources})
         )
@@ -195,6 +212,7 @@
             'log': {'refusals_per_s': 1000},
             # A node uses its part of the slack only after a whole window.
             'retries': {'ratio': 0.2, 'slack': 40, 'window': '10ms'},
+            **self.extra_settings,
             **extra_settings,
         }
         path = self.system.folder / (name + '.yaml')
@@ -278,6 +296,7 @@
                     'Host': 'shop.example',
                     'Request-Id': request_id,
                     'Deadline-Milliseconds': str(wait_ms),
+                    **self.client_headers,
                     **(headers or {}),
                 },
             )
--- a/oleanderknot/cli/main.py
+++ b/oleanderknot/cli/main.py
@@ -17,6 +17,7 @@
     'demo': ('demo.command', 'DemoCommand'),
     'explain': ('explain', 'ExplainCommand'),
     'node': ('node', 'NodeCommand'),
+    'route': ('route', 'RouteCommand'),
     'sidecar': ('sidecar', 'SidecarCommand'),
     'status': ('status', 'StatusCommand'),
     'trace': ('trace', 'TraceCommand'),
--- a/oleanderknot/node/local_upstream.py
+++ b/oleanderknot/node/local_upstream.py
@@ -11,12 +11,12 @@
 from oleanderknot.node import sidecar_recorder
 from oleanderknot.node import upstream_heartbeats
 from oleanderknot.tasks import admission
-from oleanderknot.tasks import body_budget
-from oleanderknot.tasks import body_lease
 from oleanderknot.tasks import buffered_body
 from oleanderknot.tasks import call_refusal
 from oleanderknot.tasks import detached_runner
+from oleanderknot.tasks import held_join
 from oleanderknot.tasks import http_dialect
+from oleanderknot.tasks import leased_body
 from oleanderknot.tasks import runner as runners
 from oleanderknot.tasks import upstream_pool
 
@@ -40,7 +40,8 @@
     """Runs calls at the local upstream within its limits and budgets.
 
     Attributes:
-        body_budget: Bounds the memory of request bodies.
+        memory: Memory of the node; counts bodies of calls.
+        sent_bodies: Responses that are being sent to other nodes.
         runner: Runs calls at the upstream.
         heartbeats: Tracks the upstream by its heartbeats.
         repeat_budget: Budget of the repeats that reach the upstream.
@@ -54,13 +55,14 @@
         self,
         *,
         settings: border.SidecarSettings,
-        body_budget: body_budget.BodyBudget,
+        memory: decisions.NodeMemory,
         chains: decisions.ChainTable,
         members: decisions.MemberTable,
         recorder: sidecar_recorder.SidecarRecorder,
         dialect: http_dialect.HttpDialect,
     ) -> None:
-        self.body_budget = body_budget
+        self.memory = memory
+        self.sent_bodies: set[leased_body.LeasedBody] = set()
         self.recorder = recorder
         self.members = members
         self.chains = chains
@@ -88,8 +90,10 @@
                     self.heartbeats.notices.note_answer,
                     self.heartbeats.upstream,
                 ),
+                memory=memory,
             ),
         )
+        self.runner.shares.count = recorder.count
         self.runner.leaf_bonus = LEAF_BONUS_CLASSES
         self.runner.orders = detached_runner.DetachedRunner(
             run_call=self.runner.admit
@@ -106,14 +110,31 @@
     ) -> Result[model.Answer, model.Refusal]:
         """Run a call of another node after receiving its entire body."""
         self.heartbeats.notices.adopt(call.notice)
-        lease = body_lease.BodyLease(budget=self.body_budget)
-        try:
-            lease.extend(len(content))
-            content = await buffered_body.join_body(
-                content, body, lease.extend
-            )
+        if content or body is not None:
+            result = await self.run_with_body(call, content, body)
+        else:
             result = await self.run(call, content, None)
-        except body_lease.NoMemoryError as error:
+        if result.is_ok():
+            answer = result.ok
+            answer.content, rest = buffered_body.split_body(answer.content)
+            if rest is not None and not self.hold_rest(answer, rest):
+                return call_refusal.refuse(
+                    call,
+                    model.Verdict.MAY_HAVE_RUN,
+                    model.Rule.UPSTREAM_CUT,
+                    'the node has no memory for the answer',
+                )
+        return result
+
+    async def run_with_body(
+        self, call: model.Call, content: bytes, body: model.Body | None
+    ) -> Result[model.Answer, model.Refusal]:
+        """Receive the rest of a body and run the call; see ``run_call``."""
+        lease = self.memory.lease(decisions.HolderKind.RUNNING)
+        try:
+            content = await held_join.join_held(lease, content, body)
+            return await self.run(call, content, None)
+        except held_join.NoMemoryError as error:
             return call_refusal.refuse(
                 call,
                 model.Verdict.NOT_RUN,
@@ -126,12 +147,32 @@
             )
         finally:
             lease.end()
-        if result.is_ok():
-            answer = result.ok
-            answer.content, answer.body = buffered_body.split_body(
-                answer.content
-            )
-        return result
+
+    def hold_rest(
+        self, answer: model.Answer, rest: buffered_body.BufferedBody
+    ) -> bool:
+        """Hold the rest of an answer while it is sent to another node.
+
+        Returns:
+            Whether there is memory for it.
+        """
+        body = leased_body.LeasedBody(
+            body=rest,
+            memory=self.memory,
+            now=time.monotonic(),
+            on_end=self.sent_bodies.discard,
+        )
+        if not body.hold():
+            return False
+        self.sent_bodies.add(body)
+        answer.body = body
+        return True
+
+    def observe_bodies(self) -> None:
+        """Measure how fast other nodes take the responses; runs regularly."""
+        now = time.monotonic()
+        for body in self.sent_bodies:
+            body.observe(now)
 
     async def run(
         self, call: model.Call, content: bytes, body: model.Body | None
@@ -164,7 +205,9 @@
         if not resend and call.repeat is model.RepeatKind.NESTED:
             self.repeat_budget.count_nested(now)
             return True
-        taken = self.repeat_budget.take(now, self.count_upstreams())
+        taken = self.repeat_budget.take(
+            now, self.count_upstreams(), decisions.rank_call(call)
+        )
         if taken and resend:
             # The first send was counted when the call was admitted.
             self.rate_limit.take(now)
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -12,16 +12,18 @@
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot import platform
+from oleanderknot.node import allocator
 from oleanderknot.node import incarnation
 from oleanderknot.node import lifecycle_log
 from oleanderknot.node import local_upstream
+from oleanderknot.node import memory_events
 from oleanderknot.node import sidecar_dialect
 from oleanderknot.node import sidecar_drain
 from oleanderknot.node import sidecar_gauges
 from oleanderknot.node import sidecar_listeners
 from oleanderknot.node import sidecar_peers
+from oleanderknot.node import sidecar_quota
 from oleanderknot.node import sidecar_recorder
-from oleanderknot.tasks import body_budget
 from oleanderknot.tasks import call_sessions
 from oleanderknot.tasks import departure_store
 from oleanderknot.tasks import leaving_reasons
@@ -82,6 +84,7 @@
 
     async def start(self) -> None:
         """Start all tasks; called by aiomisc."""
+        allocator.limit_fragmentation()
         self.build_tasks()
         addresses = self.settings.addresses
         await self.peers.bind(*split_address(addresses.peers))
@@ -170,6 +173,7 @@
             listener.close()
         self.reconnector.stop()
         self.recovery.close()
+        self.quota.close()
         self.peers.close()
         self.pool.close()
         await self.local_upstream.runner.close()
@@ -203,6 +207,7 @@
             slack=settings.retries.slack,
             window_s=settings.retries.window,
         )
+        self.memory.max_bytes = settings.memory.max_bytes
         self.recorder.refusal_sampler.per_second = settings.log.refusals_per_s
         self.recorder.answer_sampler.per_second = settings.log.answers_per_s
         fixed = (settings.addresses, settings.upstream, settings.store)
@@ -231,18 +236,22 @@
         )
         self.store_availability = store_availability.StoreAvailability()
         self.store_epoch = store_epoch.StoreEpoch()
-        self.body_budget = body_budget.BodyBudget(
-            limits=lambda: self.policies.limits
+        self.memory = decisions.NodeMemory(
+            max_bytes=settings.memory.max_bytes,
+            on_give_way=memory_events.build_give_way_handler(
+                self.recorder.count
+            ),
+            on_refused=lambda: self.recorder.count('memory.refused'),
         )
         self.local_upstream = local_upstream.LocalUpstream(
             settings=settings,
-            body_budget=self.body_budget,
+            memory=self.memory,
             chains=self.chains,
             members=self.members,
             recorder=self.recorder,
             dialect=sidecar_dialect.DIALECT,
         )
-        self.call_sessions = call_sessions.CallSessions()
+        self.call_sessions = call_sessions.CallSessions(memory=self.memory)
         handlers = sidecar_peers.build_handlers(self)
         self.pool = peer_pool.PeerPool(
             identity=self.identity, handlers=handlers
@@ -261,6 +270,8 @@
             find_confirmed_age=lambda: self.feed.find_confirmed_age(),
             count=self.recorder.count,
         )
+        self.quota = sidecar_quota.build_quota(self)
+        self.policies.on_change = self.quota.apply_policy
         self.feed = policy_feed.PolicyFeed(
             store=self.store,
             on_policy=self.policies.apply,
@@ -277,6 +288,8 @@
             record=self.recorder.record,
             run_local=self.local_upstream.run,
             rng=self.rng,
+            count=self.recorder.count,
+            memory=self.memory,
         )
         self.local_upstream.runner.downstream_level.find_service_levels = (
             self.dispatcher.chooser.find_service_levels
@@ -326,6 +339,7 @@
             ('pool', self.pool),
             ('feed', self.feed),
             ('departures', self.departures),
+            ('quota', self.quota),
         ):
             self.background_tasks.append(
                 asyncio.create_task(
--- a/oleanderknot/node/sidecar_gauges.py
+++ b/oleanderknot/node/sidecar_gauges.py
@@ -3,6 +3,7 @@
 import time
 import typing
 
+from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot.node import sidecar_recorder
 from oleanderknot.tasks import json_formatter
@@ -32,6 +33,7 @@
         'requests_active': lambda: node.requests.active,
         'runs_active': lambda: runner.running,
         'run_limit': lambda: runner.admission.describe()['limit'],
+        'organisations_in_excess': lambda: len(runner.shares.own.excess),
         'rate_limit': lambda: runner.admission.rate_limit.rate or 0.0,
         'admission_level': lambda: runner.admission.find_level(),
         'nodes_live': lambda: len(node.members.list_live()),
@@ -40,6 +42,14 @@
             node.store_availability.find_age(time.monotonic()) or 0.0
         ),
         'store_epoch': lambda: node.store_epoch.current or 0,
+        'load_spread': lambda: decisions.measure_spread(
+            node.dispatcher.chooser.loads, time.monotonic()
+        ),
+        'slowest_upstream': lambda: decisions.find_slowest(
+            node.dispatcher.chooser.loads
+        ),
+        'memory_held_bytes': lambda: node.memory.held,
+        'client_connections': lambda: len(node.requests.connections),
         'log_lines_dropped': json_formatter.count_dropped_lines,
     }
 
--- a/oleanderknot/node/sidecar_listeners.py
+++ b/oleanderknot/node/sidecar_listeners.py
@@ -1,12 +1,19 @@
 """Listeners of a sidecar node."""
 
+import collections.abc
 import dataclasses
 import typing
 
+from oleanderknot import border
+from oleanderknot import model
 from oleanderknot.node import platform_endpoints
 from oleanderknot.node import sidecar_dialect
 from oleanderknot.tasks import client_listener
 from oleanderknot.tasks import heartbeat_ingress
+from oleanderknot.tasks import pipeline_overlap
+from oleanderknot.tasks import request_pipeline
+from oleanderknot.tasks import returning_clients
+from oleanderknot.tasks import route_explainer
 from oleanderknot.tasks import routed_ingress
 
 if typing.TYPE_CHECKING:
@@ -37,12 +44,17 @@
 
     def build_listener(
         handle: client_listener.HandleFunction,
+        capture_check: request_pipeline.CaptureFunction = lambda: None,
+        on_sweep: collections.abc.Callable[[], None] = lambda: None,
     ) -> client_listener.ClientListener:
         return client_listener.ClientListener(
             handle=handle,
             limits=lambda: node.policies.limits,
             count=node.recorder.count,
-            body_budget=node.body_budget,
+            memory=node.memory,
+            bounds=lambda: build_bounds(node.settings.clients),
+            on_sweep=on_sweep,
+            capture_check=capture_check,
         )
 
     upstream = node.local_upstream.heartbeats
@@ -52,17 +64,32 @@
                 service=node.settings.upstream.service,
                 policies=node.policies,
                 calls=node.dispatcher,
+                limits=node.quota,
                 chains=node.chains,
                 dialect=sidecar_dialect.DIALECT,
                 rng=node.rng,
                 measure=node.recorder.requests.observe,
                 schedule=node.schedule,
-            )
+                returning=build_returning(node),
+            ),
+            pipeline_overlap.build_overlap_capture(
+                node.policies, sidecar_dialect.DIALECT
+            ),
+            node.local_upstream.observe_bodies,
         ),
         heartbeats=build_listener(
-            heartbeat_ingress.build_handler(
-                on_heartbeat=upstream.handle_heartbeat,
-                on_deregister=upstream.handle_deregistration,
+            platform_endpoints.build_control_handler(
+                heartbeat_ingress.build_handler(
+                    on_heartbeat=upstream.handle_heartbeat,
+                    on_deregister=upstream.handle_deregistration,
+                ),
+                route_explainer.build_explainer(
+                    identity=node.identity,
+                    policies=node.policies,
+                    calls=node.dispatcher,
+                    limits=node.quota,
+                    store=node.store_availability,
+                ),
             )
         ),
         readiness=build_listener(
@@ -72,3 +99,27 @@
             platform_endpoints.build_metrics_handler(node.recorder)
         ),
     )
+
+
+def build_returning(
+    node: 'sidecar_application.SidecarApplication',
+) -> returning_clients.ReturningClients | None:
+    """Build the memory of refused clients; None if the settings want none."""
+    capacity = node.settings.remembered_refusals
+    if not capacity:
+        return None
+    return returning_clients.ReturningClients(
+        capacity=capacity,
+        find_service_levels=node.dispatcher.chooser.find_service_levels,
+        rng=node.rng,
+        count=node.recorder.count,
+    )
+
+
+def build_bounds(settings: border.ClientSettings) -> model.ClientBounds:
+    """Build the bounds on connections of clients from the settings."""
+    return model.ClientBounds(
+        max_connections=settings.max_connections,
+        progress_period_s=settings.progress_period,
+        progress_bytes=settings.progress_bytes,
+    )
--- a/oleanderknot/node/sidecar_peers.py
+++ b/oleanderknot/node/sidecar_peers.py
@@ -42,6 +42,12 @@
         on_closing=lambda peer: node.pool.retire(peer),
         control_bytes=control_traffic.ControlTraffic(),
         on_overdue=lambda peer: node.recovery.start(peer),
+        handle_quota_request=lambda peer, message: node.quota.handle_request(
+            peer, message
+        ),
+        handle_quota_grant=lambda peer, message: node.quota.handle_grant(
+            peer, message
+        ),
         may_cancel=lambda call: call.idempotent or not call.started,
     )
 
--- a/oleanderknot/node/upstream_heartbeats.py
+++ b/oleanderknot/node/upstream_heartbeats.py
@@ -65,6 +65,7 @@
         if outcome is decisions.HeartbeatOutcome.ACCEPTED:
             if before is not None and before.started_ms != report.started_ms:
                 upstream_log.log_heartbeat('upstream_restarted', report)
+                self.runner.admission.forget_times()
             await self.apply_heartbeat(report)
         else:
             upstream_log.log_heartbeat('heartbeat_' + outcome.value, report)
--- a/oleanderknot/platform/http_client.py
+++ b/oleanderknot/platform/http_client.py
@@ -154,6 +154,7 @@
             done = False
             try:
                 answer = await connection.request([data], '')
+                connection.stop_counting()
                 done = True
                 return Ok(answer)
             except transport.ConnectionCutError as error:
--- a/oleanderknot/platform/lenient_model.py
+++ b/oleanderknot/platform/lenient_model.py
@@ -4,6 +4,11 @@
 
 
 class LenientModel(pydantic.BaseModel):
-    """Ignores unknown fields, since the platform may add some."""
+    """Ignores unknown fields, since the platform may add some.
 
-    model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
+    Errors do not show the input, which may contain API keys.
+    """
+
+    model_config = pydantic.ConfigDict(
+        extra='ignore', frozen=True, hide_input_in_errors=True
+    )
--- a/oleanderknot/platform/message_headers.py
+++ b/oleanderknot/platform/message_headers.py
@@ -1,5 +1,6 @@
 """Parses and builds the HTTP headers that the platform defines."""
 
+import hashlib
 import math
 
 from oleanderknot import border
@@ -12,6 +13,7 @@
 NOT_EXECUTED = b'not-executed'
 RETRY_AFTER = b'Retry-After'
 CALLING_SERVICE = b'Calling-Service'
+ORGANISATION = b'Tenant-Name'
 INSTANCE_ID = b'instance-id'
 RATE_LIMIT = b'server-limit'
 LEAVING = b'server-leaving'
@@ -20,6 +22,11 @@
 REQUEST_ID_LOWER = REQUEST_ID.lower()
 DEADLINE_LOWER = DEADLINE.lower()
 CALLING_SERVICE_LOWER = CALLING_SERVICE.lower()
+ORGANISATION_LOWER = ORGANISATION.lower()
+AUTHORIZATION_LOWER = b'authorization'
+
+# Scheme of an Authorization header that carries an API key (RFC 6750).
+KEY_SCHEME = b'bearer'
 
 # Request headers that are not forwarded: hop-by-hop headers, and headers that
 # the proxy sets itself.
@@ -58,12 +65,20 @@
 NOT_RUN_STATUS = 503
 MAY_HAVE_RUN_STATUS = 502
 TIMEOUT_STATUS = 504
+QUOTA_STATUS = 429
+RETRYABLE_STATUSES = (NOT_RUN_STATUS, QUOTA_STATUS)
 TIMEOUT_RULES = (model.Rule.DEADLINE, model.Rule.UPSTREAM_TIMEOUT)
 STATUS_BY_RULE = {
     model.Rule.NO_ROUTE: 404,
     model.Rule.BAD_REQUEST: 400,
+    model.Rule.UNKNOWN_KEY: 401,
+    model.Rule.QUOTA: QUOTA_STATUS,
 }
 
+# Headers that the response to a request without a valid key must have
+# (RFC 9110, section 11.6.1).
+CHALLENGE = (b'WWW-Authenticate', b'Bearer')
+
 
 def parse_request_headers(headers: model.Headers) -> model.RequestMetadata:
     """Parse the headers of a client's request.
@@ -75,8 +90,9 @@
         The parsed values and the headers to forward; a deadline that is
         malformed or negative is ignored.
     """
-    request_id = host = ''
+    request_id = host = key_digest = ''
     timeout_s = None
+    authorizations = 0
     forwarded = []
     connection_tokens: tuple[bytes, ...] = ()
     for item in headers:
@@ -94,6 +110,9 @@
             request_id = value.decode('latin-1')
         elif lower == b'host':
             host = value.decode('latin-1').partition(':')[0].lower()
+        elif lower == AUTHORIZATION_LOWER:
+            authorizations += 1
+            key_digest = digest_credentials(value)
         forwarded.append(item)
     if connection_tokens and connection_tokens not in (
         (b'keep-alive',),
@@ -109,9 +128,27 @@
         host=host,
         client_timeout_s=timeout_s,
         headers=forwarded,
+        key_digest=key_digest if authorizations == 1 else '',
     )
 
 
+def digest_credentials(value: bytes) -> str:
+    """Return the digest of the key in an Authorization header.
+
+    Empty if the header has another scheme or no key.
+    """
+    scheme, _, key = value.strip().partition(b' ')
+    key = key.strip()
+    if scheme.lower() != KEY_SCHEME or not key:
+        return ''
+    return digest_key(key)
+
+
+def digest_key(key: bytes) -> str:
+    """Return the hexadecimal SHA-256 digest of an API key."""
+    return hashlib.sha256(key).hexdigest()
+
+
 def parse_timeout(value: bytes) -> float | None:
     """Return a deadline header in seconds; None if malformed or negative."""
     try:
@@ -180,6 +217,26 @@
     return [*headers, (CALLING_SERVICE, service.encode('latin-1'))]
 
 
+def set_organisation(
+    headers: model.Headers, organisation: str
+) -> model.Headers:
+    """Replace the API key of a request by the name of its organisation.
+
+    Args:
+        headers: Headers of the request.
+        organisation: Name to set; empty for none. A name that the client has
+            set is dropped in any case.
+    """
+    kept = [
+        item
+        for item in headers
+        if item[0].lower() not in (AUTHORIZATION_LOWER, ORGANISATION_LOWER)
+    ]
+    if organisation:
+        kept.append((ORGANISATION, organisation.encode('latin-1')))
+    return kept
+
+
 def add_upstream_headers(
     headers: model.Headers, remaining_s: float, upstream: str
 ) -> model.Headers:
@@ -213,10 +270,13 @@
     if status is None:
         if refusal.verdict is model.Verdict.NOT_RUN:
             status = NOT_RUN_STATUS
-            wait_s = refusal.retry_after_ms / 1000
-            headers.append((RETRY_AFTER, b'%.2f' % wait_s))
         elif refusal.rule in TIMEOUT_RULES:
             status = TIMEOUT_STATUS
         else:
             status = MAY_HAVE_RUN_STATUS
+    if status in RETRYABLE_STATUSES:
+        wait_s = refusal.retry_after_ms / 1000
+        headers.append((RETRY_AFTER, b'%.2f' % wait_s))
+    elif refusal.rule is model.Rule.UNKNOWN_KEY:
+        headers.append(CHALLENGE)
     return model.HttpResponse(status=status, headers=headers)
--- a/oleanderknot/standins/backend.py
+++ b/oleanderknot/standins/backend.py
@@ -57,6 +57,19 @@
 }
 
 
+# Part of an answer that ends with its connection before the request body has
+# been read, by fault.
+EARLY_ENDS = {
+    'early': b'\r\npart of a body',
+    'early_close': b'Connection: close\r\n\r\npart of a body',
+    'early_chunked': b'Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n',
+    'early_length': b'Content-Length: 100\r\n\r\npart of a body',
+    'early_half': b'\r\npart of a body',
+}
+EARLY_END_DELAY_S = 0.2
+HALF_CLOSED_S = 5.0
+
+
 class Backend:
     """Serves requests as their query strings specify and records each run.
 
@@ -69,16 +82,17 @@
     content length), ``refuse_first`` (the first arrival of an id is shed, and
     the refusal is sent once more when the next request arrives on the same
     connection), ``cut`` (the connection closes after the first ``bytes`` of a
-    response whose ``framing`` is ``length``, ``chunked`` or ``none``) and
-    those of ``ENDLESS_RESPONSES``. With ``pace_ms`` an
+    response whose ``framing`` is ``length``, ``chunked`` or ``none``),
+    ``status`` (the response has the status line's ``code``), those of
+    ``EARLY_ENDS`` and those of ``ENDLESS_RESPONSES``. With ``pace_ms`` an
     endless response pauses between its parts.
 
     With ``--record`` each process start, arrival, run and acknowledged state
     is appended to a file as one JSON line, which outlives the process.
 
     Attributes:
-        runs: Id, method, target, calling service, deadline and expected
-            instance of each run.
+        runs: Id, method, target, calling service, organisation, credentials,
+            deadline and expected instance of each run.
         cancelled: Request ids of runs whose connection was closed.
         finished: Request ids of runs that completed.
         refused: Ids whose first arrival was shed by ``refuse_first``.
@@ -202,9 +216,14 @@
                 header_line.partition(': ') for header_line in header_lines
             )
         )
-        await reader.readexactly(int(headers.get('content-length', 0)))
         parts = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(parts.query))
+        if query.get('fault') in EARLY_ENDS:
+            await self.answer_early(
+                writer, headers.get('request-id', ''), query['fault']
+            )
+            return False
+        await reader.readexactly(int(headers.get('content-length', 0)))
         if parts.path.startswith('/-/'):
             content = await self.handle_control(parts.path, query)
             writer.write(build_response(200, '', json.dumps(content).encode()))
@@ -228,6 +247,8 @@
             'method': method,
             'target': target,
             'caller': headers.get('calling-service', ''),
+            'organisation': headers.get('tenant-name', ''),
+            'credentials': headers.get('authorization', ''),
             'deadline_ms': headers.get('deadline-milliseconds', ''),
             'expected': headers.get('expected-instance', ''),
         }
@@ -243,6 +264,24 @@
             return False
         return self.write_response(writer, request_id, query)
 
+    async def answer_early(
+        self, writer: asyncio.StreamWriter, request_id: str, fault: str
+    ) -> None:
+        """Send a part of an answer while the request is still sent.
+
+        Closing the connection with unread data resets it.
+        """
+        self.runs.append({'id': request_id})
+        writer.write(SIGNED_HEAD % request_id.encode() + EARLY_ENDS[fault])
+        await writer.drain()
+        # The caller reads the part before it hears of the end.
+        await asyncio.sleep(EARLY_END_DELAY_S)
+        if fault == 'early_half':
+            # Only the sending direction ends; the request is still not read.
+            writer.write_eof()
+            await asyncio.sleep(HALF_CLOSED_S)
+        writer.transport.abort()
+
     async def write_endless(
         self, writer: asyncio.StreamWriter, request_id: str, query: dict
     ) -> None:
@@ -300,6 +339,10 @@
                 ]
             )
             return False
+        if fault == 'status':
+            code = query['code'].encode()
+            writer.write(response.replace(b' 200 ', b' %b ' % code, 1))
+            return True
         if fault == 'unframed':
             writer.write(response.replace(b'Content-Length', b'X-Length'))
             return False
--- a/oleanderknot/tasks/admission.py
+++ b/oleanderknot/tasks/admission.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import random
 
 from oleanderknot import decisions
 from oleanderknot import model
@@ -18,6 +19,9 @@
 # deadline and then cannot tell whether the call has run.
 REFUSAL_MARGIN_S = 0.02
 
+# Bits of the number that tells the starts of an upstream apart.
+START_BITS = 62
+
 # Takes seconds.
 MeasureFunction = collections.abc.Callable[[float], None]
 
@@ -31,6 +35,11 @@
 }
 
 
+def build_speed_meter() -> decisions.SpeedMeter:
+    """Build the measurement of a new start of the upstream."""
+    return decisions.SpeedMeter(start=random.getrandbits(START_BITS))
+
+
 def ignore_duration(seconds: float) -> None:
     """Ignore a duration; the default when no metric is recorded."""
 
@@ -43,6 +52,7 @@
         limit: Adjusts the number of calls that may run at once.
         queue: Calls that wait for a permit.
         times: Estimates the service time of calls.
+        speed: Measures the own time of calls, for the load reports.
         rate_limit: Limits the calls a second.
         start_timer: Starts queued calls once the rate limit allows one; None
             while no call waits for that.
@@ -83,6 +93,7 @@
             nested_wait_factor=nested_wait_factor,
         )
         self.times = decisions.ServiceTimes()
+        self.speed = build_speed_meter()
         self.running = 0
 
     def has_room(self, priority: float) -> bool:
@@ -124,9 +135,7 @@
             asyncio.CancelledError: The caller disconnected; no permit is kept.
         """
         now = self.loop.time()
-        priority = decisions.compute_priority(
-            call.request_class, call.trace_id
-        )
+        priority = decisions.rank_call(call)
         priority = max(0.0, priority - bonus)
         admitted = self.level.admit(priority, now)
         if not admitted and (self.shed_nested or not call.depth):
@@ -144,7 +153,7 @@
             arrived_at=now,
             deadline=call.deadline,
             expected_s=expected,
-            band=decisions.find_band(call.trace_id),
+            band=decisions.find_call_band(call),
             token=self.loop.create_future(),
         )
         self.resolve_dropped(self.queue.push(entry, now))
@@ -239,7 +248,7 @@
         permit.outcome_recorded = True
         if refused_by_upstream and self.sole_sender:
             failed = False
-            self.level.count_upstream_refusal()
+            self.level.count_upstream_refusal(decisions.rank_call(call))
         self.limit.finish(
             permit.cohort, now, own_time_s=own_time_s, failed=failed
         )
@@ -247,6 +256,7 @@
             self.times.count(
                 call.method, call.route, now - permit.started_at, now
             )
+            self.speed.count(call.route, own_time_s)
 
     def release(self, permit: permits.Permit) -> None:
         """Release a permit and start queued calls within the limit."""
@@ -285,9 +295,7 @@
         refusal = model.build_refusal(
             call, model.Verdict.NOT_RUN, rule, REFUSAL_DETAILS[rule]
         )
-        priority = decisions.compute_priority(
-            call.request_class, call.trace_id
-        )
+        priority = decisions.rank_call(call)
         refusal.retry_after_ms = decisions.estimate_wait_ms(
             priority, self.level.level
         )
@@ -309,8 +317,16 @@
             level=level,
             in_flight=self.running + self.queue.size,
             limit=self.find_capacity(call),
+            own_time_s=self.speed.find(call.route),
+            start=self.speed.start,
         )
 
+    def forget_times(self) -> None:
+        """Discard all measured times, since the upstream has started anew."""
+        self.times = decisions.ServiceTimes()
+        self.speed = build_speed_meter()
+        self.limit.forget_times()
+
     def find_capacity(self, call: model.Call) -> int:
         """Return how many calls like this one may run at once.
 
--- a/oleanderknot/tasks/body_pipe.py
+++ b/oleanderknot/tasks/body_pipe.py
@@ -43,6 +43,8 @@
     def put(self, data: bytes, last: bool) -> None:
         """Append a chunk that the connection received."""
         self.offset += len(data)
+        if self.failure is not None:
+            return
         if data:
             self.chunks.append(data)
         self.ended = self.ended or last
@@ -69,7 +71,11 @@
             if self.ended:
                 return b''
             if self.failure is not None:
-                raise self.failure
+                # The error that is raised refers to the frames of the reader
+                # and to all that they hold, so it is not kept here.
+                raise model.IncompleteBodyError(
+                    rule=self.failure.rule, detail=str(self.failure)
+                )
             await self.wait()
         data = self.chunks.popleft()
         if not self.ended:
@@ -93,6 +99,10 @@
 
     def cancel(self) -> None:
         """Tell the sender that the rest will not be read."""
+        if self.chunks:
+            # What is dropped here must not pass for a complete body.
+            self.chunks.clear()
+            self.ended = False
         if not self.ended and self.failure is None:
             self.fail(model.Rule.CALLER_LEFT, 'the reader cancelled the body')
             self.on_cancel()
--- a/oleanderknot/tasks/buffered_body.py
+++ b/oleanderknot/tasks/buffered_body.py
@@ -3,6 +3,7 @@
 import collections.abc
 
 from oleanderknot import model
+from oleanderknot import transport
 from oleanderknot.tasks import send_window
 
 
@@ -57,11 +58,12 @@
     """
     if body is None:
         return content
-    parts = [content]
+    buffer = transport.BodyBuffer()
+    buffer.append(content)
     try:
         while data := await body.read():
             on_part(len(data))
-            parts.append(data)
+            buffer.append(data)
     finally:
         body.cancel()
-    return b''.join(parts)
+    return buffer.get_value()
--- a/oleanderknot/tasks/call_sessions.py
+++ b/oleanderknot/tasks/call_sessions.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 
+from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot import wire
 from oleanderknot.tasks import incoming_calls
@@ -26,9 +27,9 @@
         results: Results of the latest calls.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, memory: decisions.NodeMemory | None = None) -> None:
         self.sessions: dict[int, incoming_calls.IncomingCalls] = {}
-        self.results = recent_results.RecentResults()
+        self.results = recent_results.RecentResults(memory=memory)
 
     def add(self, connection: peer_connection.PeerConnection) -> None:
         """Add a connection whose handshake is complete."""
--- a/oleanderknot/tasks/client_connection.py
+++ b/oleanderknot/tasks/client_connection.py
@@ -1,36 +1,27 @@
 """Server side of one HTTP connection of a client."""
 
 import asyncio
-import collections
-import collections.abc
-import http
 import typing
 
-from absl import logging
 import httptools
 
 from oleanderknot import model
+from oleanderknot.tasks import byte_backlog
+from oleanderknot.tasks import client_memory
 from oleanderknot.tasks import client_parser
+from oleanderknot.tasks import connection_reset
 from oleanderknot.tasks import invalid_request
+from oleanderknot.tasks import parse_queue
+from oleanderknot.tasks import pipelined_request
+from oleanderknot.tasks import request_pipeline
+from oleanderknot.tasks import response_encoding
 
 if typing.TYPE_CHECKING:
     from oleanderknot.tasks import client_listener
 
-# Maximum number of pipelined requests that wait for earlier ones; at this
-# number the connection stops reading from the socket.
-MAX_PIPELINED = 4
-
 # Time for which the rest of a rejected body is read and discarded.
 LINGER_S = 5.0
 
-# Delay after which a client may send a body again for which there was no
-# memory.
-RETRY_AFTER_S = 1
-
-REASON_PHRASES = {
-    status.value: status.phrase.encode() for status in http.HTTPStatus
-}
-
 
 class ClientConnection(asyncio.Protocol):
     """Owns one client socket and answers its requests in order.
@@ -38,69 +29,77 @@
     Attributes:
         listener: The listener that accepted the connection.
         parser: Parses requests from the received bytes.
-        held_bytes: Size of the request bodies that the connection holds.
-        pending_requests: Complete requests that are not answered yet, each
-            with whether the client keeps the connection after it.
-        task: Task that answers the requests; None while there are none.
+        backlog: Received bytes that are not parsed yet.
+        memory: Counts what the connection holds.
+        pipeline: Runs the complete requests.
         timeout_started_at: Loop time in seconds at which the connection
             became idle or the client began to send a request.
         reading: Whether a part of a request has been received.
-        paused: Whether reading from the socket is paused.
-        rejected: Whether an invalid request was received, after which nothing
-            more is read.
+        paused: Whether nothing is read from the socket.
+        writable: Whether the client reads its responses.
+        last_read: Whether a request was received after which the client
+            closes the connection. What follows it counts as unread.
+        rejection: Status of the invalid request that was received, after
+            which nothing more is read; 0 without one.
+        lingers: Whether the client may still send the rejected request.
+        close_due: Whether the connection closes after these requests.
         closing: Whether the connection closes after the pending writes.
     """
 
     def __init__(self, *, listener: 'client_listener.ClientListener') -> None:
         self.listener = listener
         self.loop = listener.loop
+        self.memory = client_memory.ClientMemory(
+            memory=listener.memory, give_way=self.give_way
+        )
         self.parser = client_parser.ClientParser(
             limits=listener.limits,
             on_request=self.queue_request,
-            reserve=self.reserve,
+            reserve=self.memory.lease.extend,
+        )
+        self.backlog = byte_backlog.ByteBacklog()
+        self.pipeline = request_pipeline.RequestPipeline(
+            handle=listener.handle,
+            capture_check=listener.capture_check,
+            is_writable=lambda: self.writable,
+            on_response=self.write,
+            on_end=self.handle_end,
+            on_idle=self.handle_idle,
         )
-        self.held_bytes = 0
-        self.pending_requests: collections.deque[
-            tuple[model.HttpRequest, bool]
-        ] = collections.deque()
-        self.task: asyncio.Task | None = None
         self.timeout_started_at = self.loop.time()
         self.reading = False
         self.transport: typing.Any = None
         self.paused = False
-        self.rejected = False
+        self.writable = True
+        self.last_read = False
+        self.rejection = 0
+        self.lingers = False
+        self.close_due = False
         self.closing = False
-        self.writable: asyncio.Future[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection; called by the event loop."""
         self.transport = transport
-        self.listener.connections.add(self)
+        self.listener.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the work for a client that has disconnected."""
         self.listener.connections.discard(self)
         self.closing = True
-        self.pending_requests.clear()
         self.parser.close()
-        self.release(self.held_bytes)
-        if self.writable is not None and not self.writable.done():
-            self.writable.cancel()
-        if self.task is not None:
-            self.task.cancel()
-
-    def reserve(self, size: int) -> bool:
-        """Reserve memory for a request body; called by the parser."""
-        if not self.listener.body_budget.reserve(size):
-            return False
-        self.held_bytes += size
-        return True
-
-    def release(self, size: int) -> None:
-        """Release the memory of a request body."""
-        size = min(size, self.held_bytes)
-        self.held_bytes -= size
-        self.listener.body_budget.release(size)
+        self.backlog.clear()
+        self.pipeline.close()
+        self.memory.lease.close()
+
+    def update_memory(self) -> bool:
+        """Count what the connection holds; return whether it fits."""
+        return self.memory.lease.resize(
+            client_memory.CONNECTION_BYTES
+            + len(self.backlog)
+            + self.parser.measure()
+            + self.pipeline.held_bytes
+            + self.transport.get_write_buffer_size()
+        )
 
     def eof_received(self) -> bool:
         """Close the connection when the client closes its sending side."""
@@ -108,18 +107,53 @@
 
     def pause_writing(self) -> None:
         """Handle a full write buffer; called by the event loop."""
-        self.writable = self.loop.create_future()
+        self.writable = False
 
     def resume_writing(self) -> None:
         """Handle a drained write buffer; called by the event loop."""
-        if self.writable is not None and not self.writable.done():
-            self.writable.set_result(None)
-        self.writable = None
+        self.writable = True
+        self.pipeline.advance()
+        self.resume_reading()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; called by the event loop."""
-        if self.closing or self.rejected:
+        if self.ignores_input():
             return
+        self.memory.received += len(data)
+        self.backlog.put(data)
+        if self.parse_turn():
+            self.pause_reading()
+            self.listener.parse_queue.add(self)
+
+    def ignores_input(self) -> bool:
+        """Return whether received bytes are discarded."""
+        return self.closing or bool(self.rejection) or self.last_read
+
+    def parse_turn(self) -> bool:
+        """Parse received bytes for one turn of the event loop.
+
+        Returns:
+            Whether there are more bytes to parse now.
+        """
+        self.parser.cost = 0
+        more = False
+        while not more and not self.ignores_input():
+            if not self.backlog or self.pipeline.is_full():
+                break
+            self.feed(self.backlog.take())
+            more = self.parser.cost > parse_queue.MAX_TURN_COST
+        if self.pipeline.is_full():
+            self.pause_reading()
+        if not self.update_memory() and not self.ignores_input():
+            self.handle_shortage()
+        if self.ignores_input():
+            self.backlog.clear()
+        if not self.backlog:
+            self.resume_reading()
+        return more and bool(self.backlog) and not self.pipeline.is_full()
+
+    def feed(self, data: bytes) -> None:
+        """Parse a piece of the received bytes."""
         try:
             self.parser.feed(data)
         except invalid_request.InvalidRequestError as fault:
@@ -138,110 +172,112 @@
         self, request: model.HttpRequest, keep_alive: bool
     ) -> None:
         """Queue a complete request; called by the parser."""
+        if self.last_read:
+            return
         request.received_at = self.loop.time()
+        # A client whose request is complete is not slow while it runs.
+        self.memory.lease.progress = None
         self.reading = False
-        self.pending_requests.append((request, keep_alive))
-        if self.task is None:
-            # Counted here, since a stop may look before the task begins. The
-            # task may also be cancelled before that.
+        self.last_read = not keep_alive
+        if not self.pipeline.busy:
+            # Counted here, since a stop may look before the task begins, and
+            # the task may be cancelled before that.
             self.listener.count_busy()
-            self.task = self.loop.create_task(self.answer())
-            self.task.add_done_callback(
-                lambda task: self.listener.count_idle()
-            )
-        elif len(self.pending_requests) >= MAX_PIPELINED and not self.paused:
+        self.pipeline.add(
+            request, keep_alive, client_memory.measure_request(request)
+        )
+
+    def handle_shortage(self) -> None:
+        """Give up what is not complete or not started for lack of memory."""
+        if self.parser.started:
+            self.refuse(503, 'the node has no memory for the request')
+        elif self.pipeline.busy:
+            self.pipeline.drop_waiting()
+            self.last_read = self.close_due = True
+
+    def pause_reading(self) -> None:
+        """Pause reading from the socket."""
+        if not self.paused:
             self.paused = True
             self.transport.pause_reading()
 
-    async def answer(self) -> None:
-        """Answer the queued requests one after the other."""
-        try:
-            while self.pending_requests and not self.closing:
-                request, keep_alive = self.pending_requests.popleft()
-                response = await self.handle(request)
-                # A request that was read whole must not be dropped with the
-                # connection, so those that wait are answered first.
-                keep_alive = keep_alive and (
-                    bool(self.pending_requests)
-                    or not (response.close or self.listener.closing)
-                )
-                self.write(request, response, keep_alive)
-                self.release(len(request.content))
-                if self.writable is not None:
-                    await self.writable
-                if not keep_alive:
-                    self.close_transport()
-        finally:
-            self.task = None
-        if not self.closing and not self.rejected:
-            if self.paused:
-                self.paused = False
-                self.transport.resume_reading()
-            self.timeout_started_at = self.loop.time()
-
-    async def handle(self, request: model.HttpRequest) -> model.HttpResponse:
-        """Return the response to one request."""
-        try:
-            return await self.listener.handle(request)
-        except Exception:
-            logging.exception(
-                'request handler failed for %s', request.target[:200]
-            )
-            # Without a response the client would wait until its deadline.
-            return model.HttpResponse(status=502, close=True)
-
-    def write(
-        self,
-        request: model.HttpRequest,
-        response: model.HttpResponse,
-        keep_alive: bool,
-    ) -> None:
-        """Write a complete response with one call of the transport."""
-        status = response.status
-        parts = [
-            b'HTTP/1.1 %d %b\r\n'
-            % (status, REASON_PHRASES.get(status, b'Unknown'))
-        ]
-        parts.extend(b'%b: %b\r\n' % header for header in response.headers)
-        if status >= 200 and status not in (204, 304):
-            parts.append(b'Content-Length: %d\r\n' % len(response.content))
-        parts.append(b'\r\n' if keep_alive else b'Connection: close\r\n\r\n')
-        if request.method != 'HEAD':
-            parts.append(response.content)
-        self.transport.write(b''.join(parts))
+    def resume_reading(self) -> None:
+        """Read further requests if there is room for them."""
+        stopped = self.closing or self.rejection or self.pipeline.is_full()
+        if stopped or not self.paused:
+            return
+        if self.backlog:
+            self.listener.parse_queue.add(self)
+        else:
+            self.paused = False
+            self.transport.resume_reading()
+
+    def handle_end(self, entry: pipelined_request.PipelinedRequest) -> None:
+        """Count the response to a request; called by the pipeline."""
+        if (
+            entry.size > client_memory.MAX_LATE_BYTES
+            and not self.update_memory()
+        ):
+            self.listener.count('client.response_dropped')
+            self.pipeline.drop_response(entry)
+
+    def write(self, entry: pipelined_request.PipelinedRequest) -> None:
+        """Write the response that is due; called by the pipeline."""
+        response = entry.response
+        self.close_due = self.close_due or response.close
+        # A request that was read whole must not be dropped with the
+        # connection, so those that wait are answered first.
+        keep_alive = entry.keep_alive and (
+            bool(self.pipeline.entries)
+            or not (self.close_due or self.listener.closing)
+        )
+        for part in response_encoding.encode_response(
+            entry.request, response, keep_alive=keep_alive
+        ):
+            self.memory.written += len(part)
+            self.transport.write(part)
+        if not keep_alive:
+            self.close_transport()
+            self.pipeline.close()
+        if entry.size > client_memory.MAX_LATE_BYTES:
+            self.update_memory()
+        self.resume_reading()
+
+    def handle_idle(self) -> None:
+        """Handle the end of all requests; called by the pipeline."""
+        self.listener.count_idle()
+        self.timeout_started_at = self.loop.time()
+        if self.rejection:
+            self.reject(self.rejection)
 
     def refuse(self, status: int, detail: str) -> None:
         """Answer an invalid request with an error status and close."""
+        if self.last_read or self.rejection or self.closing:
+            return
         self.listener.record_invalid_request(status, detail)
-        if self.task is None:
+        self.lingers = self.parser.head_complete
+        self.parser.close()
+        self.backlog.clear()
+        if not self.pipeline.busy:
             self.reject(status)
             return
         # The complete requests before it are answered first.
-        self.rejected = True
-        if not self.paused:
-            self.transport.pause_reading()
-        self.task.add_done_callback(lambda task: self.reject(status))
+        self.rejection = status
+        self.pause_reading()
+        self.update_memory()
 
     def reject(self, status: int) -> None:
         """Write an error response and close the connection."""
         if self.closing:
             return
-        retry_after = b''
-        if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
-            retry_after = b'Retry-After: %d\r\n' % RETRY_AFTER_S
-        self.transport.write(
-            b'HTTP/1.1 %d %b\r\n%bContent-Length: 0\r\n'
-            b'Connection: close\r\n\r\n'
-            % (status, REASON_PHRASES[status], retry_after)
-        )
-        if not self.parser.head_complete:
+        self.transport.write(response_encoding.encode_rejection(status))
+        if not self.lingers:
             self.close_transport()
             return
         # Closing at once would reset the connection, and the client might
         # lose the response, while it still sends the body.
         self.closing = True
-        self.release(self.held_bytes)
-        self.parser.close()
+        self.update_memory()
         if self.paused:
             self.transport.resume_reading()
         self.transport.write_eof()
@@ -252,21 +288,13 @@
         self.closing = True
         self.transport.close()
 
-    def check_timeouts(self, now: float, limits: model.ClientLimits) -> None:
-        """Enforce the idle timeout and the timeout of the request head.
+    def give_way(self) -> None:
+        """Release the memory of a slow client; called by the node's memory.
 
-        Args:
-            now: Loop time in seconds.
-            limits: Limits in force.
+        A request that is not complete has not run and is refused. A response
+        that is not read ends with the connection.
         """
-        if self.task is not None or self.closing:
-            return
-        elapsed = now - self.timeout_started_at
-        if not self.parser.started:
-            if elapsed >= limits.idle_timeout_s:
-                self.close_transport()
-        elif (
-            not self.parser.head_complete
-            and elapsed >= limits.header_timeout_s
-        ):
-            self.refuse(408, 'the request head was not received in time')
+        if self.transport.get_write_buffer_size() or not self.parser.started:
+            connection_reset.reset(self.transport)
+        else:
+            self.refuse(503, 'the node needs the memory of a slow client')
--- a/oleanderknot/tasks/client_listener.py
+++ b/oleanderknot/tasks/client_listener.py
@@ -5,13 +5,16 @@
 
 from absl import logging
 
+from oleanderknot import decisions
 from oleanderknot import model
-from oleanderknot.tasks import body_budget as body_budgets
 from oleanderknot.tasks import client_connection
+from oleanderknot.tasks import client_timeouts
+from oleanderknot.tasks import connection_limit
+from oleanderknot.tasks import connection_reset
+from oleanderknot.tasks import parse_queue
+from oleanderknot.tasks import request_pipeline
 
-HandleFunction = collections.abc.Callable[
-    [model.HttpRequest], collections.abc.Awaitable[model.HttpResponse]
-]
+HandleFunction = request_pipeline.HandleFunction
 
 # Length of the accept queue. When it is full, a client retries its connection
 # only after seconds.
@@ -30,9 +33,14 @@
 
     Attributes:
         handle: Returns the response to a request.
+        capture_check: Returns the check that decides whether a pipelined
+            request may overlap with others.
         limits: Returns the limits in force.
         count: Counts an event by name.
-        body_budget: Bounds the memory of request bodies.
+        memory: Memory of the node.
+        bounds: Returns the bounds from the settings.
+        on_sweep: Called before each check of all connections.
+        parse_queue: Turns of the connections that have more to parse.
         connections: Open connections.
         active: Number of connections that answer requests.
         idle: Set while ``active`` is 0.
@@ -46,14 +54,21 @@
         handle: HandleFunction,
         limits: collections.abc.Callable[[], model.ClientLimits],
         count: collections.abc.Callable[[str], None],
-        body_budget: body_budgets.BodyBudget | None = None,
+        memory: decisions.NodeMemory | None = None,
+        bounds: collections.abc.Callable[
+            [], model.ClientBounds
+        ] = model.ClientBounds,
+        on_sweep: collections.abc.Callable[[], None] = lambda: None,
+        capture_check: request_pipeline.CaptureFunction = lambda: None,
     ) -> None:
         self.handle = handle
+        self.capture_check = capture_check
         self.limits = limits
         self.count = count
-        self.body_budget = body_budget or body_budgets.BodyBudget(
-            limits=limits
-        )
+        self.memory = memory or decisions.NodeMemory()
+        self.bounds = bounds
+        self.on_sweep = on_sweep
+        self.parse_queue = parse_queue.ParseQueue()
         self.loop = asyncio.get_running_loop()
         self.connections: set[client_connection.ClientConnection] = set()
         self.tcp_server: asyncio.Server | None = None
@@ -91,8 +106,22 @@
         self.sweep_timer = self.loop.call_later(SWEEP_PERIOD_S, self.sweep)
         now = self.loop.time()
         limits = self.limits()
+        bounds = self.bounds()
+        self.on_sweep()
         for connection in list(self.connections):
-            connection.check_timeouts(now, limits)
+            client_timeouts.check(connection, now, limits, bounds)
+
+    def add(self, connection: client_connection.ClientConnection) -> None:
+        """Add a connection; at the bound one of all connections is closed."""
+        bound = connection_limit.find_bound(self.bounds().max_connections)
+        if len(self.connections) >= bound:
+            closed = connection_limit.choose(self.connections)
+            self.count('client.connections_full')
+            connection_reset.reset((closed or connection).transport)
+            if closed is None:
+                return
+            self.connections.discard(closed)
+        self.connections.add(connection)
 
     def count_busy(self) -> None:
         """Count a connection that begins to answer requests."""
--- a/oleanderknot/tasks/client_parser.py
+++ b/oleanderknot/tasks/client_parser.py
@@ -5,8 +5,15 @@
 import httptools
 
 from oleanderknot import model
+from oleanderknot import transport
 from oleanderknot.tasks import invalid_request
 
+# Memory for a body of unknown length is reserved in steps of this size.
+RESERVE_STEP_BYTES = 4096
+
+# Approximate size of the objects of a header, beside its bytes.
+HEADER_BYTES = 160
+
 RequestCallback = collections.abc.Callable[[model.HttpRequest, bool], None]
 
 
@@ -25,6 +32,9 @@
             sends the body.
         offers_upgrade: Whether the client offers to change the protocol.
         head_bytes: Size of the header lines parsed so far.
+        reserved_bytes: Memory reserved for the body.
+        cost: Number of headers and parts of bodies parsed; reset by the
+            owner, who bounds it.
     """
 
     def __init__(
@@ -41,6 +51,7 @@
             httptools.HttpRequestParser(self)
         )
         self.wants_continue = False
+        self.cost = 0
         self.reset()
 
     def reset(self) -> None:
@@ -51,19 +62,21 @@
         self.head_bytes = 0
         self.fed_bytes = 0
         self.body_bytes = 0
-        self.body_reserved = False
+        self.reserved_bytes = 0
         self.target = b''
         self.headers: model.Headers = []
-        self.body_parts: list[bytes] = []
+        self.body = transport.BodyBuffer()
 
     def close(self) -> None:
-        """Drop the request in progress and the parser.
+        """Drop the request in progress, the parser and the owner.
 
-        The parser refers to this object. Without the cycle the request is
-        freed at once, and not by a collection that may come much later.
+        They refer to this object. Without the cycles the request is freed at
+        once, and not by a collection that may come much later.
         """
         self.reset()
         self.parser = None
+        self.on_request = ignore_request
+        self.reserve = reject_reservation
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
@@ -96,6 +109,17 @@
             self.fed_bytes += len(data)
             self.check_head(self.fed_bytes)
 
+    def measure(self) -> int:
+        """Return the approximate size in bytes of the request in progress."""
+        if not self.started:
+            return 0
+        return (
+            self.head_bytes
+            + HEADER_BYTES * len(self.headers)
+            + len(self.target)
+            + max(self.reserved_bytes, self.body_bytes)
+        )
+
     def build_head(self) -> bytes:
         """Build the head of the request without its offer to upgrade."""
         lines = [
@@ -129,6 +153,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header."""
+        self.cost += 1
         # A header line has four more bytes: colon, space, CR and LF.
         self.head_bytes += len(name) + len(value) + 4
         self.check_head(self.head_bytes)
@@ -184,7 +209,6 @@
         self.offers_upgrade = self.parser.should_upgrade()
         if body_size and not self.offers_upgrade:
             self.reserve_body(body_size)
-        self.body_reserved = body_size is not None
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body.
@@ -192,14 +216,15 @@
         Raises:
             InvalidRequestError: The body exceeds the limit.
         """
+        self.cost += 1
         self.body_bytes += len(data)
         if self.body_bytes > self.limits().max_body_bytes:
             raise invalid_request.InvalidRequestError(
                 413, 'the request body exceeds the size limit'
             )
-        if not self.body_reserved:
-            self.reserve_body(len(data))
-        self.body_parts.append(data)
+        if self.body_bytes > self.reserved_bytes:
+            self.reserve_body(max(len(data), RESERVE_STEP_BYTES))
+        self.body.append(data)
 
     def reserve_body(self, size: int) -> None:
         """Reserve memory for a body or a part of it.
@@ -211,6 +236,7 @@
             raise invalid_request.InvalidRequestError(
                 503, 'the node holds too many request bodies'
             )
+        self.reserved_bytes += size
 
     def on_message_complete(self) -> None:
         """Pass a complete request to ``on_request``."""
@@ -220,12 +246,19 @@
             method=self.parser.get_method().decode('ascii'),
             target=self.target.decode('latin-1'),
             headers=self.headers,
-            content=self.body_parts[0]
-            if len(self.body_parts) == 1
-            else b''.join(self.body_parts),
+            content=self.body.get_value(),
             received_at=0.0,
         )
         keep_alive = self.parser.should_keep_alive()
         self.wants_continue = False
         self.reset()
         self.on_request(request, keep_alive)
+
+
+def ignore_request(request: model.HttpRequest, keep_alive: bool) -> None:
+    """Do nothing; for a parser without an owner."""
+
+
+def reject_reservation(size: int) -> bool:
+    """Return False; for a parser without an owner."""
+    return False
--- a/oleanderknot/tasks/dependency_levels.py
+++ b/oleanderknot/tasks/dependency_levels.py
@@ -49,7 +49,7 @@
             The reported level and the level estimated for the present, from
             0 to 4; 4 if the route depends on no other service.
         """
-        needed = self.calls.list_dependencies(route)
+        needed = self.calls.dependencies.get(route)
         if not needed:
             return decisions.MAX_LEVEL, decisions.MAX_LEVEL
         found = [self.find_service_levels(*item) for item in needed]
@@ -57,19 +57,15 @@
 
     def is_leaf(self, route: str) -> bool:
         """Return whether a route is known to depend on no other service."""
-        return (
-            route in self.calls.requests
-            and not self.calls.list_dependencies(route)
-        )
+        # A route without a counted request has no list.
+        return self.calls.dependencies.get(route) == []
 
     def check(self, call: model.Call) -> model.Refusal | None:
         """Return a refusal if a dependency would refuse the call."""
         reported, estimated = self.find(call.route)
         if reported >= decisions.MAX_LEVEL:
             return None
-        priority = decisions.compute_priority(
-            call.request_class, call.trace_id
-        )
+        priority = decisions.rank_call(call)
         if priority < reported:
             return None
         if priority < estimated and self.probe_limiter.try_acquire(
--- a/oleanderknot/tasks/early_refusal.py
+++ b/oleanderknot/tasks/early_refusal.py
@@ -36,9 +36,7 @@
         call.ticket = max(stop_tickets)
     elif admitting:
         rule = model.Rule.EARLY_REFUSAL
-        priority = decisions.compute_priority(
-            call.request_class, call.trace_id
-        )
+        priority = decisions.rank_call(call)
         detail = (
             'no upstream of %s admits this class now (rank %.2f, level %.2f)'
             % (call.service, priority, level)
--- a/oleanderknot/tasks/http_dialect.py
+++ b/oleanderknot/tasks/http_dialect.py
@@ -15,6 +15,9 @@
         parse_response_headers: Decodes the headers of an upstream's response.
         add_calling_service: Returns the headers of a request with the name
             of the calling service added.
+        set_organisation: Returns the headers of a request without its API
+            key, and with the name of the organisation that holds the key;
+            without a name if it is empty.
         add_upstream_headers: Builds the headers of a request to an upstream
             from the headers of the call, the remaining seconds and the id of
             the intended upstream.
@@ -31,6 +34,9 @@
     add_calling_service: collections.abc.Callable[
         [model.Headers, str], model.Headers
     ]
+    set_organisation: collections.abc.Callable[
+        [model.Headers, str], model.Headers
+    ]
     add_upstream_headers: collections.abc.Callable[
         [model.Headers, float, str], model.Headers
     ]
--- a/oleanderknot/tasks/incoming_calls.py
+++ b/oleanderknot/tasks/incoming_calls.py
@@ -87,7 +87,6 @@
         entry.task = self.loop.create_task(
             self.run_call(number, entry, message.body)
         )
-        entry.task.add_done_callback(task_log.log_failure)
 
     def find_delay_s(self, message: wire.Open) -> float:
         """Return how long a message waited before it was read, in seconds."""
@@ -122,6 +121,14 @@
                 )
                 return
             answer = result.ok
+            if answer.body is not None:
+                # The first parts of many long answers would fill the send
+                # buffer, whose size is not bounded otherwise.
+                try:
+                    await self.frame_writer.wait_writable()
+                except asyncio.CancelledError:
+                    answer.body.cancel()
+                    raise
             self.frame_writer.send(number, head=wire.head_from_answer(answer))
             if answer.body is not None:
                 await body_sender.send_body(
@@ -147,6 +154,9 @@
             )
         finally:
             self.open_calls.pop(number, None)
+            # The error of a cancelled task refers to this frame and its
+            # response. Without the cycle both are freed at once.
+            entry.task = None
             self.on_ended()
 
     async def answer_key_query(
--- a/oleanderknot/tasks/json_formatter.py
+++ b/oleanderknot/tasks/json_formatter.py
@@ -51,6 +51,8 @@
             'class': call.request_class.name.lower(),
             'service': call.service,
             'trace': call.trace_id,
+            'organisation': call.organisation,
+            'rank': call.rank,
         }
     }
 
--- a/oleanderknot/tasks/metric_list.py
+++ b/oleanderknot/tasks/metric_list.py
@@ -24,6 +24,28 @@
         'alerts',
         'Alerts raised by this node.',
     ),
+    (
+        'choice.remote',
+        'calls',
+        'Calls that were sent to another data centre; on a platform.',
+    ),
+    (
+        'client.connections_full',
+        'connections',
+        'Connections of clients at the bound, for each of which one was'
+        ' closed; on a platform.',
+    ),
+    (
+        'client.no_progress',
+        'connections',
+        'Connections of clients closed because they transferred too little;'
+        ' on a platform.',
+    ),
+    (
+        'client.response_dropped',
+        'responses',
+        'Responses replaced by 502 for lack of memory; on a platform.',
+    ),
     (
         'log.left_out',
         'lines',
@@ -34,6 +56,16 @@
         'probes',
         'Probes that got no answer, so that other nodes were asked to probe.',
     ),
+    (
+        'memory.gave_way',
+        'holders',
+        'Holders of memory that gave way to others; on a platform.',
+    ),
+    (
+        'memory.refused',
+        'requests',
+        'Requests for memory that were refused; on a platform.',
+    ),
     (
         'member.refuted',
         'claims',
@@ -104,6 +136,26 @@
         'messages',
         'Request chunks for calls that have already ended; they are dropped.',
     ),
+    (
+        'quota.expired',
+        'tokens',
+        'Tokens of organisations that were not used in time.',
+    ),
+    (
+        'quota.granted',
+        'tokens',
+        'Tokens of organisations that this node gave to first nodes.',
+    ),
+    (
+        'quota.refused',
+        'requests',
+        'Requests of organisations that were over their limit.',
+    ),
+    (
+        'quota.transferred',
+        'tokens',
+        'Tokens of organisations sent to homes of other data centres.',
+    ),
     (
         'refused.<rule>',
         'calls',
@@ -119,16 +171,54 @@
         'calls',
         'Calls retried by this node.',
     ),
+    (
+        'returns.early',
+        'requests',
+        'Requests of refused clients that came back too early; on a platform.',
+    ),
+    (
+        'returns.evicted',
+        'refusals',
+        'Refusals forgotten before their clients came back, because too many'
+        ' were remembered; on a platform.',
+    ),
+    (
+        'returns.ranked',
+        'requests',
+        'Requests of refused clients that came back in time and were ranked'
+        ' before newcomers; on a platform.',
+    ),
+    (
+        'returns.remembered',
+        'refusals',
+        'Refusals remembered for the return of their clients; on a platform.',
+    ),
     (
         'served.<class>',
         'requests',
         'Requests of callers that got a complete answer, by class.',
     ),
+    (
+        'policy.left_out',
+        'policies',
+        'Policies with entries that this version does not know.',
+    ),
+    (
+        'shares.worsened',
+        'requests',
+        'Requests of callers whose organisation exceeded its fair share of a'
+        ' service, and that were therefore refused first; on a platform.',
+    ),
     (
         'policy.requested',
         'requests',
         'Policies requested from another node that has a newer one.',
     ),
+    (
+        'policy.left_out',
+        'policies',
+        'Policies with entries that this version does not know.',
+    ),
     (
         'ticket.digest_mismatches',
         'messages',
--- a/oleanderknot/tasks/outgoing_call.py
+++ b/oleanderknot/tasks/outgoing_call.py
@@ -18,7 +18,6 @@
         window: Flow-control window of the request body.
         response_body: Rest of the response body, if it arrives in chunks.
         body_sender: Task that sends the request body.
-        deadline_timer: Fires at the call's deadline.
         recovering: Whether the peer is being asked about the call over
             another connection.
     """
@@ -28,5 +27,4 @@
     window: send_window.SendWindow | None = None
     response_body: body_pipe.BodyPipe | None = None
     body_sender: asyncio.Task | None = None
-    deadline_timer: asyncio.TimerHandle | None = None
     recovering: bool = False
--- a/oleanderknot/tasks/outgoing_calls.py
+++ b/oleanderknot/tasks/outgoing_calls.py
@@ -5,13 +5,14 @@
 import time
 
 from expression import Error
-from expression import Ok
 from expression import Result
 
 from oleanderknot import model
 from oleanderknot import wire
 from oleanderknot.tasks import body_pipe
 from oleanderknot.tasks import body_sender
+from oleanderknot.tasks import call_refusal
+from oleanderknot.tasks import deadlines
 from oleanderknot.tasks import key_queries
 from oleanderknot.tasks import outgoing_call
 from oleanderknot.tasks import send_window
@@ -30,6 +31,7 @@
         count_event: Counts an event by name.
         last_number: Last call number used.
         open_calls: Calls whose response is not complete, by call number.
+        deadlines: Deadlines of the calls without an answer, by call number.
         queries: Queries about keys.
         lost: Error that ended the connection; None while it is open.
         on_ended: Called when a call has ended.
@@ -48,6 +50,7 @@
         self.count_event = count_event
         self.last_number = first_number - 2
         self.open_calls: dict[int, outgoing_call.OutgoingCall] = {}
+        self.deadlines = deadlines.Deadlines(on_passed=self.expire)
         self.queries = key_queries.KeyQueries(
             frame_writer=frame_writer, take_number=self.take_number
         )
@@ -78,9 +81,7 @@
             call=call, future=self.loop.create_future()
         )
         self.open_calls[number] = entry
-        entry.deadline_timer = self.loop.call_at(
-            call.deadline, self.expire, number
-        )
+        self.deadlines.add(number, call.deadline)
         self.frame_writer.send(
             number,
             open=wire.open_from_call(
@@ -99,6 +100,10 @@
         except asyncio.CancelledError:
             self.abandon(number)
             raise
+        finally:
+            # The error of a cancelled future refers to this frame and the
+            # body. Without the cycle both are freed at once.
+            del entry
 
     def start_body_sender(
         self,
@@ -117,12 +122,11 @@
         entry.body_sender.add_done_callback(task_log.log_failure)
 
     def remove(self, number: int) -> outgoing_call.OutgoingCall | None:
-        """Remove a call and cancel its timer and its body sender."""
+        """Remove a call and cancel its deadline and its body sender."""
         entry = self.open_calls.pop(number, None)
         if entry is None:
             return None
-        if entry.deadline_timer is not None:
-            entry.deadline_timer.cancel()
+        self.deadlines.remove(number)
         if entry.body_sender is not None:
             entry.body_sender.cancel()
         self.on_ended()
@@ -138,9 +142,8 @@
         entry = self.open_calls.get(number)
         if entry is None:
             return
-        sending = (
-            entry.body_sender is not None and not entry.body_sender.done()
-        )
+        sender = entry.body_sender
+        sending = sender is not None and not sender.done()
         self.remove(number)
         if entry.call.idempotent or not sending:
             self.frame_writer.send(number, cancel=wire.Cancel())
@@ -161,14 +164,11 @@
             return
         self.abandon(number)
         entry.future.set_result(
-            Error(
-                model.build_refusal(
-                    entry.call,
-                    model.Verdict.MAY_HAVE_RUN,
-                    model.Rule.DEADLINE,
-                    'no answer from %s before the deadline'
-                    % self.get_peer_name(),
-                )
+            call_refusal.refuse(
+                entry.call,
+                model.Verdict.MAY_HAVE_RUN,
+                model.Rule.DEADLINE,
+                'no answer from %s before the deadline' % self.get_peer_name(),
             )
         )
 
@@ -186,7 +186,7 @@
             answer = wire.answer_from_head(head, None)
             self.remove(number)
         else:
-            entry.deadline_timer.cancel()
+            self.deadlines.remove(number)
             entry.response_body = body_pipe.BodyPipe(
                 on_credit=lambda size: self.frame_writer.send(
                     number, credit=wire.Credit(size=size)
@@ -195,7 +195,7 @@
             )
             entry.response_body.offset = len(head.body or b'')
             answer = wire.answer_from_head(head, entry.response_body)
-        entry.future.set_result(Ok(answer))
+        entry.future.set_result(model.build_success(answer))
 
     def cancel_response(self, number: int) -> None:
         """Cancel a response that is no longer read."""
@@ -286,13 +286,11 @@
             entry.response_body.fail(model.Rule.CONNECTION_LOST, detail)
         if not entry.future.done():
             entry.future.set_result(
-                Error(
-                    model.build_refusal(
-                        entry.call,
-                        model.Verdict.MAY_HAVE_RUN,
-                        model.Rule.CONNECTION_LOST,
-                        detail,
-                    )
+                call_refusal.refuse(
+                    entry.call,
+                    model.Verdict.MAY_HAVE_RUN,
+                    model.Rule.CONNECTION_LOST,
+                    detail,
                 )
             )
 
--- a/oleanderknot/tasks/peer_connection.py
+++ b/oleanderknot/tasks/peer_connection.py
@@ -131,6 +131,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail all calls; called by the event loop."""
+        self.resume_writing()
         self.mark_closed('connection lost: %s' % error if error else 'closed')
 
     async def wait_writable(self) -> None:
@@ -219,6 +220,10 @@
             self.incoming.handle_key_query(number, frame.key_query)
         elif frame.key_state is not None and opened_here:
             self.outgoing.queries.handle_state(number, frame.key_state)
+        elif frame.quota_request is not None:
+            self.handlers.handle_quota_request(self, frame.quota_request)
+        elif frame.quota_grant is not None:
+            self.handlers.handle_quota_grant(self, frame.quota_grant)
         elif frame.goodbye is not None:
             self.graceful_close.handle_goodbye()
         elif frame.pong is None:
--- a/oleanderknot/tasks/peer_handlers.py
+++ b/oleanderknot/tasks/peer_handlers.py
@@ -40,6 +40,8 @@
         on_closing: Called when this node opens no more calls on a connection.
         control_bytes: Counts the bytes of control messages.
         on_overdue: Called when a connection does not respond to a probe.
+        handle_quota_request: Handles a request about rate limits.
+        handle_quota_grant: Handles the answer to one.
         may_cancel: Returns whether a call may be cancelled once the peer no
             longer waits for it.
     """
@@ -68,4 +70,10 @@
     on_overdue: collections.abc.Callable[
         ['peer_connection.PeerConnection'], None
     ] = lambda connection: None
+    handle_quota_request: collections.abc.Callable[
+        ['peer_connection.PeerConnection', wire.QuotaRequest], None
+    ] = lambda connection, message: None
+    handle_quota_grant: collections.abc.Callable[
+        ['peer_connection.PeerConnection', wire.QuotaGrant], None
+    ] = lambda connection, message: None
     may_cancel: collections.abc.Callable[[model.Call], bool] = is_idempotent
--- a/oleanderknot/tasks/peer_pool.py
+++ b/oleanderknot/tasks/peer_pool.py
@@ -156,10 +156,11 @@
         The node is dialled again in the background, so that calls do not
         each wait for the timeout of an attempt.
         """
+        attempts = self.reachability.last_attempt_at
         instance = member.instance
-        last_attempt_at = self.reachability.last_attempt_at.get(instance)
-        if last_attempt_at is None or instance in self.connections:
+        if instance not in attempts or instance in self.connections:
             return False
+        last_attempt_at = attempts[instance]
         waited_s = time.monotonic() - last_attempt_at
         if waited_s >= REDIAL_DELAY_S and instance not in self.dialling:
             self.start_dialling(member)
--- /dev/null
+++ b/oleanderknot/tasks/quota_members.py
@@ -0,0 +1,173 @@
+"""Nodes that may be quota homes, as this node sees them."""
+
+import bisect
+import collections.abc
+
+from oleanderknot import decisions
+from oleanderknot import model
+from oleanderknot.tasks import peer_pool
+
+# Nodes of a data centre that are considered as homes of one organisation.
+MAX_CANDIDATES = 8
+
+# Orders that are kept; one takes less than a millisecond to compute.
+MAX_ORDERS = 4096
+
+# Time for which a node that did not answer a request is not asked again.
+AVOID_S = 1.0
+
+
+class QuotaMembers:
+    """Owns the order of homes and the list of nodes that do not respond.
+
+    Attributes:
+        identity: Identity of this node.
+        configured: Data centres named in the settings.
+        table: Known members.
+        pool: Connections to other nodes.
+        live: Nodes that have neither left nor died, by data centre.
+        known_data_centres: Data centres of nodes that have not left. One
+            whose nodes are dead may be cut off only, and create tokens.
+        dead: Nodes of this data centre that have died.
+        eligible: Nodes that may be homes, by data centre.
+        orders: First nodes in the order of homes, by data centre and
+            organisation.
+        avoid_until: Monotonic time in seconds until which a node is not
+            asked, by instance.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: model.NodeIdentity,
+        data_centres: collections.abc.Iterable[str],
+        table: decisions.MemberTable,
+        pool: peer_pool.PeerPool,
+    ) -> None:
+        self.identity = identity
+        self.configured = tuple(data_centres)
+        self.table = table
+        self.pool = pool
+        self.live: dict[str, set[str]] = {}
+        self.known_data_centres: set[str] = set()
+        self.dead: set[str] = set()
+        self.eligible: dict[str, set[str]] = {}
+        self.orders: dict[tuple[str, str], tuple[str, ...]] = {}
+        self.avoid_until: dict[str, float] = {}
+
+    @property
+    def data_centres(self) -> list[str]:
+        """Data centres that create tokens, with this one."""
+        own = self.identity.data_centre
+        return sorted({own, *(self.configured or self.known_data_centres)})
+
+    def refresh(self, now: float) -> None:
+        """Read the members from the table."""
+        live: dict[str, set[str]] = {}
+        leaving: set[str] = set()
+        known_data_centres: set[str] = set()
+        self.dead = set()
+        for member in self.table.members.values():
+            if member.state is model.MemberState.LEFT:
+                continue
+            known_data_centres.add(member.data_centre)
+            if member.state is not model.MemberState.DEAD:
+                live.setdefault(member.data_centre, set()).add(member.instance)
+                if member.state is model.MemberState.LEAVING:
+                    leaving.add(member.instance)
+            elif member.data_centre == self.identity.data_centre:
+                self.dead.add(member.instance)
+        self.live = live
+        self.known_data_centres = known_data_centres
+        self.avoid_until = {
+            name: until
+            for name, until in self.avoid_until.items()
+            if until > now
+        }
+        self.set_eligible(
+            {name: nodes - leaving for name, nodes in live.items()}
+        )
+
+    def set_eligible(self, eligible: dict[str, set[str]]) -> None:
+        """Set the nodes that may be homes."""
+        if eligible != self.eligible:
+            self.eligible = eligible
+            self.orders.clear()
+
+    def add_known(self, known: collections.abc.Iterable[str]) -> None:
+        """Keep dead nodes of this data centre in the order of homes.
+
+        Args:
+            known: Nodes that count for a majority.
+        """
+        own = self.identity.data_centre
+        nodes = self.eligible.get(own, set()) | (self.dead & set(known))
+        self.set_eligible({**self.eligible, own: nodes})
+
+    def list_order(
+        self, organisation: str, data_centre: str
+    ) -> tuple[str, ...]:
+        """Return the first nodes in the order of homes."""
+        key = (data_centre, organisation)
+        order = self.orders.get(key)
+        if order is None:
+            if len(self.orders) >= MAX_ORDERS:
+                self.orders.clear()
+            order = decisions.order_homes(
+                organisation,
+                self.eligible.get(data_centre, ()),
+                MAX_CANDIDATES,
+            )
+            self.orders[key] = order
+        return order
+
+    def list_before(self, organisation: str) -> tuple[str, ...] | None:
+        """Return the nodes before this one in the order of homes.
+
+        None if this node is not considered as a home.
+        """
+        order = self.list_order(organisation, self.identity.data_centre)
+        own = self.identity.instance
+        return order[: order.index(own)] if own in order else None
+
+    def find_home(
+        self, organisation: str, data_centre: str, now: float
+    ) -> str | None:
+        """Return the first node in the order that seems to respond."""
+        for name in self.list_order(organisation, data_centre):
+            if not self.is_lost(name, now):
+                return name
+        return None
+
+    def is_lost(self, instance: str, now: float) -> bool:
+        """Return whether a node is dead or does not respond to this one."""
+        if instance in self.dead or self.avoid_until.get(instance, 0.0) > now:
+            return True
+        if instance == self.identity.instance:
+            return False
+        member = self.table.members.get(instance)
+        return (
+            member is None
+            or self.pool.is_unreachable(member)
+            or self.pool.is_overdue(member)
+        )
+
+    def note_failure(self, instance: str, now: float) -> None:
+        """Do not ask a node again for a while."""
+        self.avoid_until[instance] = now + AVOID_S
+
+    def note_response(self, instance: str) -> None:
+        """Ask a node again that has responded."""
+        if self.avoid_until:
+            self.avoid_until.pop(instance, None)
+
+    def list_voters(self, known: set[str], count: int) -> list[str]:
+        """Return the nodes to ask for support.
+
+        Each node asks those that follow it by name, so that all nodes are
+        asked equally often.
+        """
+        own = self.identity.instance
+        names = sorted(known - {own} - self.dead)
+        first = bisect.bisect(names, own)
+        return (names[first:] + names[:first])[:count]
--- a/oleanderknot/tasks/recent_results.py
+++ b/oleanderknot/tasks/recent_results.py
@@ -5,6 +5,7 @@
 
 from expression import Result
 
+from oleanderknot import decisions
 from oleanderknot import model
 
 # A caller asks about a call at most 0.6 s after the last response on the
@@ -21,16 +22,23 @@
     Answers that are longer than one message are not kept.
 
     Attributes:
-        results: Results by session and number of the call, oldest first,
-            with the loop time in seconds at which they were added.
+        results: Results by session and number of the call.
+        added: Loop time in seconds at which each result was added, its key,
+            and the bytes of its body, oldest first.
         size: Bytes of the bodies of all kept answers.
+        lease: Their part of the memory of the node.
     """
 
-    def __init__(self) -> None:
-        self.results: collections.OrderedDict[
-            tuple[int, int],
-            tuple[float, Result[model.Answer, model.Refusal]],
-        ] = collections.OrderedDict()
+    def __init__(self, *, memory: decisions.NodeMemory | None = None) -> None:
+        self.lease = (memory or decisions.NodeMemory()).lease(
+            decisions.HolderKind.KEPT, self.clear
+        )
+        self.results: dict[
+            tuple[int, int], Result[model.Answer, model.Refusal]
+        ] = {}
+        self.added: collections.deque[tuple[float, tuple[int, int], int]] = (
+            collections.deque()
+        )
         self.size = 0
         self.loop = asyncio.get_running_loop()
 
@@ -47,26 +55,35 @@
             number: Number of the call on that connection.
             result: The result.
         """
-        if result.is_ok() and result.ok.body is not None:
-            return
+        size = 0
+        if result.is_ok():
+            if result.ok.body is not None:
+                return
+            size = len(result.ok.content)
         now = self.loop.time()
-        self.results[session, number] = (now, result)
-        self.size += measure(result)
-        while self.results:
-            key, (added_at, oldest) = next(iter(self.results.items()))
-            if self.size <= MAX_BYTES and now - added_at <= RETENTION_S:
-                break
-            del self.results[key]
-            self.size -= measure(oldest)
+        key = (session, number)
+        added = self.added
+        self.results[key] = result
+        added.append((now, key, size))
+        self.size += size
+        while added and (
+            self.size > MAX_BYTES or now - added[0][0] > RETENTION_S
+        ):
+            _, oldest, freed = added.popleft()
+            self.results.pop(oldest, None)
+            self.size -= freed
+        if self.size != self.lease.size and not self.lease.resize(self.size):
+            self.clear()
+
+    def clear(self) -> None:
+        """Drop all results; called when the memory is needed elsewhere."""
+        self.results.clear()
+        self.added.clear()
+        self.size = 0
+        self.lease.end()
 
     def find(
         self, session: int, number: int
     ) -> Result[model.Answer, model.Refusal] | None:
         """Return the result of a call, or None if it is not kept."""
-        entry = self.results.get((session, number))
-        return None if entry is None else entry[1]
-
-
-def measure(result: Result[model.Answer, model.Refusal]) -> int:
-    """Return the bytes of the body of an answer; 0 for a refusal."""
-    return len(result.ok.content) if result.is_ok() else 0
+        return self.results.get((session, number))
--- a/oleanderknot/tasks/routed_dispatcher.py
+++ b/oleanderknot/tasks/routed_dispatcher.py
@@ -1,5 +1,6 @@
 """Sends routed calls to upstreams and retries them within limits."""
 
+import collections.abc
 import random
 import time
 
@@ -8,9 +9,11 @@
 
 from oleanderknot import decisions
 from oleanderknot import model
+from oleanderknot.tasks import attempt_rules
 from oleanderknot.tasks import buffered_body
 from oleanderknot.tasks import dispatcher
 from oleanderknot.tasks import early_refusal
+from oleanderknot.tasks import held_join
 from oleanderknot.tasks import peer_handlers
 from oleanderknot.tasks import peer_pool
 from oleanderknot.tasks import runner
@@ -21,38 +24,11 @@
 # could retry later.
 MAX_ATTEMPTED_NODES = 4
 
-# Rules of refusals after which the call has reached no upstream. The next
-# attempt after these is no repeat, since the call cost no upstream work.
-UNREACHED_RULES = frozenset(
-    (
-        model.Rule.CALL_LOST,
-        model.Rule.CONNECTION_REFUSED,
-        model.Rule.EARLY_REFUSAL,
-        model.Rule.LEAVING,
-        model.Rule.LEVEL,
-        model.Rule.NO_UPSTREAM,
-        model.Rule.QUEUE_DELAY,
-        model.Rule.QUEUE_FULL,
-        model.Rule.RETRY_BUDGET,
-    )
-)
-
-# Rules that count as a failure of an upstream or of the path to it. A call
-# that was not admitted, or not answered in time, indicates only load.
-FAILURE_RULES = frozenset(
-    (
-        model.Rule.CONNECTION_LOST,
-        model.Rule.CONNECTION_REFUSED,
-        model.Rule.UPSTREAM_CUT,
-        model.Rule.UPSTREAM_REFUSED,
-    )
-)
-
-# Lowest HTTP status that counts as a failure of the upstream.
-MIN_SERVER_ERROR_STATUS = 500
-
-# Rules that end the attempts: no time is left for another node either.
-NON_RETRYABLE_RULES = (model.Rule.DEADLINE, model.Rule.UPSTREAM_TIMEOUT)
+CountFunction = collections.abc.Callable[[str], None]
+
+
+def ignore_event(name: str) -> None:
+    """Ignore an event; the default when no metric is recorded."""
 
 
 class RoutedDispatcher:
@@ -67,6 +43,8 @@
         chooser: Chooses the upstream of each attempt by load.
         record: Counts and logs a decision.
         run_local: Runs a call on the local upstream.
+        count: Counts an event by name.
+        memory: Memory of the node; counts responses of other nodes.
     """
 
     def __init__(
@@ -79,7 +57,11 @@
         record: dispatcher.RecordFunction,
         run_local: peer_handlers.RunFunction,
         rng: random.Random,
+        count: CountFunction = ignore_event,
+        memory: decisions.NodeMemory | None = None,
     ) -> None:
+        self.count = count
+        self.memory = memory or decisions.NodeMemory()
         self.identity = identity
         self.members = members
         self.policy = decisions.PolicyTable()
@@ -99,6 +81,25 @@
             is_node_overdue=pool.is_overdue,
         )
 
+    def find_rank(
+        self,
+        call: model.Call,
+        earlier: decisions.RememberedRefusal | None,
+    ) -> float | None:
+        """Return the rank of a root request; None for that of its trace id.
+
+        Args:
+            call: The call of the request.
+            earlier: Refusal after which its client has returned as told; None
+                for a new client.
+        """
+        excess = self.runner.shares.find(call)
+        if excess <= 1 and earlier is None:
+            return None
+        return decisions.assign_fraction(
+            call.trace_id, excess=excess, earlier=earlier
+        )
+
     async def dispatch(
         self, call: model.Call, content: bytes, *, max_attempts: int
     ) -> Result[model.Answer, model.Refusal]:
@@ -150,9 +151,12 @@
                 # The node responds on another connection.
                 resent.add(member.instance)
                 tried.discard(member.instance)
-            if refusal.rule not in UNREACHED_RULES:
+            if refusal.rule not in attempt_rules.UNREACHED_RULES:
                 reached += 1
-            if reached >= max_attempts or refusal.rule in NON_RETRYABLE_RULES:
+            if (
+                reached >= max_attempts
+                or refusal.rule in attempt_rules.NON_RETRYABLE_RULES
+            ):
                 break
         if result is None:
             result = Error(self.refuse_early(call))
@@ -164,6 +168,9 @@
         """Send a call once, to the given node."""
         load = self.chooser.loads.find(member)
         load.outstanding += 1
+        if member.data_centre != self.identity.data_centre:
+            self.count('choice.remote')
+        started = time.monotonic()
         try:
             if member.instance == self.identity.instance:
                 return await self.run_local(call, content, None)
@@ -174,11 +181,21 @@
             call.notice = load.notice
             result = await connection.open(call, first, rest)
             if result.is_ok() and result.ok.body is not None:
-                result.ok.content = await buffered_body.join_body(
-                    result.ok.content, result.ok.body
+                await self.receive_rest(result.ok)
+            if result.is_ok():
+                self.chooser.loads.record_call_time(
+                    member.instance, call, time.monotonic() - started
                 )
-                result.ok.body = None
             return result
+        except held_join.NoMemoryError as error:
+            return Error(
+                model.build_refusal(
+                    call,
+                    model.Verdict.MAY_HAVE_RUN,
+                    model.Rule.NO_MEMORY,
+                    str(error),
+                )
+            )
         except ConnectionError as error:
             return Error(
                 model.build_refusal(
@@ -197,6 +214,24 @@
         finally:
             load.outstanding -= 1
 
+    async def receive_rest(self, answer: model.Answer) -> None:
+        """Receive the rest of the body of an answer of another node.
+
+        Raises:
+            IncompleteBodyError: The body ended before it was complete.
+            NoMemoryError: The node has no memory for it.
+        """
+        lease = self.memory.lease(
+            decisions.HolderKind.RESPONSE, answer.body.cancel
+        )
+        try:
+            answer.content = await held_join.join_held(
+                lease, answer.content, answer.body
+            )
+            answer.body = None
+        finally:
+            lease.end()
+
     def record_outcome(
         self,
         instance: str,
@@ -209,14 +244,15 @@
             outcome = result.ok
             self.chooser.suspicions.note_answer(instance)
             load.failures.record(
-                outcome.status >= MIN_SERVER_ERROR_STATUS, now
+                outcome.status >= attempt_rules.MIN_SERVER_ERROR_STATUS, now
             )
         else:
             outcome = result.error
             self.chooser.suspicions.note_failure(instance, outcome, now)
-            if outcome.rule in FAILURE_RULES:
+            if outcome.rule in attempt_rules.FAILURE_RULES:
                 load.failures.record(True, now)
         self.chooser.loads.apply_reports(instance, outcome.reports, now)
+        self.runner.shares.view.apply(outcome.reports, now)
 
     def refuse_early(self, call: model.Call) -> model.Refusal:
         """Build the refusal of a call that no upstream would admit."""
--- a/oleanderknot/tasks/routed_ingress.py
+++ b/oleanderknot/tasks/routed_ingress.py
@@ -1,7 +1,6 @@
 """Handles requests of clients and calls of the local upstream by route."""
 
 import collections.abc
-import hashlib
 import random
 import time
 
@@ -9,24 +8,25 @@
 from oleanderknot import model
 from oleanderknot.tasks import client_listener
 from oleanderknot.tasks import http_dialect
+from oleanderknot.tasks import key_check
 from oleanderknot.tasks import outcome
+from oleanderknot.tasks import quota
+from oleanderknot.tasks import returning_clients
+from oleanderknot.tasks import routed_call
 from oleanderknot.tasks import routed_dispatcher
 from oleanderknot.tasks import stop_schedule
 from oleanderknot.tasks import traffic_policies
 
-# Grace period added to the timeout of a route. An answer that is in transit at
-# the timeout is more useful to the client than a refusal.
-TIMEOUT_GRACE_S = 0.15
-
 # Minimum Retry-After of a refusal, and the random share added to it so that
 # refused clients do not retry at the same time.
 MIN_RETRY_AFTER_MS = 250
 RETRY_SPREAD = 1.0
 
-# Separates the id of a request from the suffix of the calls made for it.
-CALL_ID_SEPARATOR = '.'
+# Lowest HTTP status of a response that serves no client.
+MIN_ERROR_STATUS = 500
 
-MAX_CLASS = max(model.RequestClass)
+# Sets the return time of a refusal, and returns whether it has.
+PlanFunction = collections.abc.Callable[[model.Refusal], bool]
 
 
 def build_handler(
@@ -34,11 +34,13 @@
     service: str,
     policies: traffic_policies.TrafficPolicies,
     calls: routed_dispatcher.RoutedDispatcher,
+    limits: quota.Quota,
     chains: decisions.ChainTable,
     dialect: http_dialect.HttpDialect,
     rng: random.Random,
     measure: collections.abc.Callable[[float], None],
     schedule: stop_schedule.StopSchedule,
+    returning: returning_clients.ReturningClients | None = None,
 ) -> client_listener.HandleFunction:
     """Build the function that answers requests of clients.
 
@@ -46,11 +48,14 @@
         service: Service of the local upstream, the origin of all requests.
         policies: Traffic policy in force.
         calls: Sends calls to upstreams.
+        limits: Limits of organisations over all nodes.
         chains: Accounts of the requests that run at the local upstream.
         dialect: Decodes and builds headers.
         rng: Source of randomness.
         measure: Called with the seconds from each request to its answer.
         schedule: Schedule of the planned stop of the node.
+        returning: Clients that may come back after a refusal; None if they
+            are not remembered.
 
     Returns:
         The function.
@@ -59,30 +64,48 @@
     async def handle(request: model.HttpRequest) -> model.HttpResponse:
         metadata = dialect.parse_request_headers(request.headers)
         route = policies.routes.find(metadata.host, request.target)
-        rejection = find_rejection(metadata, route, policies)
+        account = None
+        if routed_call.CALL_ID_SEPARATOR in metadata.request_id:
+            account = chains.find(
+                routed_call.build_trace_id(metadata.request_id)
+            )
+        organisation = None
+        rejection = routed_call.find_rejection(metadata, route, policies)
+        if rejection is None and policies.policy.requires_keys:
+            holder = authenticate(metadata, route, account)
+            if isinstance(holder, model.Refusal):
+                rejection = holder
+            else:
+                organisation = holder
         if rejection is not None:
-            call = build_call(request, metadata, None, service='', version=0)
+            call = routed_call.build_call(
+                request, metadata, None, service='', version=0
+            )
             calls.record(
                 call, rejection.rule, rejection.verdict, rejection.detail
             )
             return refuse(metadata, rejection)
-        call = build_call(
+        call = routed_call.build_call(
             request,
             metadata,
             route,
             service=policies.routes.choose_target(route),
             version=policies.version,
+            organisation=organisation,
         )
         call.headers = dialect.add_calling_service(metadata.headers, service)
         call.deadline = min(call.deadline, schedule.answer_by)
-        account = None
-        if CALL_ID_SEPARATOR in metadata.request_id:
-            account = chains.find(call.trace_id)
         if account is None:
             if request.received_at >= schedule.refuse_from:
                 return refuse_stopping(metadata, call)
-            return await exchange(call, request, metadata, route)
+            if organisation is None or not organisation.rate:
+                return await exchange_root(call, request, metadata, route)
+            return await exchange_limited(
+                call, request, metadata, route, organisation
+            )
         call.request_class = account.request_class
+        call.organisation = account.organisation
+        call.rank = account.rank
         call.depth = account.depth + 1
         if account.repeated:
             call.repeat = model.RepeatKind.NESTED
@@ -93,11 +116,61 @@
         finally:
             account.stop_waiting(time.monotonic())
 
+    def authenticate(
+        metadata: model.RequestMetadata,
+        route: model.Route,
+        account: decisions.ChainAccount | None,
+    ) -> model.Organisation | model.Refusal | None:
+        """Find the organisation of a request and replace the key by it."""
+        holder = key_check.check_key(
+            metadata,
+            route,
+            policies.keys,
+            nested=routed_call.CALL_ID_SEPARATOR in metadata.request_id,
+            running=account is not None,
+        )
+        if not isinstance(holder, model.Refusal):
+            metadata.headers = dialect.set_organisation(
+                metadata.headers, '' if holder is None else holder.name
+            )
+        return holder
+
+    async def exchange_limited(
+        call: model.Call,
+        request: model.HttpRequest,
+        metadata: model.RequestMetadata,
+        route: model.Route,
+        organisation: model.Organisation,
+    ) -> model.HttpResponse:
+        """Answer a request of an organisation that has a rate limit."""
+        wait_s = await limits.acquire(organisation)
+        if wait_s is None:
+            taken_at = time.monotonic()
+            return await exchange_root(
+                call,
+                request,
+                metadata,
+                route,
+                on_not_run=lambda: limits.give_back(
+                    organisation.name, taken_at
+                ),
+            )
+        refusal = model.build_refusal(
+            call,
+            model.Verdict.NOT_RUN,
+            model.Rule.QUOTA,
+            limits.describe(organisation.name),
+        )
+        refusal.retry_after_ms = int(wait_s * 1000)
+        calls.record(call, refusal.rule, refusal.verdict, refusal.detail)
+        return refuse(metadata, refusal)
+
     async def exchange(
         call: model.Call,
         request: model.HttpRequest,
         metadata: model.RequestMetadata,
         route: model.Route,
+        plan_return: PlanFunction = plan_nothing,
     ) -> model.HttpResponse:
         result = await calls.dispatch(
             call, request.content, max_attempts=route.max_attempts
@@ -105,7 +178,12 @@
         measure(time.monotonic() - request.received_at)
         if result.is_error():
             refusal = result.error
+            planned = plan_return(refusal)
             calls.record(call, refusal.rule, refusal.verdict, refusal.detail)
+            if planned:
+                return dialect.build_refusal_response(
+                    metadata.request_id, refusal
+                )
             return refuse(metadata, refusal)
         answer = result.ok
         rule, verdict, detail = outcome.classify(answer.status, None)
@@ -116,6 +194,46 @@
             content=answer.content,
         )
 
+    async def exchange_root(
+        call: model.Call,
+        request: model.HttpRequest,
+        metadata: model.RequestMetadata,
+        route: model.Route,
+        on_not_run: collections.abc.Callable[[], None] = lambda: None,
+    ) -> model.HttpResponse:
+        """Answer a request of a client, which may be returning."""
+        identity = {
+            'host': metadata.host,
+            'content': request.content,
+            'client_deadline': call.deadline
+            if metadata.client_timeout_s is None
+            else request.received_at + metadata.client_timeout_s,
+            'received_at': request.received_at,
+        }
+        earlier = (
+            None
+            if returning is None
+            else returning.recognise(call, **identity)
+        )
+        call.rank = calls.find_rank(
+            call,
+            earlier
+            if earlier is not None and earlier.is_due(request.received_at)
+            else None,
+        )
+
+        def plan_return(refusal: model.Refusal) -> bool:
+            if refusal.verdict is model.Verdict.NOT_RUN:
+                on_not_run()
+            return returning is not None and returning.note_refusal(
+                call, refusal, earlier, **identity
+            )
+
+        response = await exchange(call, request, metadata, route, plan_return)
+        if returning is not None and response.status < MIN_ERROR_STATUS:
+            returning.note_answer(call)
+        return response
+
     def refuse_stopping(
         metadata: model.RequestMetadata, call: model.Call
     ) -> model.HttpResponse:
@@ -140,70 +258,6 @@
     return handle
 
 
-def find_rejection(
-    metadata: model.RequestMetadata,
-    route: model.Route | None,
-    policies: traffic_policies.TrafficPolicies,
-) -> model.Refusal | None:
-    """Return the refusal of a request that cannot become a call, or None."""
-    if policies.policy is None:
-        rule = model.Rule.NO_POLICY
-        detail = 'this node knows no policy yet'
-    elif route is None:
-        rule = model.Rule.NO_ROUTE
-        detail = 'no route of version %d matches' % policies.version
-    elif not metadata.request_id:
-        rule = model.Rule.BAD_REQUEST
-        detail = 'the request has no id'
-    else:
-        return None
-    return model.Refusal(
-        verdict=model.Verdict.NOT_RUN, rule=rule, service='', detail=detail
-    )
-
-
-def build_call(
-    request: model.HttpRequest,
-    metadata: model.RequestMetadata,
-    route: model.Route | None,
-    *,
-    service: str,
-    version: int,
-) -> model.Call:
-    """Build the call of a request.
-
-    The calls made for one request share its id up to the first separator, so
-    that all nodes assign them the same priority.
-    """
-    timeout_s = metadata.client_timeout_s
-    if route is not None:
-        max_timeout_s = route.timeout_s + TIMEOUT_GRACE_S
-        timeout_s = (
-            max_timeout_s
-            if timeout_s is None
-            else min(timeout_s, max_timeout_s)
-        )
-    trace_id = build_trace_id(metadata.request_id)
-    priority = 0 if route is None else route.priority
-    if decisions.is_reserved(trace_id):
-        priority = 0
-    return model.Call(
-        service=service,
-        method=request.method,
-        path=request.target,
-        headers=metadata.headers,
-        request_class=model.RequestClass(min(priority, MAX_CLASS)),
-        deadline=request.received_at + (timeout_s or 0.0),
-        trace_id=trace_id,
-        span_id=metadata.request_id,
-        idempotent=route is not None and route.idempotent,
-        route='' if route is None else route.name,
-        ticket=version,
-        has_body=bool(request.content),
-    )
-
-
-def build_trace_id(request_id: str) -> str:
-    """Return the trace id shared by a request and its calls."""
-    root = request_id.partition(CALL_ID_SEPARATOR)[0]
-    return hashlib.blake2b(root.encode(), digest_size=16).hexdigest()
+def plan_nothing(refusal: model.Refusal) -> bool:
+    """Assign no return time to a refused call."""
+    return False
--- a/oleanderknot/tasks/runner.py
+++ b/oleanderknot/tasks/runner.py
@@ -14,6 +14,7 @@
 from oleanderknot.tasks import dependency_levels
 from oleanderknot.tasks import notifying_body
 from oleanderknot.tasks import permit as permits
+from oleanderknot.tasks import share_reports
 
 if typing.TYPE_CHECKING:
     from oleanderknot.tasks import order_runner
@@ -46,6 +47,7 @@
         chains: Accounts of the chains that the upstream runs.
         build_admission: Builds the admission for an upstream.
         build_client: Builds the connections to an upstream.
+        shares: Shares of organisations here and at other upstreams.
         downstream_level: Admission levels of the services that the
             upstream calls.
         leaving: Whether the node accepts no new work.
@@ -75,6 +77,7 @@
         self.build_admission = build_admission
         self.build_client = build_client
         self.downstream_level = dependency_levels.DependencyLevels()
+        self.shares = share_reports.ShareReports()
         self.service = ''
         self.client: 'upstream_client.UpstreamClient | None' = None
         self.admission = build_admission(slots=1)
@@ -114,9 +117,9 @@
         if old is not None:
             await old.close()
 
-    async def run(
+    def run(
         self, call: model.Call, content: bytes, body: model.Body | None
-    ) -> Result[model.Answer, model.Refusal]:
+    ) -> collections.abc.Awaitable[Result[model.Answer, model.Refusal]]:
         """Run a call at the upstream.
 
         Args:
@@ -128,8 +131,8 @@
             The answer, or a refusal that says whether the call may have run.
         """
         if not call.idempotent:
-            return await self.orders.run(call, content, body)
-        return await self.admit(call, content, body)
+            return self.orders.run(call, content, body)
+        return self.admit(call, content, body)
 
     async def admit(
         self, call: model.Call, content: bytes, body: model.Body | None
@@ -141,10 +144,13 @@
             else None
         )
         call_admission = self.admission
-        permit = refusal or await call_admission.acquire(
-            call, self.find_leaf_bonus(call)
-        )
+        if refusal is not None:
+            return self.reject(call, refusal)
+        bonus = self.find_leaf_bonus(call)
+        self.shares.count_arrival(call, bonus)
+        permit = await call_admission.acquire(call, bonus)
         if isinstance(permit, model.Refusal):
+            self.shares.count_refusal(call, bonus)
             return self.reject(call, permit)
         refusal = self.check_start(call)
         if refusal is not None:
@@ -181,10 +187,10 @@
 
     def find_call_level(self, call: model.Call) -> float:
         """Return the level that a call's priority number is compared with."""
-        return min(
-            decisions.MAX_LEVEL,
-            self.find_level(call.route) + self.find_leaf_bonus(call),
-        )
+        level = self.find_level(call.route)
+        if level >= decisions.MAX_LEVEL:
+            return level
+        return min(decisions.MAX_LEVEL, level + self.find_leaf_bonus(call))
 
     def find_level(self, route: str) -> float:
         """Return the level at which a route's whole chain admits calls.
@@ -205,6 +211,10 @@
         """Build the load report for a call's route."""
         report = self.admission.build_report(call, self.find_call_level(call))
         report.notice = self.find_notice()
+        report.excess = self.shares.build(
+            self.admission.find_level(),
+            self.downstream_level.calls.list_dependencies(call.route),
+        )
         return report
 
     def check(self, call: model.Call) -> model.Refusal | None:
--- a/oleanderknot/tasks/traffic_policies.py
+++ b/oleanderknot/tasks/traffic_policies.py
@@ -31,6 +31,7 @@
     Attributes:
         policy: Policy in force; None before the first.
         routes: Route table of the policy.
+        keys: API keys of the policy.
         list_connections: Returns the connections to other nodes.
         rng: Random number generator.
         find_confirmed_age: Returns the seconds since the store last told
@@ -55,6 +56,7 @@
         self.count = count
         self.policy: model.TrafficPolicy | None = None
         self.routes = decisions.RouteTable()
+        self.keys = decisions.KeyTable()
         self.list_connections = list_connections
         self.rng = rng
         self.on_change: collections.abc.Callable[
@@ -84,6 +86,7 @@
         confirmed_age = self.find_confirmed_age()
         self.policy = policy
         self.routes = decisions.RouteTable(routes=policy.routes)
+        self.keys = decisions.KeyTable(organisations=policy.organisations)
         self.limits = policy.limits
         logging.info(
             'policy version %d is in force',
@@ -100,13 +103,33 @@
                         else round(confirmed_age, 3)
                     ),
                     'routes': len(policy.routes),
+                    'organisations': len(policy.organisations),
                 }
             },
         )
+        if policy.left_out:
+            self.report_left_out(policy)
         self.on_change(policy)
         delay = ANNOUNCE_DELAY_S * (0.5 + self.rng.random())
         self.loop.call_later(delay, self.announce)
 
+    def report_left_out(self, policy: model.TrafficPolicy) -> None:
+        """Log and count the entries of a policy that are not in force."""
+        self.count('policy.left_out')
+        logging.warning(
+            'policy version %d has entries that this version does not know'
+            ' and that are not in force: %s',
+            policy.version,
+            '; '.join(policy.left_out),
+            extra={
+                'call_fields': {
+                    'event': 'policy_left_out',
+                    'version': policy.version,
+                    'left_out': list(policy.left_out),
+                }
+            },
+        )
+
     def log_ignored(self, policy: model.TrafficPolicy, source: str) -> None:
         """Log a policy that is older than the one in force."""
         logging.warning(
--- a/oleanderknot/tasks/upstream_chooser.py
+++ b/oleanderknot/tasks/upstream_chooser.py
@@ -63,7 +63,7 @@
         self.policy = policy
         self.runner = runner
         self.rng = rng
-        self.loads = decisions.LoadView()
+        self.loads = decisions.LoadView(data_centre=identity.data_centre)
         self.suspicions = decisions.LocalSuspicion()
         self.probe_limiter = decisions.ProbeLimiter()
 
@@ -79,21 +79,13 @@
         Returns:
             The node, or None if no upstream admits the call.
         """
-        priority = decisions.compute_priority(
-            call.request_class, call.trace_id
-        )
+        priority = decisions.rank_call(call)
         if call.depth and not self.shed_nested:
             priority = ALWAYS_ADMITTED
         if not tried and self.has_own_capacity(call, priority):
             return self.members.members.get(self.identity.instance)
         now = time.monotonic()
-        candidates = [
-            self.build_candidate(member, call, now)
-            for member in self.members.list_service(call.service)
-            if member.state in decisions.ADMITTING_STATES
-            and self.policy.accepts_work(member.instance)
-            and not self.is_node_unreachable(member)
-        ]
+        candidates = self.list_candidates(call, now)
         choice = self.pick(
             candidates,
             priority=priority,
@@ -102,9 +94,10 @@
         )
         if choice is None:
             choice = self.choose_probe(candidates, call, priority, tried, now)
-        return (
-            None if choice is None else self.members.members[choice.instance]
-        )
+        if choice is None:
+            return None
+        self.loads.loads[choice.instance].take_turn()
+        return self.members.members[choice.instance]
 
     def choose_probe(
         self,
@@ -153,26 +146,40 @@
             and priority < self.runner.find_call_level(call)
         )
 
-    def build_candidate(
-        self, member: model.Member, call: model.Call, now: float
-    ) -> decisions.Candidate:
-        """Build the candidate that represents an upstream in the choice."""
-        load = self.loads.find(member)
-        own = member.instance == self.identity.instance
-        return decisions.Candidate(
-            instance=member.instance,
-            local=member.data_centre == self.identity.data_centre,
-            suspect=member.state is model.MemberState.SUSPECT
-            or self.suspicions.is_suspected(member.instance, now)
-            or self.is_node_overdue(member),
-            outstanding=load.outstanding,
-            in_flight=load.estimate_in_flight(now),
-            limit=load.limit,
-            level=self.runner.find_call_level(call)
-            if own
-            else load.find_reported_level(call.route, now),
-            failure_share=load.failures.estimate(now),
-        )
+    def list_candidates(
+        self, call: model.Call, now: float
+    ) -> list[decisions.Candidate]:
+        """List the upstreams of a call's service that take work.
+
+        Args:
+            call: The call.
+            now: Monotonic time in seconds.
+        """
+        candidates = []
+        for member in self.members.list_service(call.service):
+            instance = member.instance
+            if (
+                member.state not in decisions.ADMITTING_STATES
+                or not self.policy.accepts_work(instance)
+                or self.is_node_unreachable(member)
+            ):
+                continue
+            load = self.loads.find(member)
+            candidates.append(
+                decisions.build_candidate(
+                    load,
+                    now,
+                    instance=instance,
+                    local=member.data_centre == self.identity.data_centre,
+                    suspect=member.state is model.MemberState.SUSPECT
+                    or self.suspicions.is_suspected(instance, now)
+                    or self.is_node_overdue(member),
+                    level=self.runner.find_call_level(call)
+                    if instance == self.identity.instance
+                    else load.find_reported_level(call.route, now),
+                )
+            )
+        return candidates
 
     def find_service_levels(
         self, service: str, route: str
--- a/oleanderknot/tasks/upstream_client.py
+++ b/oleanderknot/tasks/upstream_client.py
@@ -12,6 +12,7 @@
 
 from oleanderknot import border
 from oleanderknot import model
+from oleanderknot import transport
 from oleanderknot.tasks import call_refusal
 from oleanderknot.tasks import notifying_body
 from oleanderknot.tasks import response_body
@@ -167,6 +168,14 @@
         self, call: model.Call, response: aiohttp.ClientResponse
     ) -> Result[model.Answer, model.Refusal]:
         """Convert a response to an answer; a short body is read at once."""
+        if not transport.MIN_STATUS <= response.status <= transport.MAX_STATUS:
+            response.close()
+            return call_refusal.refuse(
+                call,
+                model.Verdict.MAY_HAVE_RUN,
+                model.Rule.UPSTREAM_CUT,
+                'the answer has the invalid status %03d' % response.status,
+            )
         verdict = response.headers.get(border.headers.VERDICT)
         if response.status >= 400 and verdict == model.Verdict.NOT_RUN.value:
             response.release()
--- a/oleanderknot/tasks/upstream_pool.py
+++ b/oleanderknot/tasks/upstream_pool.py
@@ -5,13 +5,15 @@
 import collections.abc
 
 from expression import Error
-from expression import Ok
 from expression import Result
 
+from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot import transport
 from oleanderknot.tasks import call_refusal
+from oleanderknot.tasks import deadlines
 from oleanderknot.tasks import http_dialect
+from oleanderknot.tasks import upstream_messages
 
 # The upstream is on the same machine, so a connection that is not established
 # after this time has met a full accept queue, and a lost SYN is retransmitted
@@ -31,8 +33,6 @@
 # If the upstream refuses every second request, one call in 64 still fails.
 MAX_SENDS = 6
 
-HEADER_FORMAT = b'%b: %b\r\n'
-
 
 class UpstreamPool:
     """Owns the connections to one run of the upstream process.
@@ -52,6 +52,8 @@
         idle: Connections without a request, the most recently used last.
         opened: Number of attempts to open a connection.
         budget: Bounds the memory of incomplete answers.
+        deadlines: Deadlines of the requests without an answer, by the future
+            of their answer.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         ],
         record_latency: collections.abc.Callable[[float], None],
         on_answer: collections.abc.Callable[[model.ResponseMetadata], None],
+        memory: decisions.NodeMemory | None = None,
     ) -> None:
         self.on_answer = on_answer
         self.record_latency = record_latency
@@ -81,7 +84,8 @@
             collections.deque()
         )
         self.opened = 0
-        self.budget = transport.ReceiveBudget()
+        self.budget = transport.ReceiveBudget(memory=memory)
+        self.deadlines = deadlines.Deadlines(on_passed=expire)
 
     async def connect(self, deadline: float) -> transport.ResponseConnection:
         """Open a connection.
@@ -217,8 +221,10 @@
             return Error(refusal)
         done = False
         sent_at = self.loop.time()
+        waiter = None
         try:
-            answer = await self.send(connection, call, content)
+            waiter = self.send(connection, call, content, sent_at)
+            answer = await waiter
             done = True
         except transport.ConnectionCutError as error:
             return call_refusal.refuse(
@@ -236,29 +242,38 @@
                 'the upstream did not answer before the deadline',
             )
         finally:
+            self.deadlines.remove(waiter)
+            connection.stop_counting()
+            # An error in the future refers to this frame and its request.
+            # Without the cycle both are freed at once.
+            del waiter
+            self.record_latency(self.loop.time() - sent_at)
             if done:
                 self.release(connection)
             else:
                 # Upstreams abandon a request whose connection closes.
                 connection.abort()
-        return self.interpret_answer(call, answer)
+        self.on_answer(answer.metadata)
+        return upstream_messages.interpret_answer(call, answer)
 
-    async def send(
+    def send(
         self,
         connection: transport.ResponseConnection,
         call: model.Call,
         content: bytes,
-    ) -> transport.RawAnswer:
-        """Send a request on a connection and wait for the answer.
+        now: float,
+    ) -> asyncio.Future[transport.RawAnswer]:
+        """Send a request on a connection.
 
-        Raises:
-            ConnectionCutError: The connection ended first.
-            TimeoutError: The deadline passed first.
+        Returns:
+            A future of the answer. It raises ``ConnectionCutError`` if the
+            connection ends first, and ``TimeoutError`` at the deadline.
         """
         call.started = True
-        sent_at = self.loop.time()
-        left_s = max(0.0, call.deadline - sent_at)
-        head = self.build_head(call, content, left_s)
+        left_s = max(0.0, call.deadline - now)
+        head = upstream_messages.build_head(
+            call, content, left_s, self.dialect, self.upstream
+        )
         waiter = connection.request(
             [head, content] if content else [head],
             call.span_id,
@@ -268,58 +283,8 @@
         # the deadline, since the call has started; an idempotent call can be
         # repeated and is cancelled at the deadline.
         grace_s = 0.0 if call.idempotent else ANSWER_GRACE_S
-        timer = self.loop.call_later(left_s + grace_s, expire, waiter)
-        try:
-            return await waiter
-        finally:
-            timer.cancel()
-            self.record_latency(self.loop.time() - sent_at)
-
-    def build_head(
-        self, call: model.Call, content: bytes, left_s: float
-    ) -> bytes:
-        """Build the head of a request to the upstream."""
-        parts = [
-            b'%b %b HTTP/1.1\r\n'
-            % (call.method.encode(), call.path.encode('latin-1'))
-        ]
-        headers = self.dialect.add_upstream_headers(
-            call.headers, left_s, self.upstream
-        )
-        parts.extend(HEADER_FORMAT % header for header in headers)
-        if call.has_body:
-            parts.append(b'Content-Length: %d\r\n' % len(content))
-        parts.append(b'\r\n')
-        return b''.join(parts)
-
-    def interpret_answer(
-        self, call: model.Call, answer: transport.RawAnswer
-    ) -> Result[model.Answer, model.Refusal]:
-        """Convert an answer of the upstream to the outcome of the call."""
-        metadata = answer.metadata
-        self.on_answer(metadata)
-        if metadata.not_run:
-            return call_refusal.refuse(
-                call,
-                model.Verdict.NOT_RUN,
-                model.Rule.UPSTREAM_REFUSED,
-                'the upstream answered %d and did not run the request'
-                % answer.status,
-            )
-        if not metadata.signed or metadata.encoded:
-            return call_refusal.refuse(
-                call,
-                model.Verdict.MAY_HAVE_RUN,
-                model.Rule.UPSTREAM_CUT,
-                'the upstream answered %d without its receipt' % answer.status,
-            )
-        return Ok(
-            model.Answer(
-                status=answer.status,
-                headers=metadata.headers,
-                content=answer.content,
-            )
-        )
+        self.deadlines.add(waiter, now + left_s + grace_s)
+        return waiter
 
     async def close(self) -> None:
         """Close all idle connections."""
--- a/oleanderknot/transport/__init__.py
+++ b/oleanderknot/transport/__init__.py
@@ -4,10 +4,15 @@
 
 # Public names by the module that defines them.
 MODULES = {
+    'body_buffer': ('BodyBuffer',),
     'connection_cut': ('ConnectionCutError',),
     'raw_answer': ('RawAnswer',),
     'receive_budget': ('ReceiveBudget',),
-    'response_connection': ('ResponseConnection',),
+    'response_connection': (
+        'MAX_STATUS',
+        'MIN_STATUS',
+        'ResponseConnection',
+    ),
 }
 
 __all__, __getattr__ = lazy_exports.build_exports(__name__, MODULES)
--- a/oleanderknot/transport/response_connection.py
+++ b/oleanderknot/transport/response_connection.py
@@ -7,6 +7,7 @@
 import httptools
 
 from oleanderknot import model
+from oleanderknot.transport import body_buffer
 from oleanderknot.transport import connection_cut
 from oleanderknot.transport import raw_answer
 from oleanderknot.transport import receive_budget
@@ -31,6 +32,11 @@
 # ids of all of them.
 MAX_REQUESTS = 500
 
+# Statuses that HTTP defines (RFC 9110, section 15). A faulty server may send
+# another number, which clients and other nodes would not accept.
+MIN_STATUS = 100
+MAX_STATUS = 599
+
 DecodeFunction = collections.abc.Callable[
     [model.Headers], model.ResponseMetadata
 ]
@@ -155,8 +161,7 @@
         """
         if self.closed:
             raise connection_cut.ConnectionCutError('the connection is closed')
-        self.headers: model.Headers = []
-        self.parts: list[bytes] = []
+        self.drop_content()
         self.metadata: model.ResponseMetadata | None = None
         self.framed = False
         self.body_size = 0
@@ -169,17 +174,25 @@
         if self.metadata is None and not self.closed:
             self.headers.append((name, value))
             lower = name.lower()
-            if lower in (b'content-length', b'transfer-encoding'):
+            if lower == b'content-length':
+                self.framed = True
+                if value.isdigit():
+                    self.body_size = int(value)
+            elif lower == b'transfer-encoding':
                 self.framed = True
-            if lower == b'content-length' and value.isdigit():
-                self.body_size = int(value)
 
     def on_headers_complete(self) -> None:
         """Decode the head of an answer; called by the parser.
 
         Raises:
-            ConnectionCutError: The body is too large to be received.
+            ConnectionCutError: The status is invalid, or the body is too
+                large to be received.
         """
+        status = self.parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise connection_cut.ConnectionCutError(
+                'the answer has the invalid status %03d' % status
+            )
         if (
             self.body_size > self.budget.max_response_bytes
             and not self.head_only
@@ -196,7 +209,7 @@
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body; called by the parser."""
         if not self.closed:
-            self.parts.append(data)
+            self.body.append(data)
         self.body_bytes += len(data)
         self.overhead_bytes -= len(data)
 
@@ -211,12 +224,15 @@
         status = self.parser.get_status_code()
         waiter = self.waiter
         self.overhead_bytes = 0
-        self.stop_counting()
         if waiter is None or waiter.done():
+            self.stop_counting()
             return
         if status < 200 or self.metadata.request_id != self.request_id:
+            self.stop_counting()
             self.handle_unexpected(status)
             return
+        if self.counted:
+            self.budget.complete(self.abort_oversized)
         self.idle_since = self.loop.time()
         self.announced_idle_s = self.metadata.idle_timeout_s
         self.waiter = None
@@ -229,17 +245,15 @@
             raw_answer.RawAnswer(
                 status=status,
                 metadata=self.metadata,
-                content=self.parts[0]
-                if len(self.parts) == 1
-                else b''.join(self.parts),
+                content=self.body.get_value(),
             )
         )
         self.drop_content()
 
     def drop_content(self) -> None:
         """Drop what was received, which an idle connection would keep."""
-        self.headers = []
-        self.parts = []
+        self.headers: model.Headers = []
+        self.body = body_buffer.BodyBuffer()
 
     def handle_unexpected(self, status: int) -> None:
         """Skip an interim response, or a late one to an earlier request."""
@@ -251,7 +265,12 @@
             self.abort()
 
     def stop_counting(self) -> None:
-        """Remove the answer in progress from the budget."""
+        """Remove the answer from the budget.
+
+        Called by the owner of the connection when it takes over a complete
+        answer, and here when there will be none. In between, answers that
+        are complete would be counted nowhere.
+        """
         if self.counted:
             self.counted = False
             self.budget.remove(self.abort_oversized)
@@ -261,6 +280,17 @@
         self.fail('the body of the answer is too large')
         self.abort()
 
+    def eof_received(self) -> bool:
+        """Handle the end of what the server sends; called by the event loop.
+
+        While the request is still being sent, a body without framing headers
+        may have been cut. A close would first wait for the rest to be sent.
+        """
+        if self.transport.get_write_buffer_size() and self.waiter is not None:
+            self.fail('the server ended the connection before the request')
+            self.abort()
+        return False
+
     def connection_lost(self, error: Exception | None) -> None:
         """Complete or fail the current request; called by the event loop."""
         self.closed = True
@@ -304,6 +334,7 @@
         """Close the connection without sending buffered data."""
         self.reusable = False
         self.closed = True
+        self.stop_counting()
         self.drop_content()
         if self.transport is not None:
             self.transport.abort()
