Measure new decisions and the CPU time of a call

Cause: the bound of 10 us for new decisions and the cost of a call had no measurement. Change: microbenchmarks by number of organisations and nodes, and a comparison of two versions of a sidecar in one run.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
 BENCHMARKS = (
     'start',
     'latency',
+    'sidecar',
     'footprint',
     'decisions',
     'orders',
--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -37,9 +37,29 @@
         at_most=1.3,
         source='a start takes 1.3 times the memory of its libraries',
     ),
+    'decisions.quota_request_100000': Bound(
+        at_most=10.0,
+        source='all new decisions together cost a request at most 10 us',
+    ),
     'latency.added_p99': Bound(
         at_most=0.35, source='0.35 ms added to a call for 99 in 100'
     ),
+    'sidecar.root_ratio': Bound(
+        at_most=2 / 3,
+        source='at least a third less processor time a call than before',
+    ),
+    'sidecar.nested_ratio': Bound(
+        at_most=2 / 3,
+        source='at least a third less processor time a call than before',
+    ),
+    'decisions.balanced_choice_slope': Bound(
+        at_most=0.3,
+        source='a choice of at most 4 microseconds and 0.3 for each upstream',
+    ),
+    'decisions.balanced_choice_3': Bound(
+        at_most=4.9,
+        source='a choice of at most 4 microseconds and 0.3 for each upstream',
+    ),
     'surge.on_goodput': Bound(
         at_least=0.9,
         source='goodput in the surge of at least 90 % of what the slowest'
