--- a/docs/pages.py
+++ b/docs/pages.py
@@ -95,6 +95,15 @@
     ]
     for name, default, text in list_fields(border.NodeSettings):
         lines.append('| `%s` | %s | %s |' % (name, default, text))
+    lines += [
+        '',
+        '## Settings of a node on a platform',
+        '',
+        '| Field | Default | Meaning |',
+        '|---|---|---|',
+    ]
+    for name, default, text in list_fields(border.SidecarSettings):
+        lines.append('| `%s` | %s | %s |' % (name, default, text))
     return '\n'.join(lines) + '\n'
 
 
