Count connections frozen so far in the test of silent connections

Cause: 'Calls get past a connection on which only answers arrive' asked for a frozen connection at its end. The direction that is not frozen passes the close of a replaced connection on, and the proxy then forgets it: one of four plays of the feature failed with no frozen connection listed, after calls had taken 1.4 s to get past it. Change: the stand-in proxy counts the connections that a freeze has met; the check asks for that count and for a working connection.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -26,7 +26,7 @@
     And all open connections freeze what "front" sends
     Then the slow call ends within 3.5 s, answered or as may have run
     And 20 more calls of "front" for "/catalogue/page" are answered
-    And a frozen and a working connection between the nodes are there
+    And a connection between the nodes was frozen and another one works
 
   Scenario: The next call after a freeze is answered within its deadline
     Guards against a detection that needs a call in flight at the freeze.
--- a/features/steps/silent_steps.py
+++ b/features/steps/silent_steps.py
@@ -167,12 +167,16 @@
     )
 
 
-@then('a frozen and a working connection between the nodes are there')
+@then('a connection between the nodes was frozen and another one works')
 def check_links(context):
-    """Check that the freeze took place and that a connection followed it."""
+    """Check that the freeze took place and that a connection followed it.
+
+    The frozen connection may have been closed: the direction that is not
+    frozen passes the end on.
+    """
     nodes = context.system.nodes.values()
     links = [http.get_json(node.fault_url()) for node in nodes]
-    assert any(item['frozen'] for item in links), links
+    assert any(item['were_frozen'] for item in links), links
     assert any(item['working'] for item in links), links
 
 
--- a/oleanderknot/standins/fault_proxy.py
+++ b/oleanderknot/standins/fault_proxy.py
@@ -43,20 +43,23 @@
     prefixes. ``thaw`` (true) resumes forwarding, starting with the buffered
     data. ``drop_answers`` discards the next chunk towards the caller on each
     open connection and closes the connection. ``GET /<port>`` returns how many
-    connections are ``working`` and ``frozen``, and how many ends of frozen
-    ones are ``still_open``.
+    connections are ``working`` and ``frozen``, how many ends of frozen ones
+    are ``still_open``, and how many connections ``were_frozen``, including
+    those that have ended since.
 
     Attributes:
         targets: Target host and port by listening port.
         faults: Faults by listening port.
         links: Open connections by listening port, each as the caller's
             address and the links of both directions.
+        were_frozen: Connections frozen so far, by listening port.
     """
 
     def __init__(self, *, targets: dict[int, tuple[str, int]]) -> None:
         self.targets = targets
         self.faults = {port: Faults() for port in targets}
         self.links: dict[int, list] = {port: [] for port in targets}
+        self.were_frozen = dict.fromkeys(targets, 0)
 
     async def start(self, control_port: int) -> None:
         """Start listening on all proxied ports and on the control port."""
@@ -129,6 +132,7 @@
                 for link in frozen
                 for direction in link[1:]
             ),
+            'were_frozen': self.were_frozen[port],
         }
 
     async def handle_control(self, request: web.BaseRequest) -> web.Response:
@@ -149,6 +153,8 @@
             forward.delay_s = backward.delay_s = faults.delay_ms / 1000
             backward.swap = faults.swap
             if freeze and source.startswith(freeze_from):
+                if not (forward.frozen or backward.frozen):
+                    self.were_frozen[port] += 1
                 forward.frozen |= freeze in ('forward', 'both')
                 backward.frozen |= freeze in ('back', 'both')
             if thaw:
