Track connections with an unanswered probe

Cause: to find overdue nodes, each call asked the monitor of each upstream's connection, although hardly any has an unanswered probe. Change: monitors of a node share the set of those with an unanswered probe; the pool says whether any node may be unreachable or overdue.

--- a/oleanderknot/tasks/liveness_monitor.py
+++ b/oleanderknot/tasks/liveness_monitor.py
@@ -33,6 +33,7 @@
         send_probe: Sends a probe.
         on_silent: Called when the connection is found to be silent.
         on_overdue: Called when a probe becomes overdue.
+        unanswered: Monitors of the node whose probe is unanswered.
         response_expected: Whether a message was sent that requires a
             response, such as a call whose deadline has passed in the
             meantime.
@@ -51,11 +52,13 @@
         send_probe: collections.abc.Callable[[], None],
         on_silent: collections.abc.Callable[[], None],
         on_overdue: collections.abc.Callable[[], None] = lambda: None,
+        unanswered: 'set[LivenessMonitor] | None' = None,
     ) -> None:
         self.awaits_response = awaits_response
         self.send_probe = send_probe
         self.on_silent = on_silent
         self.on_overdue = on_overdue
+        self.unanswered = set() if unanswered is None else unanswered
         self.loop = asyncio.get_running_loop()
         self.response_expected = False
         self.last_response_at = self.loop.time()
@@ -68,7 +71,7 @@
         self.last_response_at = self.loop.time()
         self.response_expected = False
         if self.probe_sent_at:
-            self.probe_sent_at = 0.0
+            self.clear_probe()
             if self.timer is not None:
                 self.schedule(PROBE_AFTER_S)
 
@@ -79,6 +82,11 @@
             self.last_response_at = self.loop.time()
             self.schedule(PROBE_AFTER_S)
 
+    def clear_probe(self) -> None:
+        """Record that no probe is unanswered."""
+        self.probe_sent_at = 0.0
+        self.unanswered.discard(self)
+
     def is_overdue(self) -> bool:
         """Return whether the connection may be about to be found silent."""
         return (
@@ -88,11 +96,16 @@
 
     def schedule(self, delay_s: float) -> None:
         """Schedule the next check after a delay in seconds."""
-        self.stop()
+        self.cancel_timers()
         self.timer = self.loop.call_later(delay_s, self.check)
 
     def stop(self) -> None:
-        """Stop the checks."""
+        """Stop the checks of a closed connection."""
+        self.cancel_timers()
+        self.unanswered.discard(self)
+
+    def cancel_timers(self) -> None:
+        """Cancel the next check and the report of an overdue probe."""
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
@@ -112,13 +125,15 @@
         timer_delay_s = now - self.timer.when()
         self.timer = None
         if not self.response_expected and not self.awaits_response():
-            self.probe_sent_at = 0.0
+            self.clear_probe()
         elif self.probe_sent_at and timer_delay_s < PROCESS_STALL_S:
+            self.unanswered.discard(self)
             self.on_silent()
         elif (
             self.probe_sent_at or now - self.last_response_at >= PROBE_AFTER_S
         ):
             self.probe_sent_at = now
+            self.unanswered.add(self)
             self.send_probe()
             self.schedule(PROBE_TIMEOUT_S)
             self.overdue_timer = self.loop.call_later(
--- a/oleanderknot/tasks/peer_connection.py
+++ b/oleanderknot/tasks/peer_connection.py
@@ -77,6 +77,7 @@
             send_probe=lambda: self.send(0, ping=wire.Ping(number=0)),
             on_silent=self.close_silent,
             on_overdue=lambda: handlers.on_overdue(self),
+            unanswered=handlers.unanswered_probes,
         )
         self.graceful_close = graceful_close.GracefulClose(
             is_idle=self.is_idle,
--- a/oleanderknot/tasks/peer_handlers.py
+++ b/oleanderknot/tasks/peer_handlers.py
@@ -9,6 +9,7 @@
 from oleanderknot import model
 from oleanderknot import wire
 from oleanderknot.tasks import control_traffic
+from oleanderknot.tasks import liveness_monitor
 
 if typing.TYPE_CHECKING:
     from oleanderknot.tasks import peer_connection
@@ -44,6 +45,7 @@
         handle_quota_grant: Handles the answer to one.
         may_cancel: Returns whether a call may be cancelled once the peer no
             longer waits for it.
+        unanswered_probes: Monitors of connections with an unanswered probe.
     """
 
     handle_call: RunFunction
@@ -77,3 +79,6 @@
         ['peer_connection.PeerConnection', wire.QuotaGrant], None
     ] = lambda connection, message: None
     may_cancel: collections.abc.Callable[[model.Call], bool] = is_idempotent
+    unanswered_probes: set[liveness_monitor.LivenessMonitor] = (
+        dataclasses.field(default_factory=set)
+    )
--- a/oleanderknot/tasks/peer_pool.py
+++ b/oleanderknot/tasks/peer_pool.py
@@ -141,6 +141,13 @@
                 instance, str(error), time.monotonic()
             )
 
+    def may_lack_nodes(self) -> bool:
+        """Return whether any node may be unreachable or overdue."""
+        return bool(
+            self.reachability.last_attempt_at
+            or self.handlers.unanswered_probes
+        )
+
     def is_overdue(self, member: model.Member) -> bool:
         """Return whether a node does not respond on its open connection.
 
