Update only the bins of the admission level that have calls

Cause: closing a window of the level passed over 256 bins four times, ten times a second, although most bins have no call in a window. Change: arrivals are counted by bin in a dictionary; a level at its maximum is not raised.

--- a/oleanderknot/decisions/admission_level.py
+++ b/oleanderknot/decisions/admission_level.py
@@ -1,5 +1,7 @@
 """Admission level of one upstream, after DAGOR (SoCC 2018)."""
 
+import collections
+
 MAX_LEVEL = 4.0
 BINS = 256
 BINS_PER_CLASS = 64
@@ -56,7 +58,8 @@
     Attributes:
         level: Calls with a priority number below it are admitted; 0 to 4.
         window_start: Monotonic time in seconds at which the window started.
-        arrivals: Calls of this window, by bin of the priority number.
+        arrivals: Calls of this window, by bin of the priority number; bins
+            without a call are missing.
         density: Smoothed number of calls per window, by the same bins.
         delay_s: Estimated wait in seconds of a call that is queued now.
         last_delay_s: ``delay_s`` at the end of the previous window.
@@ -73,7 +76,7 @@
     def __init__(self, *, now: float) -> None:
         self.level = MAX_LEVEL
         self.window_start = now
-        self.arrivals = [0] * BINS
+        self.arrivals: collections.Counter[int] = collections.Counter()
         self.density = [0.0] * BINS
         self.delay_s = 0.0
         self.last_delay_s = 0.0
@@ -145,10 +148,11 @@
 
     def close_window(self) -> None:
         """Adjust the level to the window that ends, and reset the counters."""
-        self.density = [
-            OLD_WINDOW_WEIGHT * old + (1 - OLD_WINDOW_WEIGHT) * new
-            for old, new in zip(self.density, self.arrivals, strict=True)
-        ]
+        # Most bins have no call in a window.
+        density = [OLD_WINDOW_WEIGHT * old for old in self.density]
+        for index, new in self.arrivals.items():
+            density[index] += (1 - OLD_WINDOW_WEIGHT) * new
+        self.density = density
         self.unqueued_windows = (
             0 if self.call_queued else self.unqueued_windows + 1
         )
@@ -163,7 +167,7 @@
         elif not above_target:
             self.overloaded_windows = 0
             self.rise()
-        self.arrivals = [0] * BINS
+        self.arrivals = collections.Counter()
         self.last_delay_s = self.delay_s
         self.call_queued = self.delay_s > 0
         self.admitted = 0
@@ -213,6 +217,8 @@
         2 % per window, a level of 1.3 would need more than 5 s to recover to
         the maximum.
         """
+        if self.level >= MAX_LEVEL:
+            return
         left = (
             RISE_SHARE
             * 2 ** min(self.unqueued_windows, MAX_RISE_DOUBLINGS)
