Measure the choice from a kept list

Cause: the decisions benchmark timed candidates and their comparison, which calls no longer need. Change: time the choice from a kept list by the number of upstreams.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -112,6 +112,29 @@
     return time_calls(build, CALLS // count)
 
 
+def time_kept_choice(count: int) -> float:
+    """Time a choice from a kept list, with reports of all upstreams."""
+    view = load_views.build_view(count)
+    listed = load_views.build_list(view, count)
+    for number, instance in enumerate(view.loads):
+        view.apply_reports(instance, [load_views.build_report(number)], 0.0)
+    draw = random.Random(1).randrange
+
+    def choose(number: int) -> object:
+        now = number / 600
+        return decisions.choose_listed(
+            listed.list_admitting(
+                route='/', priority=1.5, own_level=4.0, now=now
+            ),
+            tried=(),
+            suspects=(),
+            now=now,
+            draw=draw,
+        )
+
+    return time_calls(choose, CALLS // count)
+
+
 def time_report(count: int) -> float:
     """Time all decisions about the load report of one answer."""
     view = load_views.build_view(count)
@@ -340,6 +363,7 @@
         ('choice', time_choice),
         ('balanced_choice', time_balanced_choice),
         ('candidates', time_candidates),
+        ('kept_choice', time_kept_choice),
         ('load_report', time_report),
         ('memory', time_memory),
         ('service_level', time_service_level),
--- a/bench/load_views.py
+++ b/bench/load_views.py
@@ -16,26 +16,43 @@
 )
 
 
+def list_members(count: int) -> list[model.Member]:
+    """Return the records of the instances of a service."""
+    return [
+        model.Member(
+            instance='catalogue-%d' % number,
+            incarnation=1,
+            version=1,
+            state=model.MemberState.TAKING,
+            data_centre='dc%d' % (number % 3),
+            host='127.0.0.1',
+            peer_port=1,
+            service='catalogue',
+            slots=70,
+        )
+        for number in range(count)
+    ]
+
+
 def build_view(count: int) -> decisions.LoadView:
     """Build the view of a node that knows all upstreams of a service."""
     view = decisions.LoadView()
-    for number in range(count):
-        view.find(
-            model.Member(
-                instance='catalogue-%d' % number,
-                incarnation=1,
-                version=1,
-                state=model.MemberState.TAKING,
-                data_centre='dc%d' % (number % 3),
-                host='127.0.0.1',
-                peer_port=1,
-                service='catalogue',
-                slots=70,
-            )
-        )
+    for member in list_members(count):
+        view.find(member)
     return view
 
 
+def build_list(view: decisions.LoadView, count: int) -> decisions.UpstreamList:
+    """Build the list of all upstreams of a service."""
+    return decisions.build_list(
+        list_members(count),
+        view,
+        identity=model.NodeIdentity(
+            instance='own', incarnation=1, data_centre='dc0'
+        ),
+    )
+
+
 def build_report(number: int) -> model.LoadReport:
     """Build a load report that names a time."""
     return model.LoadReport(
