Pass on a response in the task that handles its request

Cause: the done callback of each request's task took another turn of the event loop. Change: the task passes on the responses that are due itself; only a cancelled one has a callback, since it may never run.

--- a/oleanderknot/tasks/pipelined_request.py
+++ b/oleanderknot/tasks/pipelined_request.py
@@ -22,7 +22,9 @@
         check: Finds ``overlaps`` by the policy that was in force when the
             request was started.
         task: Task that handles the request; None before its start.
-        response: The response; None before the request has ended.
+        ended: Whether it was handled or cancelled.
+        response: The response; None before the request has ended, and for a
+            cancelled one.
     """
 
     request: model.HttpRequest
@@ -31,6 +33,7 @@
     overlaps: bool | None = None
     check: OverlapCheck | None = None
     task: asyncio.Task | None = None
+    ended: bool = False
     response: model.HttpResponse | None = None
 
     def may_overlap(self) -> bool:
--- a/oleanderknot/tasks/request_pipeline.py
+++ b/oleanderknot/tasks/request_pipeline.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import functools
 
 from absl import logging
 
@@ -120,33 +121,49 @@
     def start(self, entry: pipelined_request.PipelinedRequest) -> None:
         """Start the task that handles a request."""
         self.running += 1
-        entry.task = self.loop.create_task(self.run(entry.request))
-        entry.task.add_done_callback(lambda task: self.finish(entry, task))
+        entry.task = self.loop.create_task(self.run(entry))
 
-    async def run(self, request: model.HttpRequest) -> model.HttpResponse:
-        """Return the response to one request."""
+    async def run(self, entry: pipelined_request.PipelinedRequest) -> None:
+        """Handle one request, and pass on the responses that are due."""
         try:
-            return await self.handle(request)
+            response = await self.handle(entry.request)
         except Exception:
             logging.exception(
-                'request handler failed for %s', request.target[:200]
+                'request handler failed for %s', entry.request.target[:200]
             )
             # Without a response the client would wait until its deadline.
-            return model.HttpResponse(status=502, close=True)
+            response = model.HttpResponse(status=502, close=True)
+        # A callback of the task would take another turn of the event loop.
+        self.finish(entry, response)
 
     def finish(
-        self, entry: pipelined_request.PipelinedRequest, task: asyncio.Task
+        self,
+        entry: pipelined_request.PipelinedRequest,
+        response: model.HttpResponse | None,
     ) -> None:
-        """Keep the response to a request, and pass on those that are due."""
+        """Keep the response to a request, and pass on those that are due.
+
+        Args:
+            entry: The request; nothing happens if it has ended before.
+            response: Its response; None if it was cancelled.
+        """
+        if entry.ended:
+            return
+        entry.ended = True
         self.running -= 1
-        if not task.cancelled():
-            entry.response = task.result()
-            if not self.closed:
-                entry.size += len(entry.response.content)
-                self.held_bytes += len(entry.response.content)
-                self.on_end(entry)
+        entry.response = response
+        if response is not None and not self.closed:
+            entry.size += len(response.content)
+            self.held_bytes += len(response.content)
+            self.on_end(entry)
         self.advance()
 
+    def finish_cancelled(
+        self, entry: pipelined_request.PipelinedRequest, task: asyncio.Task
+    ) -> None:
+        """Record the end of a cancelled request; called by its task."""
+        self.finish(entry, None)
+
     def advance(self) -> None:
         """Pass on the responses that are due, and start further requests."""
         while (
@@ -194,8 +211,12 @@
         self.entries.clear()
         self.held_bytes = 0
         for entry in entries:
-            if entry.task is not None:
+            if entry.task is not None and not entry.ended:
                 entry.task.cancel()
+                # A task that is cancelled before its first step never runs.
+                entry.task.add_done_callback(
+                    functools.partial(self.finish_cancelled, entry)
+                )
         if not self.running:
             self.advance()
 
