Skip the own upstream's state for calls of other services

Cause: each call looked up failures of the own upstream before it compared the service. Change: compare the service first.

--- a/oleanderknot/tasks/upstream_chooser.py
+++ b/oleanderknot/tasks/upstream_chooser.py
@@ -191,6 +191,8 @@
         Returns False as well if its share of failed calls is too high, so
         that it is compared with the other upstreams.
         """
+        if call.service != self.runner.service:
+            return False
         own_load = self.loads.loads.get(self.identity.instance)
         if (
             own_load is not None
@@ -199,8 +201,7 @@
         ):
             return False
         return (
-            call.service == self.runner.service
-            and not self.runner.leaving
+            not self.runner.leaving
             and self.policy.accepts_work(self.identity.instance)
             and self.runner.admission.has_room(priority)
             and priority < self.runner.find_call_level(call)
