Compare the age of a report with its longest one first

Cause: most reports are older than the half-lives that count. Change: one comparison instead of two for these in the cost of an upstream.

--- a/oleanderknot/decisions/listed_choice.py
+++ b/oleanderknot/decisions/listed_choice.py
@@ -102,10 +102,11 @@
             group.estimate(now)
         in_flight = group.estimated * limit
         half_lives = (now - load.reported_at) / load.half_life_s
-        if half_lives <= 0.0:
-            in_flight = load.in_flight
-        elif half_lives <= MAX_HALF_LIVES:
-            in_flight += (load.in_flight - in_flight) * 0.5**half_lives
+        if half_lives <= MAX_HALF_LIVES:
+            if half_lives > 0.0:
+                in_flight += (load.in_flight - in_flight) * 0.5**half_lives
+            else:
+                in_flight = load.in_flight
         # See choose_balanced.
         share = (load.outstanding + in_flight + 1) / limit
         cost = share * load.speed_cost + (turn - group.turn)
