--- a/features/steps/upstream_list_steps.py
+++ b/features/steps/upstream_list_steps.py
@@ -34,7 +34,8 @@
 
 
 @when(
-    '{count:d} calls are sent between random events, from a list by one of them'
+    '{count:d} calls are sent between random events, from a list by one of '
+    'them'
 )
 def send_calls(context, count):
     """Apply the same events to both nodes, and choose for the same calls."""
