Look at shares of failed calls only after failures

Cause: each choice read the share of failed calls of each upstream, in objects that the processor's caches have lost between two calls. Change: the load of a data centre keeps the time until which a share may be above 0; the shares are read until then.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -126,6 +126,7 @@
             listed.list_admitting(
                 route='/', priority=1.5, own_level=4.0, now=now
             ),
+            groups=listed.groups,
             tried=(),
             suspects=(),
             now=now,
--- a/features/steps/upstream_list_steps.py
+++ b/features/steps/upstream_list_steps.py
@@ -11,6 +11,7 @@
 
 from features.support import choice_events
 from features.support import choice_world
+from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot.tasks import liveness_monitor
 
@@ -215,6 +216,39 @@
     context.world.overdue = {'i2'}
 
 
+@given(
+    'an upstream that failed {failures:d} calls and reported level {level:f} '
+    'at time 100'
+)
+def fail_upstream(context, failures, level):
+    """Record failures and a level at an upstream."""
+    context.load = decisions.InstanceLoad(limit=10)
+    for _ in range(failures):
+        context.load.record_outcome(True, 100.0)
+    context.load.apply_report(
+        model.LoadReport(
+            service='s', route='r', level=level, in_flight=0, limit=10
+        ),
+        100.0,
+    )
+
+
+@then('its share of failures is 0 when failures are no longer looked at')
+def check_share_end(context):
+    """Check the share at the time from which on it is not read."""
+    assert context.load.failures.estimate(100.0) > 0
+    until = context.load.group.failing_until
+    assert context.load.failures.estimate(until) == 0.0, until
+
+
+@then('its level is 4 when levels are no longer looked at')
+def check_level_end(context):
+    """Check the level at the time from which on it is not read."""
+    assert context.load.find_reported_level('r', 100.0) < 4.0
+    until = context.load.group.limited_until
+    assert context.load.find_reported_level('r', until) == 4.0, until
+
+
 @given('a monitor of a connection that responded until 0 s')
 def watch_connection(context):
     """Play the monitor of a connection on a real event loop."""
--- a/features/support/choice_events.py
+++ b/features/support/choice_events.py
@@ -93,7 +93,7 @@
         if load is None:
             return
         load.outstanding = max(0, load.outstanding - 1)
-        load.failures.record(failed, world.now)
+        load.record_outcome(failed, world.now)
         world.chooser.suspicions.note_answer(instance)
         world.chooser.loads.record_call_time(instance, call, call_s)
 
@@ -105,7 +105,7 @@
 
     def apply(world: choice_world.ChoiceWorld) -> None:
         for load in world.chooser.loads.loads.values():
-            load.failures.record(True, world.now)
+            load.record_outcome(True, world.now)
 
     return apply
 
@@ -174,7 +174,7 @@
 
 def draw_pause(rng: random.Random) -> Event:
     """Return the event of time that passes."""
-    pause_s = rng.choice((0.0, 0.001, 0.02, 0.02, 0.3, 5.0))
+    pause_s = rng.choice((0.0, 0.001, 0.02, 0.02, 0.3, 5.0, 20.0))
 
     def apply(world: choice_world.ChoiceWorld) -> None:
         world.now += pause_s
--- a/features/upstream_lists.feature
+++ b/features/upstream_lists.feature
@@ -41,6 +41,19 @@
       | the load of i2 is discarded           | i1 i3 i2    |          |
       | i2 is overdue                         | i1 i2 i3    | i2       |
 
+  Scenario Outline: Shares and levels are looked at as long as they count
+    Guards against an upstream that still fails calls, or admits few, and is
+    taken for any other.
+    Given an upstream that failed <failures> calls and reported level <level> at time 100
+    Then its share of failures is 0 when failures are no longer looked at
+    And its level is 4 when levels are no longer looked at
+
+    Examples:
+      | failures | level |
+      | 1        | 3.99  |
+      | 5        | 2.0   |
+      | 500      | 0.0   |
+
   Scenario: Nodes are asked about only while a probe is unanswered
     Guards against calls to a node that does not respond, since no monitor
     says that its nodes have to be asked about.
--- a/oleanderknot/decisions/failure_share.py
+++ b/oleanderknot/decisions/failure_share.py
@@ -1,6 +1,7 @@
 """Moving average of the share of failed calls to one upstream."""
 
 import dataclasses
+import math
 
 # Weight of one call in the average. An upstream that fails every second call
 # is detected after about five calls, and one success does not clear it.
@@ -14,6 +15,9 @@
 # it fails one call in a hundred.
 MIN_SHARE = 0.01
 
+# Time after which a share counts as 0 at the latest without another failure.
+MAX_MEMORY_S = 1.01 * HALF_LIFE_S * math.log2(1.0 / MIN_SHARE)
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class FailureShare:
--- a/oleanderknot/decisions/group_load.py
+++ b/oleanderknot/decisions/group_load.py
@@ -42,6 +42,8 @@
         estimated: The last estimate; a choice asks once for each upstream.
         limited_until: Monotonic time in seconds from which on all admission
             levels reported so far are at their maximum again.
+        failing_until: Monotonic time in seconds from which on the shares of
+            failed calls are 0, unless more calls fail.
     """
 
     half_life_s: float = LOCAL_HALF_LIFE_S
@@ -53,6 +55,7 @@
     estimated_at: float = -1.0
     estimated: float = 0.0
     limited_until: float = -math.inf
+    failing_until: float = -math.inf
 
     def record(self, load: float, now: float) -> None:
         """Add a report to the average.
--- a/oleanderknot/decisions/instance_load.py
+++ b/oleanderknot/decisions/instance_load.py
@@ -139,6 +139,17 @@
         wanted_s = min(IN_FLIGHT_HALF_LIFE_S, CALL_TIME_SHARE * call_s)
         self.half_life_s += TIME_WEIGHT * (wanted_s - self.half_life_s)
 
+    def record_outcome(self, failed: bool, now: float) -> None:
+        """Add the outcome of a call to the share of failed calls.
+
+        Args:
+            failed: Whether it failed at the upstream or on the connection.
+            now: Monotonic time in seconds.
+        """
+        self.failures.record(failed, now)
+        if failed:
+            self.group.failing_until = now + failure_share.MAX_MEMORY_S
+
     def record_ratio(self, ratio: float) -> None:
         """Adjust the relative time.
 
--- a/oleanderknot/decisions/listed_choice.py
+++ b/oleanderknot/decisions/listed_choice.py
@@ -9,6 +9,7 @@
 import math
 
 from oleanderknot.decisions import balanced_choice
+from oleanderknot.decisions import group_load
 from oleanderknot.decisions import instance_load
 from oleanderknot.decisions import listed_upstream
 
@@ -22,6 +23,7 @@
 def choose_listed(
     admitting: list[listed_upstream.ListedUpstream],
     *,
+    groups: collections.abc.Iterable[group_load.GroupLoad],
     tried: collections.abc.Container[str],
     suspects: collections.abc.Container[str],
     now: float,
@@ -31,6 +33,7 @@
 
     Args:
         admitting: Upstreams that take work and admit the call.
+        groups: Load of their data centres.
         tried: Instances that earlier attempts went to.
         suspects: Instances that are suspected to have failed.
         now: Monotonic time in seconds.
@@ -44,7 +47,8 @@
     group = admitting
     if tried or suspects:
         group = list_best_ranked(group, tried, suspects)
-    if any([item.load.failures.share for item in group]):
+    failing = any([now < item.failing_until for item in groups])
+    if failing:
         shares = [item.load.failures.estimate(now) for item in group]
         lowest = min(shares)
         highest = balanced_choice.OUTLIER_FAILURE_SHARE + lowest
@@ -55,9 +59,9 @@
         ]
         if lowest > 0.0:
             group = balanced_choice.sample_sides(group, draw)
-            return find_cheapest(group, now)
+            return find_cheapest(group, now, failing=True)
     offset = draw(len(group))
-    return find_cheapest(group[offset:] + group[:offset], now)
+    return find_cheapest(group[offset:] + group[:offset], now, failing=failing)
 
 
 def list_best_ranked(
@@ -79,13 +83,17 @@
 
 
 def find_cheapest(
-    upstreams: list[listed_upstream.ListedUpstream], now: float
+    upstreams: list[listed_upstream.ListedUpstream],
+    now: float,
+    *,
+    failing: bool,
 ) -> listed_upstream.ListedUpstream | None:
     """Return the first upstream of the lowest cost.
 
     Args:
         upstreams: The upstreams.
         now: Monotonic time in seconds.
+        failing: Whether any of them may have failed calls.
     """
     choice = None
     lowest = math.inf
@@ -110,7 +118,7 @@
         # See choose_balanced.
         share = (load.outstanding + in_flight + 1) / limit
         cost = share * load.speed_cost + (turn - group.turn)
-        if load.failures.share:
+        if failing:
             cost += FAILURE_COST * load.failures.estimate(now)
         if share > BUSY_LOAD:
             cost += BUSY_FACTOR * (share - BUSY_LOAD)
--- a/oleanderknot/tasks/routed_dispatcher.py
+++ b/oleanderknot/tasks/routed_dispatcher.py
@@ -245,14 +245,14 @@
         if result.is_ok():
             outcome = result.ok
             self.chooser.suspicions.note_answer(instance)
-            load.failures.record(
+            load.record_outcome(
                 outcome.status >= attempt_rules.MIN_SERVER_ERROR_STATUS, now
             )
         else:
             outcome = result.error
             self.chooser.suspicions.note_failure(instance, outcome, now)
             if outcome.rule in attempt_rules.FAILURE_RULES:
-                load.failures.record(True, now)
+                load.record_outcome(True, now)
         self.chooser.loads.apply_reports(instance, outcome.reports, now)
         self.runner.shares.view.apply(outcome.reports, now)
 
--- a/oleanderknot/tasks/upstream_chooser.py
+++ b/oleanderknot/tasks/upstream_chooser.py
@@ -151,6 +151,7 @@
                 return None
         choice = self.pick_listed(
             admitting,
+            groups=listed.groups,
             tried=tried,
             suspects=suspects,
             now=now,
