Bound the parsing of requests that offer an upgrade

Cause: after a request with an upgrade the parser called itself for the bytes behind it. 1,000 pipelined ones in one read, and a single CONNECT, whose upgrade cannot be taken out, ended in a RecursionError within a callback instead of a documented error. Change: a loop in place of the recursion; CONNECT is refused with 400.

--- a/oleanderknot/tasks/client_parser.py
+++ b/oleanderknot/tasks/client_parser.py
@@ -81,6 +81,24 @@
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
 
+        Raises:
+            InvalidRequestError: The request exceeds a limit or is unsupported.
+            HttpParserError: The bytes are not a valid HTTP request.
+        """
+        rest = data
+        while rest:
+            rest = self.parse(rest)
+        if self.started and not self.head_complete:
+            # head_bytes does not include an incomplete target or header.
+            self.fed_bytes += len(data)
+            self.check_head(self.fed_bytes)
+
+    def parse(self, data: bytes) -> bytes:
+        """Parse bytes up to the end of a request that offers an upgrade.
+
+        Returns:
+            The bytes still to be parsed.
+
         Raises:
             InvalidRequestError: The request exceeds a limit or is unsupported.
             HttpParserError: The bytes are not a valid HTTP request.
@@ -96,18 +114,14 @@
             # protocol. A server may ignore the offer (RFC 9110, section 7.8).
             head = self.build_head()
             self.parser = httptools.HttpRequestParser(self)
-            self.feed(head + data[error.args[0] :])
-            return
+            return head + data[error.args[0] :]
         except httptools.HttpParserCallbackError as error:
             if isinstance(
                 error.__context__, invalid_request.InvalidRequestError
             ):
                 raise error.__context__ from None
             raise
-        if self.started and not self.head_complete:
-            # head_bytes does not include an incomplete target or header.
-            self.fed_bytes += len(data)
-            self.check_head(self.fed_bytes)
+        return b''
 
     def measure(self) -> int:
         """Return the approximate size in bytes of the request in progress."""
@@ -206,6 +220,10 @@
             raise invalid_request.InvalidRequestError(
                 400, 'the target must be a path'
             )
+        if self.parser.get_method() == b'CONNECT':
+            raise invalid_request.InvalidRequestError(
+                400, 'the method CONNECT is not supported'
+            )
         self.offers_upgrade = self.parser.should_upgrade()
         if body_size and not self.offers_upgrade:
             self.reserve_body(body_size)
