Count the head and trailers of a request the same in all reads

Cause: an incomplete head was measured by the bytes of the reads that it arrived in, also those of the body before it, and a complete one without its target. A request within the limit was refused behind a body in the same read, and one beyond it accepted in a single read. A trailer without end was not measured at all, and httptools kept it. Change: the size is that of the target, the header lines and the trailers seen by the callbacks; bytes that no callback has seen yet are counted beside it, for the limit and in the memory of the connection.

--- a/oleanderknot/tasks/client_parser.py
+++ b/oleanderknot/tasks/client_parser.py
@@ -14,6 +14,10 @@
 # Approximate size of the objects of a header, beside its bytes.
 HEADER_BYTES = 160
 
+# Bytes of a head that head_bytes does not include: the method, the version and
+# the empty line take 25 with the longest method.
+UNCOUNTED_HEAD_BYTES = 32
+
 RequestCallback = collections.abc.Callable[[model.HttpRequest, bool], None]
 
 
@@ -31,7 +35,11 @@
         wants_continue: Whether the client waits for status 100 before it
             sends the body.
         offers_upgrade: Whether the client offers to change the protocol.
-        head_bytes: Size of the header lines parsed so far.
+        head_bytes: Size of the target, the header lines and the trailers
+            parsed so far.
+        pending_bytes: Bytes fed since the last callback, which httptools
+            keeps. The end of a piece behind a callback is not included.
+        advanced: Whether a callback was called for the current piece.
         reserved_bytes: Memory reserved for the body.
         cost: Number of headers and parts of bodies parsed; reset by the
             owner, who bounds it.
@@ -51,6 +59,7 @@
             httptools.HttpRequestParser(self)
         )
         self.wants_continue = False
+        self.advanced = False
         self.cost = 0
         self.reset()
 
@@ -60,7 +69,7 @@
         self.head_complete = False
         self.offers_upgrade = False
         self.head_bytes = 0
-        self.fed_bytes = 0
+        self.pending_bytes = 0
         self.body_bytes = 0
         self.reserved_bytes = 0
         self.target = b''
@@ -86,12 +95,19 @@
             HttpParserError: The bytes are not a valid HTTP request.
         """
         rest = data
+        self.advanced = False
         while rest:
             rest = self.parse(rest)
-        if self.started and not self.head_complete:
-            # head_bytes does not include an incomplete target or header.
-            self.fed_bytes += len(data)
-            self.check_head(self.fed_bytes)
+        if self.advanced or not self.started:
+            self.pending_bytes = 0
+            return
+        # An incomplete header or trailer is refused before it is complete,
+        # but only if it would be refused then, so that the result does not
+        # depend on the size of the pieces.
+        self.pending_bytes += len(data)
+        self.check_head(
+            self.head_bytes + self.pending_bytes - UNCOUNTED_HEAD_BYTES
+        )
 
     def parse(self, data: bytes) -> bytes:
         """Parse bytes up to the end of a request that offers an upgrade.
@@ -129,8 +145,8 @@
             return 0
         return (
             self.head_bytes
+            + self.pending_bytes
             + HEADER_BYTES * len(self.headers)
-            + len(self.target)
             + max(self.reserved_bytes, self.body_bytes)
         )
 
@@ -159,14 +175,18 @@
         """Handle the start of a request."""
         self.reset()
         self.started = True
+        self.advanced = True
 
     def on_url(self, data: bytes) -> None:
         """Append a part of the request target."""
+        self.advanced = True
         self.target += data
-        self.check_head(self.head_bytes + len(self.target))
+        self.head_bytes += len(data)
+        self.check_head(self.head_bytes)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header."""
+        self.advanced = True
         self.cost += 1
         # A header line has four more bytes: colon, space, CR and LF.
         self.head_bytes += len(name) + len(value) + 4
@@ -192,6 +212,7 @@
         Raises:
             InvalidRequestError: The request is not supported.
         """
+        self.advanced = True
         self.head_complete = True
         hosts = 0
         body_size = None
@@ -234,6 +255,7 @@
         Raises:
             InvalidRequestError: The body exceeds the limit.
         """
+        self.advanced = True
         self.cost += 1
         self.body_bytes += len(data)
         if self.body_bytes > self.limits().max_body_bytes:
