Bound responses by what the parser sees, and refuse an upgrade

Cause: a response with status 101 and an upgrade raised HttpParserUpgrade, which is no HttpParserError, out of the connection. The size of headers, trailers and a chunked body was checked after each read, so one that was complete in a read passed the bounds, and the same bytes in smaller reads were refused. A Keep-Alive timeout of 400 digits became infinite. Change: the upgrade is caught, the bounds are checked in the callbacks, the timeout is capped. The detail of an error raised in a callback is kept.

--- a/oleanderknot/platform/message_headers.py
+++ b/oleanderknot/platform/message_headers.py
@@ -57,7 +57,8 @@
     )
 )
 
-# Upper bound of the timeout that a client may request.
+# Upper bound of the timeout that a client may request, and of the idle timeout
+# that a back end announces.
 MAX_TIMEOUT_S = 3600.0
 
 # Status codes of refusals. On the platform, 503 guarantees that the request
@@ -208,7 +209,8 @@
     for part in value.split(b','):
         name, _, seconds = part.strip().partition(b'=')
         if name.lower() == b'timeout' and seconds.strip().isdigit():
-            return float(seconds)
+            # A float cannot hold the longest numbers and becomes infinite.
+            return min(float(seconds), MAX_TIMEOUT_S)
     return None
 
 
--- a/oleanderknot/transport/response_connection.py
+++ b/oleanderknot/transport/response_connection.py
@@ -55,6 +55,8 @@
             earlier answer again, so an id must not be sent twice.
         overhead_bytes: Bytes received outside bodies since the answer in
             progress began.
+        header_bytes: Size of the headers and trailers of the answer in
+            progress.
         body_size: Size of the body that the head announces.
         body_bytes: Size of the body in progress.
         counted: Whether the budget counts the body in progress.
@@ -139,8 +141,16 @@
         self.overhead_bytes += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            self.fail('the server sent bytes that are no answer: %s' % error)
+        # The upgrade after status 101 is no subclass of the other error.
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            # The parser wraps what its callbacks raise.
+            cause = error.__context__
+            if not isinstance(cause, connection_cut.ConnectionCutError):
+                cause = 'the server sent bytes that are no answer: %s' % error
+            self.fail(str(cause))
             self.abort()
             return
         if self.overhead_bytes > (
@@ -164,13 +174,25 @@
         self.drop_content()
         self.metadata: model.ResponseMetadata | None = None
         self.framed = False
+        self.header_bytes = 0
         self.body_size = 0
         self.body_bytes = 0
         if self.transport is not None and self.waiter is None:
             self.reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header; called by the parser."""
+        """Collect a header; called by the parser.
+
+        Raises:
+            ConnectionCutError: The head or the trailers are too large. One
+                read may hold all of them, so the bytes of the reads do not
+                tell.
+        """
+        self.header_bytes += len(name) + len(value)
+        if self.header_bytes > MAX_OVERHEAD_BYTES:
+            raise connection_cut.ConnectionCutError(
+                'the head or the trailers are too large'
+            )
         if self.metadata is None and not self.closed:
             self.headers.append((name, value))
             lower = name.lower()
@@ -207,11 +229,20 @@
             self.finish()
 
     def on_body(self, data: bytes) -> None:
-        """Collect a part of the body; called by the parser."""
-        if not self.closed:
-            self.body.append(data)
+        """Collect a part of the body; called by the parser.
+
+        Raises:
+            ConnectionCutError: The body is too large. The budget sees it
+                only after a read, when it may be complete.
+        """
         self.body_bytes += len(data)
         self.overhead_bytes -= len(data)
+        if self.body_bytes > self.budget.max_response_bytes:
+            raise connection_cut.ConnectionCutError(
+                'the body of the answer is too large'
+            )
+        if not self.closed:
+            self.body.append(data)
 
     def on_message_complete(self) -> None:
         """Handle the end of an answer; called by the parser."""
