Refuse a load report whose level is no number

Cause: the level of a load report was not checked. NaN compares as false with every priority, so all calls of a service could be refused by one report. Change: a level that is negative, infinite or NaN is a BadFrame, as the other fields are. The effect above follows from the code and was not run.

--- a/oleanderknot/wire/translate_report.py
+++ b/oleanderknot/wire/translate_report.py
@@ -55,6 +55,8 @@
         message.limit,
     ):
         raise bad_frame.BadFrame('load report with a missing field')
+    if not 0 <= message.level < math.inf:
+        raise bad_frame.BadFrame('load report with an invalid level')
     if message.excess and (
         len(message.excess) > MAX_EXCESS_ORGANISATIONS
         or not all(
