Validate replies of the table service and the object store by models

Cause: both were read as plain JSON and converted with str and int. Lone surrogates, which cannot be encoded again, and versions of thousands of digits were accepted, and any type was turned into a text.

--- a/oleanderknot/platform/object_client.py
+++ b/oleanderknot/platform/object_client.py
@@ -1,15 +1,21 @@
 """HTTP client of the platform's object store."""
 
-import json
 import urllib.parse
 
 from expression import Error
 from expression import Ok
 from expression import Result
+import pydantic
 
 from oleanderknot import model
 from oleanderknot.platform import http_client
-from oleanderknot.platform import json_errors
+from oleanderknot.platform import lenient_model
+
+
+class Keys(lenient_model.LenientModel):
+    """Keys of a response."""
+
+    keys: tuple[str, ...]
 
 
 class ObjectClient:
@@ -66,11 +72,11 @@
 def parse_keys(content: bytes) -> Result[list[str], model.PlatformFault]:
     """Parse the keys of a response."""
     try:
-        return Ok([str(key) for key in json.loads(content)['keys']])
-    except json_errors.JSON_ERRORS as error:
+        return Ok(list(Keys.model_validate_json(content).keys))
+    except pydantic.ValidationError as error:
         return Error(
             model.PlatformFault(
                 kind=model.FaultKind.UNKNOWN,
-                detail='malformed keys from the object store: %r' % error,
+                detail='malformed keys from the object store: %s' % error,
             )
         )
--- a/oleanderknot/platform/table_client.py
+++ b/oleanderknot/platform/table_client.py
@@ -1,15 +1,30 @@
 """HTTP client of the platform's table service."""
 
 import collections.abc
-import json
 
 from expression import Error
 from expression import Ok
 from expression import Result
+import pydantic
 
 from oleanderknot import model
+from oleanderknot.platform import bounded_number
 from oleanderknot.platform import http_client
-from oleanderknot.platform import json_errors
+from oleanderknot.platform import lenient_model
+
+
+class Row(lenient_model.LenientModel):
+    """A row of the table; see ``model.TableRow``."""
+
+    key: str
+    version: bounded_number.Version
+    value: str
+
+
+class Rows(lenient_model.LenientModel):
+    """Rows of a response."""
+
+    rows: tuple[Row, ...]
 
 
 class TableClient:
@@ -106,17 +121,15 @@
         return Ok(
             [
                 model.TableRow(
-                    key=str(row['key']),
-                    version=int(row['version']),
-                    value=str(row['value']),
+                    key=row.key, version=row.version, value=row.value
                 )
-                for row in json.loads(content)['rows']
+                for row in Rows.model_validate_json(content).rows
             ]
         )
-    except json_errors.JSON_ERRORS as error:
+    except pydantic.ValidationError as error:
         return Error(
             model.PlatformFault(
                 kind=model.FaultKind.UNKNOWN,
-                detail='malformed rows from the table service: %r' % error,
+                detail='malformed rows from the table service: %s' % error,
             )
         )
