Refuse numbers that do not fit into messages or comparisons

Cause: rows, accounts and the policy that nodes exchange could hold integers beyond 64 bits, which thrift cannot encode, and NaN or infinite numbers. A stored departure with such a start would break the gossip of its node; a version of 4,000 digits in a store reply would hide all later ones. The effects above follow from the code and were not run.

--- a/oleanderknot/border/account_object.py
+++ b/oleanderknot/border/account_object.py
@@ -2,8 +2,6 @@
 
 import datetime
 
-import pydantic
-
 from oleanderknot import model
 from oleanderknot.border import base
 
@@ -13,13 +11,13 @@
 class CountObject(base.Model):
     """Count of decisions with the same key; see ``model.DecisionKey``."""
 
-    ticket: int
+    ticket: base.Integer
     rule: model.Rule
     request_class: model.RequestClass
     service: str
     verdict: model.Verdict
     root: bool
-    count: int = pydantic.Field(ge=0)
+    count: base.Count
 
 
 class EventObject(base.Model):
@@ -35,13 +33,13 @@
     """JSON form of one batch; see ``model.AccountBatch``."""
 
     instance: str
-    incarnation: int
+    incarnation: base.Integer
     data_centre: str
-    sequence: int
+    sequence: base.Integer
     started: float
     ended: float
     period_s: float
-    dropped: int
+    dropped: base.Integer
     final: bool
     counts: tuple[CountObject, ...]
     events: tuple[EventObject, ...]
--- a/oleanderknot/border/base.py
+++ b/oleanderknot/border/base.py
@@ -7,9 +7,15 @@
 
 
 class Model(pydantic.BaseModel):
-    """Immutable base of validated models that rejects unknown fields."""
+    """Immutable base of validated models that rejects unknown fields.
 
-    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+    Numbers that are not finite are rejected too, since comparisons and other
+    readers of JSON fail on them.
+    """
+
+    model_config = pydantic.ConfigDict(
+        extra='forbid', frozen=True, allow_inf_nan=False
+    )
 
 
 def check_address(text: str) -> str:
@@ -29,6 +35,12 @@
     return text
 
 
+# Range of the integers that the messages between nodes can hold.
+MIN_INTEGER = -(2**63)
+MAX_INTEGER = 2**63 - 1
+
+Integer = typing.Annotated[int, pydantic.Field(ge=MIN_INTEGER, le=MAX_INTEGER)]
+Count = typing.Annotated[int, pydantic.Field(ge=0, le=MAX_INTEGER)]
 Port = typing.Annotated[
     int,
     pydantic.Field(
--- a/oleanderknot/border/claim_row.py
+++ b/oleanderknot/border/claim_row.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from oleanderknot.border import base
 from oleanderknot.border import settings
 
 
@@ -21,6 +22,6 @@
 
     state: typing.Literal['held', 'refused']
     instance: settings.Name
-    incarnation: int
+    incarnation: base.Integer
     claim: str
     digest: str = ''
--- a/oleanderknot/border/departure_row.py
+++ b/oleanderknot/border/departure_row.py
@@ -7,8 +7,6 @@
 from oleanderknot import model
 from oleanderknot.border import base
 
-Count = typing.Annotated[int, pydantic.Field(ge=0)]
-
 
 class DepartureRow(base.Model):
     """Departure that a node has acknowledged; see ``model.Departure``.
@@ -21,8 +19,8 @@
     """
 
     upstream: typing.Annotated[str, pydantic.Field(min_length=1)]
-    started_ms: Count
-    sequence: Count | None = None
+    started_ms: base.Count
+    sequence: base.Count | None = None
 
 
 def dump_departure(departure: model.Departure) -> str:
--- a/oleanderknot/platform/row_store_client.py
+++ b/oleanderknot/platform/row_store_client.py
@@ -12,6 +12,7 @@
 
 from oleanderknot import model
 from oleanderknot import transport
+from oleanderknot.platform import bounded_number
 from oleanderknot.platform import duration
 from oleanderknot.platform import http_client
 from oleanderknot.platform import lenient_model
@@ -41,7 +42,7 @@
 
     key: str
     value: str = ''
-    rowVersion: int = 0  # noqa: N815
+    rowVersion: bounded_number.Version = 0  # noqa: N815
     deleted: bool = False
 
 
@@ -56,7 +57,7 @@
     """
 
     rows: tuple[Row, ...] = ()
-    rowVersion: int  # noqa: N815
+    rowVersion: bounded_number.Version  # noqa: N815
     hasMore: bool = False  # noqa: N815
     now: duration.Duration | None = None
 
