--- a/oleanderknot/platform/heartbeat.py
+++ b/oleanderknot/platform/heartbeat.py
@@ -6,6 +6,7 @@
 import pydantic
 
 from oleanderknot import model
+from oleanderknot.border import base
 from oleanderknot.platform import bounded_number
 from oleanderknot.platform import duration
 from oleanderknot.platform import lenient_model
@@ -29,7 +30,7 @@
     """
 
     service: typing.Annotated[str, pydantic.Field(min_length=1)]
-    address: str
+    address: base.Address
     state: typing.Literal['ready', 'draining']
     slots: typing.Annotated[int, pydantic.Field(ge=1, le=100000)]
     sequence: bounded_number.Integer
