--- a/oleanderknot/transport/__init__.py
+++ b/oleanderknot/transport/__init__.py
@@ -9,6 +9,7 @@
     'raw_answer': ('RawAnswer',),
     'receive_budget': ('ReceiveBudget',),
     'response_connection': (
+        'MAX_OVERHEAD_BYTES',
         'MAX_STATUS',
         'MIN_STATUS',
         'ResponseConnection',
