Play organisations, withdrawn keys and limits in the soak

Cause: the soak sent requests under a policy without organisations, so no fault was played beside API keys and rate limits. Change: requests come in groups with a generator of their own; the earlier ones keep theirs and carry a key without a limit. A second group sends with a limited key at twice its limit, one inside its limit, an unknown key, none, a key that is withdrawn, and forged organisation names. The schedule adds the withdrawal and a restart while the store is away, from an own generator.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -10,6 +10,11 @@
     When the soak plays seed 3 with 4 seconds of faults
     Then it ends with status 0 and reports at least 4 faults
 
+  Scenario: A short soak without faults refuses nobody inside a limit
+    Guards against limits that refuse requests of an organisation inside them.
+    When the soak plays seed 7 with 8 seconds without faults
+    Then it ends with status 0 and reports at least 1 faults
+
   Scenario Outline: The soak finds a broken promise
     Guards against checks that cannot fail.
     Given a record in which <what>
@@ -29,6 +34,31 @@
       | a limited back end got 10 requests a second | named 3 requests a second   |
       | a back end that leaves got requests for 4 s | had passed on that it leaves |
 
+  Scenario Outline: The soak finds a broken promise to organisations
+    Guards against checks of keys and limits that cannot fail.
+    Given a record in which <what>
+    Then the checks of the soak find "<finding>"
+
+    Examples:
+      | what                                                            | finding                    |
+      | a request without a key ran                                     | without a known key        |
+      | a request without a key was answered                            | without a known key        |
+      | an anonymous request got 401                                    | needs no other key         |
+      | a request with a key got 401                                    | needs no other key         |
+      | a run named another organisation                                | in place of 'vine'         |
+      | an anonymous run named an organisation                          | in place of ''             |
+      | a key reached a back end                                        | with credentials           |
+      | a withdrawn key was served after 6 s                            | after its key was          |
+      | a withdrawn key was served after 10 s, the store away until 4 s | after its key was          |
+      | a withdrawn key was served after 6 s, another node paused       | after its key was          |
+      | a key was refused before its withdrawal                         | before its key was         |
+      | a limited organisation ran 30 requests a second                 | allowed are 141            |
+      | an organisation inside its limit is refused                     | which is inside its limit  |
+
+  Scenario: The soak finds a key in a log
+    Guards against a search for keys that cannot fail.
+    Then a node that writes a key in its log is found
+
   Scenario Outline: The soak finds nothing in a record without a fault
     Given a record in which <what>
     Then the checks of the soak find nothing
@@ -38,3 +68,9 @@
       | nothing went wrong                          |
       | a limited back end got what it names        |
       | a back end that leaves got requests for 2 s |
+      | a request without a key got 401             |
+      | a withdrawn key was served after 4 s        |
+      | a withdrawn key was refused after 6 s       |
+      | a withdrawn key was served after 8 s, the store away until 4 s |
+      | a limited organisation ran 20 requests a second |
+      | an organisation without a limit ran 60 requests a second |
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,6 +28,7 @@
     parser.add_argument('--rate', type=float, default=60.0, help='per second')
     parser.add_argument('--seconds', type=float, default=12.0)
     parser.add_argument('--keep', help='folder for the logs of bad seeds')
+    parser.add_argument('--calm', action='store_true', help='without faults')
     parser.add_argument('--regressions', action='store_true')
     return parser.parse_args()
 
@@ -75,7 +76,8 @@
             instances=arguments.instances,
             rate=arguments.rate,
             fault_s=arguments.seconds,
-            planned_only=seed % PLANNED_SEED_DIVISOR == 0,
+            planned_only=arguments.calm or seed % PLANNED_SEED_DIVISOR == 0,
+            calm=arguments.calm,
         )
         if not run_seed(options, arguments.keep):
             broken.append(seed)
--- a/soak/backend_event.py
+++ b/soak/backend_event.py
@@ -18,6 +18,9 @@
         method: HTTP method of the request in a ``run`` event.
         target: Path and query of the request in a ``run`` event.
         caller: Calling service of the request in a ``run`` event.
+        organisation: Organisation that a ``run`` event names; empty for none.
+        credentials: ``Authorization`` header of the request in a ``run``
+            event; empty without one.
         state: State that the node has acknowledged, ``draining`` or
             ``ready``, in a ``state`` event.
         limit: Requests per second that a ``notice`` names; 0 for none.
@@ -32,6 +35,8 @@
     method: str = ''
     target: str = ''
     caller: str = ''
+    organisation: str = ''
+    credentials: str = ''
     state: str = ''
     limit: float = 0.0
     leaving: bool = False
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -5,8 +5,11 @@
 import subprocess
 import time
 
+from soak import fault_span
+from soak import organisation_plan
 from soak import planned_fault
 from soak import soak_cluster
+from soak import withdrawal
 
 # Time for which a back end stays up after its departure was acknowledged: the
 # bound on new work, plus a margin for requests that still run.
@@ -28,6 +31,10 @@
         findings: Violated guarantees found while injecting faults.
         disturbed: Monotonic times in seconds at which a node was stopped,
             killed, paused or cut off, by instance.
+        spans: Faults that have ended, with their times.
+        withdrawals: Keys that have been withdrawn.
+        policy_lock: Lock of the policy. Two versions that are put at the same
+            time could reach the store in the wrong order.
         log_entries: Injected faults and failed state reports, one text each.
     """
 
@@ -40,6 +47,9 @@
         }
         self.findings: list[str] = []
         self.disturbed: dict[str, list[float]] = {}
+        self.spans: list[fault_span.FaultSpan] = []
+        self.withdrawals: list[withdrawal.Withdrawal] = []
+        self.policy_lock = asyncio.Lock()
         self.log_entries: list[str] = []
 
     async def run(self, faults: list[planned_fault.PlannedFault]) -> None:
@@ -53,7 +63,13 @@
         disturbs = fault.kind.endswith(('_node', '_link'))
         if disturbs:
             self.note_disturbance(fault)
+        began_at = time.monotonic()
         await getattr(self, fault.kind)(fault)
+        self.spans.append(
+            fault_span.FaultSpan(
+                fault=fault, began_at=began_at, ended_at=time.monotonic()
+            )
+        )
         if disturbs:
             self.note_disturbance(fault)
 
@@ -263,10 +279,34 @@
     async def add_route(self, fault: planned_fault.PlannedFault) -> None:
         """Publish a policy version with one more route."""
         fleet = self.cluster.fleet
-        name = 'new%d' % len(fleet.routes)
-        fleet.routes[name] = {
-            'prefix': '/%s/' % name,
-            'kind': 'safe',
-            'service': 'catalogue',
-        }
-        await asyncio.to_thread(fleet.put_policy)
+        async with self.policy_lock:
+            name = 'new%d' % len(fleet.routes)
+            fleet.routes[name] = {
+                'prefix': '/%s/' % name,
+                'kind': 'safe',
+                'service': 'catalogue',
+            }
+            await asyncio.to_thread(fleet.put_policy)
+
+    async def withdraw_key(self, fault: planned_fault.PlannedFault) -> None:
+        """Publish a policy version without one of the API keys."""
+        fleet = self.cluster.fleet
+        key = organisation_plan.WITHDRAWN_KEY
+        async with self.policy_lock:
+            put_at = time.monotonic()
+            name = organisation_plan.KEYS_ORGANISATION
+            fleet.organisations[name]['apiKeys'].remove(key)
+            await asyncio.to_thread(fleet.put_policy)
+        self.withdrawals.append(
+            withdrawal.Withdrawal(
+                key=key, put_at=put_at, acknowledged_at=time.monotonic()
+            )
+        )
+
+    async def strand_node(self, fault: planned_fault.PlannedFault) -> None:
+        """Kill a node and restart it while the store is away."""
+        set_faults = self.cluster.fleet.set_faults
+        await asyncio.to_thread(lambda: set_faults(down=1))
+        await self.kill_node(fault)
+        await asyncio.sleep(fault.duration_s)
+        await asyncio.to_thread(lambda: set_faults(down=0))
--- a/soak/http_attempt.py
+++ b/soak/http_attempt.py
@@ -9,6 +9,9 @@
 # bounds the wait for a connection.
 CLIENT_TIMEOUT_S = 3.0
 
+# Status of a request over the limit of its organisation.
+QUOTA_STATUS = 429
+
 
 async def send(
     request: sent_request.SentRequest,
@@ -27,18 +30,8 @@
     Returns:
         Whether the connection can be reused.
     """
-    head = (
-        '%s %s HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\n'
-        'Deadline-Milliseconds: %d\r\nContent-Length: %d\r\n\r\n'
-    ) % (
-        request.method,
-        request.target,
-        request.request_id,
-        CLIENT_TIMEOUT_S * 1000,
-        len(body),
-    )
     try:
-        writer.write(head.encode() + body)
+        writer.write(encode(request, body))
         await writer.drain()
         request.sent_at = time.monotonic()
         return await read_answer(request, reader)
@@ -52,6 +45,25 @@
     return False
 
 
+def encode(request: sent_request.SentRequest, body: bytes) -> bytes:
+    """Encode a request with the headers that its client sends."""
+    head = (
+        '%s %s HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\n'
+        'Deadline-Milliseconds: %d\r\nContent-Length: %d\r\n'
+    ) % (
+        request.method,
+        request.target,
+        request.request_id,
+        CLIENT_TIMEOUT_S * 1000,
+        len(body),
+    )
+    if request.key:
+        head += 'Authorization: Bearer %s\r\n' % request.key
+    if request.claimed_organisation:
+        head += 'Tenant-Name: %s\r\n' % request.claimed_organisation
+    return head.encode() + b'\r\n' + body
+
+
 async def read_answer(
     request: sent_request.SentRequest, reader: asyncio.StreamReader
 ) -> bool:
@@ -75,6 +87,8 @@
     answered = headers.get('request-id', request.request_id)
     if answered != request.request_id:
         return 'answer to %s' % answered
+    if request.status == QUOTA_STATUS and 'retry-after' not in headers:
+        return '429 without a time for another attempt'
     if request.status != 200:
         return ''
     if headers.get('response-signature') != 's-' + request.request_id:
--- a/soak/sent_request.py
+++ b/soak/sent_request.py
@@ -14,6 +14,12 @@
         target: Path and query.
         service: Service of its route.
         size: Expected size of the response body in bytes.
+        key: API key that it carries; empty for none.
+        organisation: Organisation that held the key at the start of the run;
+            empty for none.
+        anonymous: Whether its route needs no key.
+        claimed_organisation: Organisation that the client names in
+            ``Tenant-Name``; empty without the header.
         sent_at: Monotonic time in seconds at which it was completely written;
             0 if it was not.
         ended_at: Monotonic time in seconds at which it ended.
@@ -29,6 +35,10 @@
     target: str
     service: str
     size: int
+    key: str = ''
+    organisation: str = ''
+    anonymous: bool = False
+    claimed_organisation: str = ''
     sent_at: float = 0.0
     ended_at: float = 0.0
     status: int = 0
--- a/soak/soak_cluster.py
+++ b/soak/soak_cluster.py
@@ -1,5 +1,6 @@
 """The processes of one soak run."""
 
+import copy
 import pathlib
 import signal
 
@@ -7,6 +8,7 @@
 from features.support import http
 from features.support import ports
 from features.support import system
+from soak import organisation_plan
 from soak import soak_options
 
 SERVICES = ('front', 'catalogue', 'orders')
@@ -16,6 +18,14 @@
     'order': {'prefix': '/order/', 'kind': 'unsafe', 'service': 'orders'},
     'look': {'prefix': '/look/', 'kind': 'safe', 'service': 'orders'},
 }
+ANONYMOUS_ROUTES = {
+    'open': {
+        'prefix': '/open/',
+        'kind': 'safe',
+        'service': 'catalogue',
+        'allowAnonymous': True,
+    },
+}
 
 # Retry budget that the nodes enforce and the checks verify.
 REPEAT_RATIO = 0.2
@@ -51,7 +61,13 @@
     def start(self) -> None:
         """Start all processes and wait until every node serves requests."""
         self.fleet.start_store()
-        self.fleet.routes.update(ROUTES)
+        self.fleet.routes.update(ROUTES | ANONYMOUS_ROUTES)
+        self.fleet.organisations.update(
+            copy.deepcopy(organisation_plan.ORGANISATIONS)
+        )
+        self.fleet.client_headers['Authorization'] = (
+            'Bearer ' + organisation_plan.SHOP_KEY
+        )
         self.control_port, *numbers = ports.allocate_ports(len(self.names) + 1)
         self.proxy_ports = dict(zip(self.names, numbers, strict=True))
         for number, name in enumerate(self.names):
@@ -61,6 +77,7 @@
                 DATA_CENTRES[number // len(SERVICES) % len(DATA_CENTRES)],
                 advertised='127.0.0.1:%d' % self.proxy_ports[name],
                 record=str(self.get_record_path(name)),
+                data_centres=list(DATA_CENTRES),
             )
         self.start_proxy()
         self.fleet.put_policy()
--- a/soak/soak_options.py
+++ b/soak/soak_options.py
@@ -15,6 +15,7 @@
         settle_s: Seconds without faults before the final checks.
         planned_only: Whether only planned operations are run, during which no
             request may be interrupted.
+        calm: Whether a key is withdrawn and nothing else happens.
     """
 
     seed: int
@@ -23,3 +24,4 @@
     fault_s: float = 12.0
     settle_s: float = 8.0
     planned_only: bool = False
+    calm: bool = False
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -8,10 +8,17 @@
 from soak import clients
 from soak import fault_injector
 from soak import fault_plan
-from soak import notice_checks
+from soak import key_checks
+from soak import limit_checks
 from soak import notice_plan
+from soak import organisation_plan
+from soak import organisation_requests
+from soak import planned_fault
+from soak import record_checks
 from soak import restore_plan
-from soak import run_checks
+from soak import run_record
+from soak import sent_request
+from soak import shop_requests
 from soak import soak_cluster
 from soak import soak_options
 
@@ -37,40 +44,84 @@
         One sentence for each violated guarantee, and the number of requests,
         of responses by status and of injected faults.
     """
-    load_clients = clients.Clients(cluster=cluster, seed=options.seed)
-    client_task = asyncio.create_task(load_clients.run(options.rate))
+    callers = [
+        clients.Clients(cluster=cluster, group=group)
+        for group in (
+            shop_requests.build_group(
+                options.seed, options.rate, cluster.names
+            ),
+            organisation_requests.build_group(options.seed, cluster.names),
+        )
+    ]
+    begun_at = time.monotonic()
+    client_tasks = [asyncio.create_task(item.run()) for item in callers]
     injector = fault_injector.FaultInjector(cluster=cluster)
-    await injector.run(
-        fault_plan.draw_faults(options, cluster.names)
-        + notice_plan.draw_notices(options, cluster.list_called())
-        + restore_plan.draw_returns(options)
+    await asyncio.gather(
+        injector.run(draw_schedule(options, cluster)),
+        asyncio.sleep(options.fault_s),
     )
     await asyncio.to_thread(cluster.clear_faults)
     await asyncio.sleep(options.settle_s)
     findings = await asyncio.to_thread(check_recovery, cluster)
-    load_clients.stopped = True
-    await client_task
+    for item in callers:
+        item.stopped = True
+    await asyncio.gather(*client_tasks)
+    sent = [request for item in callers for request in item.sent]
     events = backend_event.read_events(cluster.folder)
-    services = {
-        name: item.service for name, item in cluster.fleet.sidecars.items()
-    }
     findings += injector.findings
-    findings += answer_checks.check_answers(load_clients.sent)
-    findings += run_checks.check_runs(load_clients.sent, events, services)
-    findings += run_checks.check_drains(events)
-    findings += run_checks.check_budget(events)
-    findings += notice_checks.check_notices(
-        load_clients.sent, events, injector.disturbed
+    findings += record_checks.check_record(
+        run_record.RunRecord(
+            sent=sent,
+            events=events,
+            services={
+                name: item.service
+                for name, item in cluster.fleet.sidecars.items()
+            },
+            disturbed=injector.disturbed,
+            withdrawals=injector.withdrawals,
+            spans=injector.spans,
+        )
     )
     findings += check_processes(cluster)
     if options.planned_only:
-        findings += answer_checks.check_planned(load_clients.sent, events)
-    counts: dict[str, int] = {'sent': len(load_clients.sent)}
-    for item in load_clients.sent:
+        findings += answer_checks.check_planned(sent, events)
+    if options.calm:
+        findings += limit_checks.check_refusals(
+            sent, organisation_plan.INSIDE_ORGANISATION, begun_at
+        )
+    return findings, count_outcomes(sent, injector)
+
+
+def draw_schedule(
+    options: soak_options.SoakOptions, cluster: soak_cluster.SoakCluster
+) -> list[planned_fault.PlannedFault]:
+    """Draw all that happens to the processes, store and policy of a run."""
+    changes = organisation_plan.draw_key_changes(options, cluster.names)
+    if options.calm:
+        return changes
+    return (
+        fault_plan.draw_faults(options, cluster.names)
+        + notice_plan.draw_notices(options, cluster.list_called())
+        + restore_plan.draw_returns(options)
+        + changes
+    )
+
+
+def count_outcomes(
+    sent: list[sent_request.SentRequest],
+    injector: fault_injector.FaultInjector,
+) -> dict[str, int]:
+    """Count requests, responses by status and injected faults."""
+    counts = {'sent': len(sent)}
+    for item in sent:
         name = 'status_%d' % item.status
         counts[name] = counts.get(name, 0) + 1
+    counts['withdrawn_401'] = sum(
+        item.status == 401 and item.key == organisation_plan.WITHDRAWN_KEY
+        for item in sent
+    )
     counts['faults'] = len(injector.log_entries)
-    return findings, counts
+    return counts
 
 
 def check_recovery(cluster: soak_cluster.SoakCluster) -> list[str]:
@@ -113,8 +164,12 @@
         for name, item in cluster.fleet.sidecars.items()
         if not item.process.is_running()
     ]
+    keys = list(organisation_plan.ORGANISATIONS_BY_KEY)
+    keys.append(organisation_plan.UNKNOWN_KEY)
     for process in cluster.system.processes:
         text = process.read_log()
+        if process.name.startswith('sidecar'):
+            findings += key_checks.check_output(process.name, text, keys)
         findings += [
             '%s wrote %r' % (process.name, marker)
             for marker in FAILURE_MARKERS
