Play pipelined clients in the soak

Cause: the soak sent one request at a time on a connection. Change: a third group sends 2 to 12 requests without waiting, some with an order at the end, a key that is refused, or Connection: close before the last one. Answers are checked in order; requests behind a closing answer must not have run before their client sends them again.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -33,6 +33,9 @@
       | planned work cut a request that ran         | ended with 0                |
       | a limited back end got 10 requests a second | named 3 requests a second   |
       | a back end that leaves got requests for 4 s | had passed on that it leaves |
+      | pipelined answers came in another order     | answer to b                 |
+      | a pipelined answer was missing              | ended with 0                |
+      | an unread request ran before it was sent again | its connection closed before |
 
   Scenario Outline: The soak finds a broken promise to organisations
     Guards against checks of keys and limits that cannot fail.
@@ -59,6 +62,11 @@
     Guards against a search for keys that cannot fail.
     Then a node that writes a key in its log is found
 
+  Scenario: Requests behind a closing answer are sent again
+    Guards against lost requests that the soak would report as broken off.
+    Given a pipeline whose first answer closes the connection
+    Then the requests behind it count as unread
+
   Scenario Outline: The soak finds nothing in a record without a fault
     Given a record in which <what>
     Then the checks of the soak find nothing
@@ -68,6 +76,8 @@
       | nothing went wrong                          |
       | a limited back end got what it names        |
       | a back end that leaves got requests for 2 s |
+      | pipelined answers came in order             |
+      | an unread request ran after it was sent again |
       | a request without a key got 401             |
       | a withdrawn key was served after 4 s        |
       | a withdrawn key was refused after 6 s       |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 
 from features.support import organisation_records
+from features.support import pipeline_records
 from features.support import soak_records
 from soak import answer_checks
 from soak import http_attempt
@@ -151,8 +152,9 @@
 @given('a record in which {what}')
 def build_record(context, what):
     """Build the record that clients and back ends would have written."""
-    if what in RECORDS:
-        context.record = build_run_record(*RECORDS[what]())
+    records = RECORDS | pipeline_records.RECORDS
+    if what in records:
+        context.record = build_run_record(*records[what]())
     else:
         context.record = build_run_record(
             **organisation_records.RECORDS[what]()
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -5,6 +5,7 @@
 import time
 
 from soak import http_attempt
+from soak import pipeline_attempt
 from soak import request_group
 from soak import sent_request
 from soak import soak_cluster
@@ -59,8 +60,20 @@
             await asyncio.wait(self.tasks)
 
     async def send(self, requests: list[sent_request.SentRequest]) -> None:
-        """Send requests on one connection and record their outcomes."""
+        """Send requests on one connection and record their outcomes.
+
+        Requests that count as unread are sent again.
+        """
         self.sent += requests
+        await self.attempt(requests)
+        for request in requests:
+            if request.unread:
+                request.resent_at = time.monotonic()
+                request.sent_at = request.ended_at = 0.0
+                await self.attempt([request])
+
+    async def attempt(self, requests: list[sent_request.SentRequest]) -> None:
+        """Send requests once, on one connection."""
         error = ''
         try:
             async with asyncio.timeout(http_attempt.CLIENT_TIMEOUT_S + 1):
@@ -95,7 +108,12 @@
             reader, writer = await asyncio.open_connection(host, int(port))
         reusable = False
         try:
-            reusable = await http_attempt.send(first, reader, writer, body)
+            if len(requests) == 1:
+                reusable = await http_attempt.send(first, reader, writer, body)
+            else:
+                reusable = await pipeline_attempt.send(
+                    requests, reader, writer
+                )
         finally:
             if reusable:
                 idle.append((reader, writer))
--- a/soak/http_attempt.py
+++ b/soak/http_attempt.py
@@ -61,6 +61,8 @@
         head += 'Authorization: Bearer %s\r\n' % request.key
     if request.claimed_organisation:
         head += 'Tenant-Name: %s\r\n' % request.claimed_organisation
+    if request.closing:
+        head += 'Connection: close\r\n'
     return head.encode() + b'\r\n' + body
 
 
--- a/soak/record_checks.py
+++ b/soak/record_checks.py
@@ -5,6 +5,7 @@
 from soak import limit_checks
 from soak import notice_checks
 from soak import organisation_plan
+from soak import pipeline_checks
 from soak import run_checks
 from soak import run_record
 from soak import withdrawal_checks
@@ -23,6 +24,7 @@
             sent, events, {item.key for item in record.withdrawals}
         ),
         *key_checks.check_identities(sent, events),
+        *pipeline_checks.check_unread(sent, events),
         *limit_checks.check_limits(
             sent, events, organisation_plan.ORGANISATIONS
         ),
--- a/soak/sent_request.py
+++ b/soak/sent_request.py
@@ -20,6 +20,11 @@
         anonymous: Whether its route needs no key.
         claimed_organisation: Organisation that the client names in
             ``Tenant-Name``; empty without the header.
+        unread: Whether a response that closes the connection came in place of
+            its response, so that it counts as unread.
+        resent_at: Monotonic time in seconds at which it was sent again after
+            that; 0 if it was not.
+        closing: Whether it asks for the end of its connection.
         sent_at: Monotonic time in seconds at which it was completely written;
             0 if it was not.
         ended_at: Monotonic time in seconds at which it ended.
@@ -39,6 +44,9 @@
     organisation: str = ''
     anonymous: bool = False
     claimed_organisation: str = ''
+    unread: bool = False
+    resent_at: float = 0.0
+    closing: bool = False
     sent_at: float = 0.0
     ended_at: float = 0.0
     status: int = 0
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -13,6 +13,7 @@
 from soak import notice_plan
 from soak import organisation_plan
 from soak import organisation_requests
+from soak import pipelined_requests
 from soak import planned_fault
 from soak import record_checks
 from soak import restore_plan
@@ -51,6 +52,7 @@
                 options.seed, options.rate, cluster.names
             ),
             organisation_requests.build_group(options.seed, cluster.names),
+            pipelined_requests.build_group(options.seed, cluster.names),
         )
     ]
     begun_at = time.monotonic()
@@ -116,6 +118,7 @@
     for item in sent:
         name = 'status_%d' % item.status
         counts[name] = counts.get(name, 0) + 1
+    counts['resent'] = sum(item.unread for item in sent)
     counts['withdrawn_401'] = sum(
         item.status == 401 and item.key == organisation_plan.WITHDRAWN_KEY
         for item in sent
