Report what the soak played of keys and limits

Cause: a run without findings did not show whether a pipelined request was sent again, or a withdrawn key met a node that restarted without the store. Change: the report counts both, and the most requests of the limited organisation in a window.

--- a/soak/limit_checks.py
+++ b/soak/limit_checks.py
@@ -38,7 +38,6 @@
     Returns:
         One sentence for each organisation whose limit was exceeded.
     """
-    owners = {item.request_id: item.organisation for item in sent}
     findings = []
     for name, specification in organisations.items():
         rate = specification.get('ratePerS', 0)
@@ -47,14 +46,7 @@
         allowed = (rate * WINDOW_S + specification['burst']) * (
             1 + OVERSHOOT
         ) + SLACK
-        most = count_most(
-            [
-                event
-                for event in events
-                if event.event == 'run'
-                and owners.get(event.request_id) == name
-            ]
-        )
+        most = count_most(sent, events, name)
         if most > allowed:
             findings.append(
                 '%d requests of %s ran in %g s, allowed are %.0f'
@@ -63,15 +55,30 @@
     return findings
 
 
-def count_most(runs: list[backend_event.BackendEvent]) -> int:
-    """Return the largest number of different requests in a window."""
+def count_most(
+    sent: collections.abc.Iterable[sent_request.SentRequest],
+    events: list[backend_event.BackendEvent],
+    organisation: str,
+) -> int:
+    """Return the most requests of an organisation that ran in a window.
+
+    Args:
+        sent: All requests that clients sent.
+        events: Events of all back ends, ordered by time.
+        organisation: Name of the organisation.
+    """
+    own = {
+        item.request_id for item in sent if item.organisation == organisation
+    }
     window: collections.deque[backend_event.BackendEvent] = collections.deque()
     counts: collections.Counter[str] = collections.Counter()
     most = 0
-    for run in runs:
-        window.append(run)
-        counts[run.request_id] += 1
-        while window[0].at <= run.at - WINDOW_S:
+    for event in events:
+        if event.event != 'run' or event.request_id not in own:
+            continue
+        window.append(event)
+        counts[event.request_id] += 1
+        while window[0].at <= event.at - WINDOW_S:
             first = window.popleft()
             counts[first.request_id] -= 1
             if not counts[first.request_id]:
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -17,8 +17,8 @@
 from soak import planned_fault
 from soak import record_checks
 from soak import restore_plan
+from soak import run_counts
 from soak import run_record
-from soak import sent_request
 from soak import shop_requests
 from soak import soak_cluster
 from soak import soak_options
@@ -42,8 +42,8 @@
         cluster: Processes under test, already started.
 
     Returns:
-        One sentence for each violated guarantee, and the number of requests,
-        of responses by status and of injected faults.
+        One sentence for each violated guarantee, and the counts of requests
+        and of injected faults.
     """
     callers = [
         clients.Clients(cluster=cluster, group=group)
@@ -71,19 +71,17 @@
     sent = [request for item in callers for request in item.sent]
     events = backend_event.read_events(cluster.folder)
     findings += injector.findings
-    findings += record_checks.check_record(
-        run_record.RunRecord(
-            sent=sent,
-            events=events,
-            services={
-                name: item.service
-                for name, item in cluster.fleet.sidecars.items()
-            },
-            disturbed=injector.disturbed,
-            withdrawals=injector.withdrawals,
-            spans=injector.spans,
-        )
+    record = run_record.RunRecord(
+        sent=sent,
+        events=events,
+        services={
+            name: item.service for name, item in cluster.fleet.sidecars.items()
+        },
+        disturbed=injector.disturbed,
+        withdrawals=injector.withdrawals,
+        spans=injector.spans,
     )
+    findings += record_checks.check_record(record)
     findings += check_processes(cluster)
     if options.planned_only:
         findings += answer_checks.check_planned(sent, events)
@@ -91,7 +89,9 @@
         findings += limit_checks.check_refusals(
             sent, organisation_plan.INSIDE_ORGANISATION, begun_at
         )
-    return findings, count_outcomes(sent, injector)
+    counts = run_counts.count_outcomes(record)
+    counts['faults'] = len(injector.log_entries)
+    return findings, counts
 
 
 def draw_schedule(
@@ -109,24 +109,6 @@
     )
 
 
-def count_outcomes(
-    sent: list[sent_request.SentRequest],
-    injector: fault_injector.FaultInjector,
-) -> dict[str, int]:
-    """Count requests, responses by status and injected faults."""
-    counts = {'sent': len(sent)}
-    for item in sent:
-        name = 'status_%d' % item.status
-        counts[name] = counts.get(name, 0) + 1
-    counts['resent'] = sum(item.unread for item in sent)
-    counts['withdrawn_401'] = sum(
-        item.status == 401 and item.key == organisation_plan.WITHDRAWN_KEY
-        for item in sent
-    )
-    counts['faults'] = len(injector.log_entries)
-    return counts
-
-
 def check_recovery(cluster: soak_cluster.SoakCluster) -> list[str]:
     """Check that every node serves every route, and has its row."""
     findings = []
