End a departure in the soak with the report that the back end is back

Cause: reported four requests that ran 2.63 s after the departure of a back end was acknowledged. They ran 5 ms before the record of the acknowledgement that it was ready again: its node had read the report and sent the requests that waited, while the acknowledgement was under way. The check was wrong; it took the acknowledgement for the end of the departure. Change: the stand-in records each report of a changed state before it sends it, and the check ends the departure there. Requests that run before the report are found as before. An acknowledged departure is recorded again if a report of the contrary was sent in between. Result: the new record scenario failed before the change and passes with it.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -76,6 +76,7 @@
       | nothing went wrong                          |
       | a limited back end got what it names        |
       | a back end that leaves got requests for 2 s |
+      | a back end got requests once it reported that it is back |
       | pipelined answers came in order             |
       | an unread request ran after it was sent again |
       | a request without a key got 401             |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -119,6 +119,15 @@
         [soak_records.build_request()],
         [build_departure(), soak_records.build_event(at=3.5)],
     ),
+    'a back end got requests once it reported that it is back': lambda: (
+        [soak_records.build_request(sent_at=3.4, ended_at=3.7)],
+        [
+            build_departure(),
+            soak_records.build_event('report', at=3.4, state='ready'),
+            soak_records.build_event(at=3.5),
+            soak_records.build_event('state', at=3.6, state='ready'),
+        ],
+    ),
     'a service got 200 repeats of 10 requests': lambda: (
         [soak_records.build_request()],
         [
--- a/oleanderknot/standins/backend.py
+++ b/oleanderknot/standins/backend.py
@@ -87,8 +87,9 @@
     ``EARLY_ENDS`` and those of ``ENDLESS_RESPONSES``. With ``pace_ms`` an
     endless response pauses between its parts.
 
-    With ``--record`` each process start, arrival, run and acknowledged state
-    is appended to a file as one JSON line, which outlives the process.
+    With ``--record`` each process start, arrival, run, report of a changed
+    state and acknowledged state is appended to a file as one JSON line, which
+    outlives the process.
 
     Attributes:
         runs: Id, method, target, calling service, organisation, credentials,
@@ -99,7 +100,8 @@
         refusals: Refusal to send once more, by connection.
         notice: Header lines that each answer adds.
         state: State reported in heartbeats.
-        acknowledged_state: Last state that the node acknowledged.
+        acknowledged_state: Last state that the node acknowledged; empty
+            while another one is being reported.
     """
 
     def __init__(self, *, options: argparse.Namespace) -> None:
@@ -160,6 +162,9 @@
             'born': self.started_ms,
             **changes,
         }
+        if state != self.acknowledged_state:
+            self.acknowledged_state = ''
+            self.record('report', state=state)
         status = await self.post('heartbeat', content)
         if status == 200 and state != self.acknowledged_state:
             self.acknowledged_state = state
--- a/soak/backend_event.py
+++ b/soak/backend_event.py
@@ -11,7 +11,8 @@
 
     Attributes:
         at: Monotonic time in seconds.
-        event: ``start``, ``arrival``, ``run``, ``state`` or ``notice``.
+        event: ``start``, ``arrival``, ``run``, ``report``, ``state`` or
+            ``notice``.
         service: Service of the back end.
         name: Instance name of the back end.
         request_id: Id of the request; empty for a ``state`` event.
@@ -22,7 +23,8 @@
         credentials: ``Authorization`` header of the request in a ``run``
             event; empty without one.
         state: State that the node has acknowledged, ``draining`` or
-            ``ready``, in a ``state`` event.
+            ``ready``, in a ``state`` event; one that the back end sends in a
+            ``report`` event.
         limit: Requests per second that a ``notice`` names; 0 for none.
         leaving: Whether a ``notice`` says that the back end leaves.
     """
--- a/soak/run_checks.py
+++ b/soak/run_checks.py
@@ -71,17 +71,20 @@
 
 
 def check_drains(events: list[backend_event.BackendEvent]) -> list[str]:
-    """Check that no request starts at a back end that has left."""
+    """Check that no request starts at a back end that has left.
+
+    A departure ends with the report that the back end is ready again. Its
+    node may send requests before the back end has read the acknowledgement.
+    """
     findings = []
     departed_at: dict[str, float] = {}
     for event in events:
         if event.event == 'start':
             departed_at.pop(event.name, None)
-        elif event.event == 'state':
-            if event.state == 'draining':
-                departed_at.setdefault(event.name, event.at)
-            else:
-                departed_at.pop(event.name, None)
+        elif event.event == 'state' and event.state == 'draining':
+            departed_at.setdefault(event.name, event.at)
+        elif event.event == 'report' and event.state == 'ready':
+            departed_at.pop(event.name, None)
         elif event.event == 'run' and event.name in departed_at:
             late_s = event.at - departed_at[event.name]
             if late_s > DRAIN_BOUND_S:
