--- a/features/soak.feature
+++ b/features/soak.feature
@@ -31,6 +31,7 @@
       | an answer was short                         | 3 bytes in place of 5       |
       | an answer belonged to another request       | answer to other             |
       | planned work cut a request that ran         | ended with 0                |
+      | a request that did not run got 502 without a fault | got 502 without any fault |
       | a limited back end got 10 requests a second | named 3 requests a second   |
       | a back end that leaves got requests for 4 s | had passed on that it leaves |
       | pipelined answers came in another order     | answer to b                 |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -151,6 +151,10 @@
         [soak_records.build_request(status=0, error='closed')],
         [soak_records.build_event()],
     ),
+    'a request that did not run got 502 without a fault': lambda: (
+        [soak_records.build_request(status=502)],
+        [],
+    ),
     'nothing went wrong': lambda: (
         [soak_records.build_request(mismatch=find_mistake('a', b'xxxxx'))],
         [soak_records.build_event('arrival'), soak_records.build_event()],
@@ -181,6 +185,7 @@
     """Return the findings of all soak checks."""
     return [
         *answer_checks.check_planned(record.sent, record.events),
+        *answer_checks.check_calm(record.sent),
         *record_checks.check_record(record),
         *limit_checks.check_refusals(
             record.sent, organisation_plan.INSIDE_ORGANISATION, 0.0
--- a/soak/answer_checks.py
+++ b/soak/answer_checks.py
@@ -55,3 +55,17 @@
                 )
             )
     return findings
+
+
+def check_calm(sent: list[sent_request.SentRequest]) -> list[str]:
+    """Check that no request failed in a run without faults.
+
+    A request on an idle connection that its node closes at the same time may
+    get no answer.
+    """
+    return [
+        '%s %s at %s got %d without any fault'
+        % (item.method, item.request_id, item.instance, item.status)
+        for item in sent
+        if item.status in INTERRUPTED_STATUSES
+    ]
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -86,6 +86,7 @@
     if options.planned_only:
         findings += answer_checks.check_planned(sent, events)
     if options.calm:
+        findings += answer_checks.check_calm(sent)
         findings += limit_checks.check_refusals(
             sent, organisation_plan.INSIDE_ORGANISATION, begun_at
         )
