--- a/soak/backend_event.py
+++ b/soak/backend_event.py
@@ -11,15 +11,20 @@
 
     Attributes:
         at: Monotonic time in seconds.
-        event: ``start``, ``arrival``, ``run``, ``state`` or ``notice``.
+        event: ``start``, ``arrival``, ``run``, ``report``, ``state`` or
+            ``notice``.
         service: Service of the back end.
         name: Instance name of the back end.
         request_id: Id of the request; empty for a ``state`` event.
         method: HTTP method of the request in a ``run`` event.
         target: Path and query of the request in a ``run`` event.
         caller: Calling service of the request in a ``run`` event.
+        organisation: Organisation that a ``run`` event names; empty for none.
+        credentials: ``Authorization`` header of the request in a ``run``
+            event; empty without one.
         state: State that the node has acknowledged, ``draining`` or
-            ``ready``, in a ``state`` event.
+            ``ready``, in a ``state`` event; one that the back end sends in a
+            ``report`` event.
         limit: Requests per second that a ``notice`` names; 0 for none.
         leaving: Whether a ``notice`` says that the back end leaves.
     """
@@ -32,6 +37,8 @@
     method: str = ''
     target: str = ''
     caller: str = ''
+    organisation: str = ''
+    credentials: str = ''
     state: str = ''
     limit: float = 0.0
     leaving: bool = False
