Encode and decode frames without unused fields

Cause: each frame that is sent sets and looks up an attribute for all 16 kinds of message, passes the generated write method and a sink, and is joined; a read keeps empty rests and looks names up several times.

--- a/oleanderknot/tasks/peer_connection.py
+++ b/oleanderknot/tasks/peer_connection.py
@@ -174,8 +174,8 @@
         """Send one frame; the keyword argument is its message."""
         if self.closed or self.write_closed or self.transport is None:
             return
-        frame = wire.Frame(session=self.session, call=call, **message)
-        data = self.codec.encode(frame)
+        ((name, content),) = message.items()
+        data = self.codec.encode_message(self.session, call, name, content)
         if call == 0:
             self.handlers.control_bytes.sent += len(data)
         self.transport.write(data)
--- a/oleanderknot/wire/frame_reader.py
+++ b/oleanderknot/wire/frame_reader.py
@@ -6,6 +6,10 @@
 from oleanderknot.wire import codec as codecs
 from oleanderknot.wire.gen.peer import ttypes
 
+PREFIX_BYTES = codecs.LENGTH_PREFIX.size
+
+unpack_length = codecs.LENGTH_PREFIX.unpack_from
+
 
 class FrameReader:
     """Buffers received bytes and decodes complete frames.
@@ -40,21 +44,21 @@
             received = self.pending
         start = 0
         size = len(received)
-        while size - start >= codecs.LENGTH_PREFIX.size:
-            (length,) = codecs.LENGTH_PREFIX.unpack_from(received, start)
+        while (begin := start + PREFIX_BYTES) <= size:
+            (length,) = unpack_length(received, start)
             if length > codecs.MAX_FRAME_BYTES:
                 raise bad_frame.BadFrame(
                     'frame of %d bytes exceeds the limit of %d'
                     % (length, codecs.MAX_FRAME_BYTES)
                 )
-            end = start + codecs.LENGTH_PREFIX.size + length
+            end = begin + length
             if end > size:
                 break
-            content = bytes(received[start + codecs.LENGTH_PREFIX.size : end])
+            content = received[begin:end]
             self.frame_bytes = end - start
             start = end
             yield self.codec.decode(content)
-        if received is data:
-            self.pending += data[start:]
-        else:
+        if received is not data:
             del self.pending[:start]
+        elif start < size:
+            self.pending += data[start:]
--- a/oleanderknot/wire/frame_source.py
+++ b/oleanderknot/wire/frame_source.py
@@ -15,7 +15,7 @@
 
     cstringio_buf = io.BytesIO()
 
-    def set_content(self, content: bytes) -> None:
+    def set_content(self, content: bytes | bytearray) -> None:
         """Set the bytes of the next frame."""
         self.cstringio_buf = io.BytesIO(content)
 
