Avoid empty updates for each call

Cause: each call number updated the set of gaps with an empty range, each message computed a minimum by a function call, and a result was built with a dictionary of keyword arguments.

Change: plain conditions and an item assignment.

--- a/oleanderknot/decisions/arrival_delay.py
+++ b/oleanderknot/decisions/arrival_delay.py
@@ -41,5 +41,6 @@
             self.smallest_s = float('inf')
             self.window_end = received_at + WINDOW_S
         difference_s = received_at - sent_at
-        self.smallest_s = min(self.smallest_s, difference_s)
+        if difference_s < self.smallest_s:
+            self.smallest_s = difference_s
         return difference_s - min(self.smallest_s, self.previous_s)
--- a/oleanderknot/decisions/call_numbers.py
+++ b/oleanderknot/decisions/call_numbers.py
@@ -34,7 +34,7 @@
             return True
         if not 0 < number - self.highest <= MAX_STEP:
             return False
-        if self.highest:
+        if self.highest and number - self.highest > 2:
             self.gaps.update(range(self.highest + 2, number, 2))
         self.highest = number
         return len(self.gaps) <= MAX_STEP
--- a/oleanderknot/model/success.py
+++ b/oleanderknot/model/success.py
@@ -24,5 +24,7 @@
         The result.
     """
     result = Result.__new__(Result)
-    vars(result).update(OK_ATTRIBUTES, ok=value)
+    attributes = vars(result)
+    attributes.update(OK_ATTRIBUTES)
+    attributes['ok'] = value
     return result
