Build head messages without keyword arguments

Cause: a call of a class with keyword arguments builds a dictionary. Change: the fields are assigned, as for open messages.

--- a/oleanderknot/wire/translate_call.py
+++ b/oleanderknot/wire/translate_call.py
@@ -174,14 +174,14 @@
 
 def head_from_answer(answer: model.Answer) -> ttypes.Head:
     """Build the message that starts an answer."""
-    return ttypes.Head(
-        status=answer.status,
-        headers=flatten_headers(answer.headers),
-        body=answer.content,
-        body_complete=answer.body is None,
-        unspent=answer.unspent,
-        reports=translate_report.reports_to_wire(answer.reports),
-    )
+    message = ttypes.Head()
+    message.status = answer.status
+    message.headers = flatten_headers(answer.headers)
+    message.body = answer.content
+    message.body_complete = answer.body is None
+    message.unspent = answer.unspent
+    message.reports = translate_report.reports_to_wire(answer.reports)
+    return message
 
 
 def answer_from_head(
