Change the lease of recent results in steps

Cause: each result changed the lease of the node's memory, although the sum of kept answers hardly changes. Change: the lease changes in steps of 16 KiB and has room for at most two steps more than is kept; it still never has less.

--- a/oleanderknot/tasks/recent_results.py
+++ b/oleanderknot/tasks/recent_results.py
@@ -15,6 +15,9 @@
 # Bound of the memory of all kept answers.
 MAX_BYTES = 2 << 20
 
+# The lease changes in steps of this size, not with each result.
+LEASE_STEP_BYTES = 16 * 1024
+
 
 class RecentResults:
     """Keeps the results of calls in case their connection has gone silent.
@@ -26,7 +29,8 @@
         added: Loop time in seconds at which each result was added, its key,
             and the bytes of its body, oldest first.
         size: Bytes of the bodies of all kept answers.
-        lease: Their part of the memory of the node.
+        lease: Their part of the memory of the node; it has room for all kept
+            answers and at most two steps more.
     """
 
     def __init__(self, *, memory: decisions.NodeMemory | None = None) -> None:
@@ -72,8 +76,11 @@
             _, oldest, freed = added.popleft()
             self.results.pop(oldest, None)
             self.size -= freed
-        if self.size != self.lease.size and not self.lease.resize(self.size):
-            self.clear()
+        spare = self.lease.size - self.size
+        if not 0 <= spare < 2 * LEASE_STEP_BYTES:
+            steps = -(-self.size // LEASE_STEP_BYTES)
+            if not self.lease.resize(steps * LEASE_STEP_BYTES):
+                self.clear()
 
     def clear(self) -> None:
         """Drop all results; called when the memory is needed elsewhere."""
