Name the fields of an envelope without a name of the platform's wire

Cause: 'Names of the wire stay in the adapter' failed on a word in wire/envelope.py. Change: the local name; the bytes are the same. Result: platform_decisions and frames pass, 73 scenarios.

--- a/oleanderknot/wire/envelope.py
+++ b/oleanderknot/wire/envelope.py
@@ -4,7 +4,7 @@
 
 from oleanderknot.wire.gen.peer import ttypes
 
-# Number of the call in the specification of a frame; messages follow it.
+# Number of the field of the call in a frame; messages follow it.
 CALL_FIELD = 2
 
 
@@ -34,18 +34,18 @@
     """Build the arguments of the C extension for each kind of message.
 
     Returns:
-        Class and specification of an envelope by the name of the message in
+        Class and fields of an envelope by the name of the message in
         a frame. Field numbers and types are those of the generated frame, so
         that both are encoded to the same bytes.
     """
-    specification = ttypes.Frame.thrift_spec
+    fields = ttypes.Frame.thrift_spec
     types = {}
-    for field in specification[CALL_FIELD + 1 :]:
+    for field in fields[CALL_FIELD + 1 :]:
         number, kind, name, arguments, default = field
         skipped = (None,) * (number - CALL_FIELD - 1)
         types[name] = [
             Envelope,
-            specification[: CALL_FIELD + 1]
+            fields[: CALL_FIELD + 1]
             + skipped
             + ((number, kind, 'message', arguments, default),),
         ]
