--- a/review/support-2/kit.py
+++ b/review/support-2/kit.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -21,6 +22,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = '127.0.0.1'
+PORT_RANGE = (12000, 32000)
+USED_PORTS = set()
 
 # Exit codes of a script.
 HELD = 0
@@ -44,15 +47,24 @@
 
 
 def allocate_ports(count):
-    """Return free TCP ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind((HOST, 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Return free TCP ports of the loopback address.
+
+    They lie below the range from which systems take the ports of outgoing
+    connections.
+    """
+    found = []
+    while len(found) < count:
+        port = random.randrange(*PORT_RANGE)
+        if port in USED_PORTS:
+            continue
+        with socket.socket() as item:
+            try:
+                item.bind((HOST, port))
+            except OSError:
+                continue
+        USED_PORTS.add(port)
+        found.append(port)
+    return found
 
 
 class Record:
