--- a/review/support-2/kit.py
+++ b/review/support-2/kit.py
@@ -481,6 +481,16 @@
             raise CannotRunError('the store refused the config')
         self.record.write('config', version=self.version)
 
+    async def set_store_faults(self, **faults):
+        """Set what the stand-in of the store does wrong."""
+        content = json.dumps(faults).encode()
+        await exchange(
+            '%s:%d' % (HOST, self.store_port),
+            b'POST /-/faults HTTP/1.1\r\nHost: store\r\n'
+            b'Content-Length: %d\r\n\r\n' % len(content) + content,
+        )
+        self.record.write('store', **faults)
+
     def add_node(self, name, service, data_centre='zone-a'):
         """Define a node; ``start_node`` starts it."""
         node = Node(name=name, service=service, data_centre=data_centre)
