--- a/review/support-2/kit.py
+++ b/review/support-2/kit.py
@@ -18,12 +18,15 @@
 import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = '127.0.0.1'
 PORT_RANGE = (12000, 32000)
-USED_PORTS = set()
+BLOCK_PORTS = 100
+BLOCK = []
+FREE_PORTS = []
 
 # Exit codes of a script.
 HELD = 0
@@ -50,19 +53,27 @@
     """Return free TCP ports of the loopback address.
 
     They lie below the range from which systems take the ports of outgoing
-    connections.
+    connections. Scripts that run side by side take theirs from blocks of
+    their own; the first port of a block is bound while it is in use.
     """
+    while not BLOCK:
+        first = random.randrange(*PORT_RANGE, BLOCK_PORTS)
+        lock = socket.socket()
+        try:
+            lock.bind((HOST, first))
+        except OSError:
+            lock.close()
+            continue
+        BLOCK.append(lock)
+        FREE_PORTS.extend(range(first + 1, first + BLOCK_PORTS))
     found = []
     while len(found) < count:
-        port = random.randrange(*PORT_RANGE)
-        if port in USED_PORTS:
-            continue
+        port = FREE_PORTS.pop(0)
         with socket.socket() as item:
             try:
                 item.bind((HOST, port))
             except OSError:
                 continue
-        USED_PORTS.add(port)
         found.append(port)
     return found
 
@@ -119,6 +130,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.state = 'ready'
+        self.leaving = False
         self.runs = []
         self.dropped = []
         self.running = 0
@@ -176,10 +188,12 @@
     async def drain(self):
         """Report that this back end leaves; return whether it was acked."""
         self.state = 'draining'
+        self.leaving = True
         return await self.send_beat(self.build_beat()) == 200
 
     async def deregister(self):
         """Leave without a heartbeat that says so; return whether acked."""
+        self.leaving = True
         if self.beats is not None:
             self.beats.cancel()
         status = await self.post('deregister', {'born': self.born})
@@ -235,6 +249,25 @@
         request_id = headers.get('request-id', '')
         expected = headers.get('expected-instance', '')
         echo = 'Request-Id: %s\r\n' % request_id if request_id else ''
+        if self.leaving:
+            echo += 'Connection: close\r\n'
+        if target == '/health':
+            status = '503 Service Unavailable' if self.leaving else '200 OK'
+            writer.write(
+                (
+                    'HTTP/1.1 %s\r\n%sInstance-Id: %s\r\n'
+                    'Content-Length: 0\r\n\r\n' % (status, echo, self.upstream)
+                ).encode()
+            )
+            return not self.leaving
+        if not request_id:
+            writer.write(
+                (
+                    'HTTP/1.1 400 Bad Request\r\n%sNot-Executed: 1\r\n'
+                    'Content-Length: 0\r\n\r\n' % echo
+                ).encode()
+            )
+            return not self.leaving
         if expected and expected != self.upstream:
             self.record.write('misdirected', name=self.name, id=request_id)
             writer.write(
@@ -244,7 +277,7 @@
                     % (echo, self.upstream)
                 ).encode()
             )
-            return True
+            return not self.leaving
         if self.running >= self.slots:
             self.record.write('shed', name=self.name, id=request_id)
             writer.write(
@@ -253,9 +286,11 @@
                     'Not-Executed: 1\r\nContent-Length: 0\r\n\r\n' % echo
                 ).encode()
             )
-            return True
+            return not self.leaving
         query = urllib.parse.parse_qs(urllib.parse.urlsplit(target).query)
         work_s = float(query.get('work_ms', ['5'])[0]) / 1000
+        deadline_s = int(headers.get('deadline-milliseconds', 5000)) / 1000
+        in_time = work_s <= deadline_s
         run = {
             'name': self.name,
             'id': request_id,
@@ -269,7 +304,7 @@
         }
         run['at'] = self.record.write('run', **run)
         self.runs.append(run)
-        if not await self.work(work_s, reader):
+        if not await self.work(min(work_s, deadline_s), reader):
             run['dropped_at'] = self.record.write(
                 'dropped', name=self.name, id=request_id
             )
@@ -278,15 +313,17 @@
         run['ended_at'] = self.record.write(
             'ran', name=self.name, id=request_id
         )
+        status = '200 OK' if in_time else '504 Gateway Timeout'
         body = ('answer to %s' % request_id).encode()
         writer.write(
             (
-                'HTTP/1.1 200 OK\r\n%sResponse-Signature: s.%s\r\n'
-                'Content-Length: %d\r\n\r\n' % (echo, request_id, len(body))
+                'HTTP/1.1 %s\r\n%sResponse-Signature: s.%s\r\n'
+                'Content-Length: %d\r\n\r\n'
+                % (status, echo, request_id, len(body))
             ).encode()
             + body
         )
-        return True
+        return not self.leaving
 
     async def work(self, work_s, reader):
         """Work for a time; return False if the connection closes first."""
@@ -643,14 +680,21 @@
 
     async def run():
         system = System(folder)
+        # A script that is ended early still ends what it has started.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         try:
             async with asyncio.timeout(110):
                 held = await play(system)
             return HELD if held else BROKEN
         except (CannotRunError, TimeoutError, OSError) as error:
             print('the case could not run: %r' % error)
-            return NOT_RUN
+        except (Exception, asyncio.CancelledError):
+            # An error of the script must not pass for a broken rule.
+            traceback.print_exc()
         finally:
             await system.close()
+        return NOT_RUN
 
     sys.exit(asyncio.run(run()))
