Ask the upstream before a start that may have left is used

Cause: whether an upstream has left was inferred from the order in which heartbeats and deregistrations arrive. A process whose predecessors and peers have all ended, while the store was away, knows of no departure, and takes a late heartbeat for the first of a new upstream. In a process that knows of it, two late heartbeats of an earlier start counted as proof that this start was alive.

Change: a heartbeat that would make a start current that this process does not know as current waits for a status check of the upstream. The answer and the state are judged together after it, so a departure meanwhile holds. The check outlasts the acknowledgement, is shared by heartbeats of one start, waits for the policy that names its path, and is not sent by the first process of the system.

The scenarios "A departure that neither the store nor a node remembers holds" and "Late heartbeats of an earlier start do not bring an upstream back" failed before, 107 of 107 requests served, and pass.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -42,6 +42,41 @@
     And a late heartbeat of the back end of "two" arrives
     Then no request of "one" for "/order/" is served for 2.5 seconds after "two" logs "departure_adopted"
 
+  Scenario: A departure that neither the store nor a node remembers holds
+    Guards against a late heartbeat that passes for that of a new upstream,
+    after all nodes that knew of the departure were killed before the store
+    could take it.
+    When the store has the faults "silent"
+    And the back end of "two" deregisters
+    And the nodes "one" and "two" are killed and started
+    And the store has no faults
+    Then "one" serves "/page/1" again
+    And the store has no departure of "two"
+    When a late heartbeat of the back end of "two" arrives
+    Then no request of "one" for "/order/" is served for 2.5 seconds
+
+  Scenario: Late heartbeats of an earlier start do not bring an upstream back
+    Guards against two heartbeats of a start that has ended, which pass for
+    those of a live one once the current start has left and is silent.
+    When the back end of "two" is killed and started
+    Then "two" logs "upstream_restarted"
+    When the back end of "two" deregisters
+    And 3.5 s pass without a heartbeat
+    And heartbeats 90 and 91 of the start before that of "two" arrive
+    Then no request of "one" for "/order/" is served for 2.5 seconds
+
+  Scenario Outline: A live upstream is used again although its status check <answers>
+    Guards against a restarted node that keeps an upstream out because the
+    upstream is busy or wrong about its health.
+    Given the status check of "two" <answers>
+    When the nodes "one" and "two" are killed and started
+    Then "one" serves "/order/again" again
+
+    Examples:
+      | answers          |
+      | says 503         |
+      | takes 1200 ms    |
+
   Scenario Outline: A departure that nothing but its node holds is not acknowledged
     Guards against an acknowledgement that a kill of the node makes untrue.
     When the node of "one" is killed
--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -225,6 +225,39 @@
       | no sequence | i-2      | 2000    | 1        | taken   |
       | no sequence | i-1      | 900     | 1        | not acknowledged |
 
+  Scenario Outline: A start is in doubt when its departure may be forgotten
+    Guards against a late heartbeat that is taken for that of a live start, as
+    well as against status checks that nothing requires.
+    Given <known> heartbeat of "i-1" started at 1000 at <process> process of the node
+    Then a "<state>" heartbeat of "<upstream>" started at <started> <asks> the upstream
+
+    Examples:
+      | known | process   | state    | upstream | started | asks          |
+      | no    | a later   | ready    | i-1      | 1000    | asks          |
+      | no    | a later   | draining | i-1      | 1000    | does not ask  |
+      | no    | the first | ready    | i-1      | 1000    | does not ask  |
+      | one   | the first | ready    | i-1      | 1000    | does not ask  |
+      | one   | the first | ready    | i-1      | 900     | asks          |
+      | one   | the first | ready    | i-2      | 2000    | asks          |
+      | one   | a later   | ready    | i-1      | 1000    | does not ask  |
+
+  Scenario Outline: A status check tells who takes work
+    Guards against an upstream that is used although it leaves, or
+    kept out because it is full or wrong about its health.
+    Then the sender of a heartbeat of "i-1" is <liveness> when "<upstream>" answers <answer>
+
+    Examples:
+      | upstream | answer            | liveness |
+      | i-1      | 200               | live     |
+      | i-1      | 200 and closes    | live     |
+      | i-1      | 503               | live     |
+      | i-1      | 503 and closes    | leaving  |
+      | i-2      | 200               | replaced |
+      | i-2      | 503 and closes    | replaced |
+      | no id    | 503               | live     |
+      | no id    | 503 and closes    | leaving  |
+      | no id    | nothing           | unknown  |
+
   Scenario Outline: A departure is adopted after a late heartbeat was taken
     Guards against a restarted node that hears the late heartbeat first.
     Given a heartbeat of "i-1" started at 1000 with sequence 5
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -68,6 +68,27 @@
     wait.wait_until(is_sent, 'the heartbeat ingress of %s listens' % name)
 
 
+@when('{duration_s:f} s pass without a heartbeat')
+def wait_in_silence(context, duration_s):
+    """Wait until the current start counts as silent."""
+    time.sleep(duration_s)
+
+
+@when(
+    'heartbeats {first:d} and {second:d} of the start before that of '
+    '"{name}" arrive'
+)
+def send_earlier_heartbeats(context, first, second, name):
+    """Send late heartbeats of a start that began one minute earlier."""
+    started_ms = int((time.time() - 60) * 1000)
+    for sequence in (first, second):
+        context.fleet.query_backend(
+            name,
+            '/-/report?state=ready&born=%d&sequence=%d'
+            % (started_ms, sequence),
+        )
+
+
 @when('the back end of "{name}" is killed and started')
 def restart_backend(context, name):
     """Start a back end again under its id."""
@@ -137,6 +158,12 @@
     )
 
 
+@then('the store has no departure of "{name}"')
+def check_no_departure_row(context, name):
+    """Check that the store has not taken the departure."""
+    assert name not in context.fleet.list_rows('departures')
+
+
 @then(
     'no request of "{name}" for "{target}" is served for {duration_s:f} '
     'seconds'
@@ -166,6 +193,18 @@
     check_none_served(context, name, target, duration_s)
 
 
+@given('the status check of "{name}" says 503')
+def make_status_ill(context, name):
+    """Let a back end that takes work call itself ill."""
+    context.fleet.query_backend(name, '/-/status?ill=1')
+
+
+@given('the status check of "{name}" takes {delay_ms:d} ms')
+def delay_status(context, name, delay_ms):
+    """Let the status check of a back end wait, as for a slot."""
+    context.fleet.query_backend(name, '/-/status?delay_ms=%d' % delay_ms)
+
+
 @given('the back end of "{name}" is killed and started with {slots:d} slots')
 def restart_backend_with_slots(context, name, slots):
     """Start a back end again that runs fewer requests at once."""
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -118,6 +118,7 @@
     'route_table': ('RouteTable',),
     'service_time': ('ServiceTimes',),
     'speed_meter': ('SpeedMeter',),
+    'start_liveness': ('judge_start', 'StartLiveness'),
     'target_split': ('TargetSplit',),
     'ticket_filing': ('number_ticket', 'resolve_filing'),
     'ticket_propagation': (
--- a/oleanderknot/decisions/heartbeat_filter.py
+++ b/oleanderknot/decisions/heartbeat_filter.py
@@ -50,6 +50,8 @@
             number of its newest heartbeat; None if there is none.
         departures: Departures that this node or an earlier process of it has
             acknowledged.
+        first_process: Whether this is the first process of the node, so that
+            it knows all departures that were ever acknowledged.
     """
 
     def __init__(
@@ -59,7 +61,9 @@
         host: str,
         port: int,
         heartbeat_interval_s: float,
+        first_process: bool = False,
     ) -> None:
+        self.first_process = first_process
         self.service = service
         self.host = host
         self.port = port
@@ -85,11 +89,7 @@
         Returns:
             Whether it is a new heartbeat of the upstream at this address.
         """
-        if (report.service, report.host, report.port) != (
-            self.service,
-            self.host,
-            self.port,
-        ):
+        if not self.is_local(report):
             return Outcome.IGNORED
         if self.has_departed(report):
             return Outcome.IGNORED
@@ -109,6 +109,31 @@
         self.contender = None
         return Outcome.ACCEPTED
 
+    def is_local(self, report: model.UpstreamHeartbeat) -> bool:
+        """Return whether a heartbeat is of the upstream at this address."""
+        return (report.service, report.host, report.port) == (
+            self.service,
+            self.host,
+            self.port,
+        )
+
+    def needs_status_check(self, report: model.UpstreamHeartbeat) -> bool:
+        """Return whether the upstream must be asked before ``accept``.
+
+        A heartbeat that would let another start take work may have been sent
+        before a departure that an earlier process acknowledged. Nothing but
+        the upstream is certain to know of it.
+        """
+        if report.draining or not self.is_local(report):
+            return False
+        start = find_start(report)
+        departure = self.departures.get(start)
+        if departure is not None and departure.sequence is None:
+            return False
+        if self.current is None:
+            return not self.first_process
+        return start != find_start(self.current)
+
     def is_later(self, start: Start) -> bool:
         """Return whether a start is unknown and later by its start time."""
         upstream, started_ms = start
--- a/oleanderknot/model/__init__.py
+++ b/oleanderknot/model/__init__.py
@@ -64,6 +64,7 @@
     'upstream_heartbeat': ('UpstreamHeartbeat',),
     'upstream_notice': ('UpstreamNotice',),
     'upstream_policy': ('UpstreamPolicy',),
+    'upstream_status': ('UpstreamStatus',),
     'upstream_view': ('UpstreamView',),
     'verdict': ('Verdict',),
 }
--- a/oleanderknot/model/response_metadata.py
+++ b/oleanderknot/model/response_metadata.py
@@ -20,6 +20,7 @@
         rate: Requests per second that the upstream takes from all nodes
             together; None when it names no limit.
         leaving: Whether the upstream says that it is leaving.
+        closing: Whether the upstream closes the connection after the response.
         headers: End-to-end headers that are forwarded unchanged.
     """
 
@@ -32,3 +33,4 @@
     headers: call.Headers
     rate: float | None = None
     leaving: bool = False
+    closing: bool = False
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -17,6 +17,7 @@
 from oleanderknot.node import lifecycle_log
 from oleanderknot.node import local_upstream
 from oleanderknot.node import memory_events
+from oleanderknot.node import sidecar_confirmation
 from oleanderknot.node import sidecar_dialect
 from oleanderknot.node import sidecar_drain
 from oleanderknot.node import sidecar_gauges
@@ -174,6 +175,7 @@
         self.reconnector.stop()
         self.recovery.close()
         self.quota.close()
+        self.local_upstream.heartbeats.confirmation.close()
         self.peers.close()
         self.pool.close()
         await self.local_upstream.runner.close()
@@ -271,7 +273,7 @@
             count=self.recorder.count,
         )
         self.quota = sidecar_quota.build_quota(self)
-        self.policies.on_change = self.quota.apply_policy
+        self.policies.on_change = self.apply_policy
         self.feed = policy_feed.PolicyFeed(
             store=self.store,
             on_policy=self.policies.apply,
@@ -328,7 +330,9 @@
             ),
             first_start=self.settings.first_start,
         )
-        self.local_upstream.heartbeats.departures = self.departures
+        heartbeats = self.local_upstream.heartbeats
+        heartbeats.departures = self.departures
+        heartbeats.confirmation = sidecar_confirmation.build_confirmation(self)
         self.store_epoch.on_change.append(self.departures.save_again)
         self.reconnector = peer_reconnector.PeerReconnector(
             members=self.membership, pool=self.pool, rng=self.rng
@@ -355,6 +359,11 @@
             clock_s,
         )
 
+    def apply_policy(self, policy: model.TrafficPolicy) -> None:
+        """Pass a policy that comes into force to the tasks that need it."""
+        self.quota.apply_policy(policy)
+        self.local_upstream.heartbeats.confirmation.policy_arrived.set()
+
     def is_ready(self) -> bool:
         """Return whether clients may send requests to this node."""
         return not self.stopping and self.policies.policy is not None
--- a/oleanderknot/node/upstream_heartbeats.py
+++ b/oleanderknot/node/upstream_heartbeats.py
@@ -11,6 +11,7 @@
 from oleanderknot.tasks import leaving_reasons
 from oleanderknot.tasks import membership
 from oleanderknot.tasks import runner as runners
+from oleanderknot.tasks import start_confirmation
 
 
 class UpstreamHeartbeats:
@@ -25,10 +26,13 @@
         membership: Publishes the record of this node; set at its start.
         departures: Keeps the latest departure beyond the end of this process;
             set at the start of the node.
+        confirmation: Asks the upstream about heartbeats that may be outdated;
+            set at the start of the node.
     """
 
     membership: membership.Membership
     departures: departure_store.DepartureStore
+    confirmation: start_confirmation.StartConfirmation
 
     def __init__(
         self,
@@ -45,6 +49,7 @@
             host=host,
             port=int(port),
             heartbeat_interval_s=settings.upstream.heartbeat_interval,
+            first_process=settings.first_start,
         )
         self.leaving = leaving_reasons.LeavingReasons(
             on_change=self.change_leaving
@@ -60,6 +65,19 @@
             Whether it may be acknowledged.
         """
         await self.departures.wait_until_tried()
+        if self.heartbeat_filter.needs_status_check(report):
+            return await self.confirmation.confirm(report)
+        return await self.process_heartbeat(report)
+
+    async def process_heartbeat(self, report: model.UpstreamHeartbeat) -> bool:
+        """Decide about a heartbeat by those before it, and put it in force.
+
+        The state may have changed since the status check, so the filter
+        decides only now.
+
+        Returns:
+            Whether it may be acknowledged.
+        """
         before = self.heartbeat_filter.current
         outcome = self.heartbeat_filter.accept(report, time.monotonic())
         if outcome is decisions.HeartbeatOutcome.ACCEPTED:
--- a/oleanderknot/platform/message_headers.py
+++ b/oleanderknot/platform/message_headers.py
@@ -176,6 +176,8 @@
         if lower in UNFORWARDED_RESPONSE_HEADERS:
             if lower == b'keep-alive':
                 facts.idle_timeout_s = parse_keep_alive(value)
+            elif lower == b'connection':
+                facts.closing = value.strip().lower() == b'close'
             continue
         if lower == REQUEST_ID_LOWER:
             facts.request_id = value.decode('latin-1')
--- a/oleanderknot/standins/backend.py
+++ b/oleanderknot/standins/backend.py
@@ -13,6 +13,9 @@
 
 HEARTBEAT_INTERVAL_S = 0.3
 
+# Path of the status check in the policies of the tests.
+HEALTH_PATH = '/health'
+
 # Bytes sent instead of a valid response, by fault; the connection is closed
 # after them.
 CLOSING_RESPONSES = {
@@ -100,6 +103,9 @@
         refusals: Refusal to send once more, by connection.
         notice: Header lines that each answer adds.
         state: State reported in heartbeats.
+        deregistered: Whether it has left without saying ``draining``.
+        status_delay_s: Seconds that a status check waits.
+        status_ill: Whether a status check says that this back end is ill.
         acknowledged_state: Last state that the node acknowledged; empty
             while another one is being reported.
     """
@@ -115,6 +121,9 @@
         ] = weakref.WeakKeyDictionary()
         self.notice = b''
         self.state = self.acknowledged_state = 'ready'
+        self.deregistered = False
+        self.status_delay_s = 0.0
+        self.status_ill = False
         self.upstream = 'i-%s' % options.name
         self.started_ms = int((time.time() + options.clock_ahead_s) * 1000)
         self.sequence = 0
@@ -174,6 +183,7 @@
     async def deregister(self) -> int:
         """Deregister without a heartbeat that says so, and go on serving."""
         self.heartbeat_task.cancel()
+        self.deregistered = True
         return await self.post('deregister', {'born': self.started_ms})
 
     async def post(self, action: str, content: dict[str, object]) -> int:
@@ -233,6 +243,11 @@
             content = await self.handle_control(parts.path, query)
             writer.write(build_response(200, '', json.dumps(content).encode()))
             return True
+        if parts.path == HEALTH_PATH:
+            await asyncio.sleep(self.status_delay_s)
+            leaving = self.deregistered or self.state != 'ready'
+            writer.write(build_status(self.upstream, leaving, self.status_ill))
+            return not leaving
         request_id = headers.get('request-id', '')
         self.record('arrival', id=request_id)
         writer.write(self.refusals.pop(writer, b''))
@@ -370,6 +385,10 @@
             return await self.send_heartbeat()
         if path == '/-/deregister':
             return await self.deregister()
+        if path == '/-/status':
+            self.status_delay_s = int(query.get('delay_ms', 0)) / 1000
+            self.status_ill = 'ill' in query
+            return {}
         if path == '/-/notice':
             # Headers by name, such as ``Server-Limit=10.5``.
             self.notice = b''.join(
@@ -404,6 +423,15 @@
     )
 
 
+def build_status(upstream: str, leaving: bool, ill: bool) -> bytes:
+    """Build the response to a status check."""
+    return b'HTTP/1.1 %b\r\nInstance-Id: %b\r\n%bContent-Length: 0\r\n\r\n' % (
+        b'503 Unavailable' if leaving or ill else b'200 OK',
+        upstream.encode(),
+        b'Connection: close\r\n' if leaving else b'',
+    )
+
+
 def build_response(
     status: int, request_id: str, body: bytes, notice: bytes = b''
 ) -> bytes:
--- a/oleanderknot/tasks/metric_list.py
+++ b/oleanderknot/tasks/metric_list.py
@@ -270,6 +270,12 @@
         'calls',
         'Repeats that were sent to the local upstream; on a platform.',
     ),
+    (
+        'upstream.status_checks',
+        'checks',
+        'Status checks sent to the local upstream about heartbeats that may'
+        ' be outdated; on a platform.',
+    ),
 )
 
 # Name, unit and description of each metric.
