Find the caller of a nested call by its run, not by the text of its id

Cause: an id with a point passed for that of a nested call, and what stands before the first point for the request that it belongs to. Nested calls need no key. Clients choose their ids.

Change: a request is a nested call only if it comes from an address of the instance, carries no credentials while the policy has keys, and its id without the last part is that of a request that runs at the local upstream. The trace id of any other request is random: it was a hash of the id, so that a client could choose its rank and the reserved quarter. The trace command groups lines by the trace instead of the text of the id.

Tests: "The id of a request does not tell whose it is" failed before, as a request with an unknown key got 200.

--- a/features/organisation_keys.feature
+++ b/features/organisation_keys.feature
@@ -64,8 +64,48 @@
     When a client of "two" sends GET "/page/3" as "d2.0" with the headers
       | name          | value         |
       | Authorization | Bearer nobody |
-    Then it gets status 503
+    Then it gets status 401
     And "d2.0" ran nowhere
+    When a client of "two" without a key at 127.0.0.1 sends GET "/page/3" as "d3.0"
+    Then it gets status 503
+    And "d3.0" ran nowhere
+
+  Scenario: The id of a request does not tell whose it is
+    Guards against clients whose ids have the form of those of nested calls,
+    so that a request passes for a call of another one that runs.
+    Given a client of "two" has GET "/file/1?delay_ms=3000" run as "1796.5"
+    When a client of "two" sends GET "/file/2" as "1796.7" with the headers
+      | name          | value         |
+      | Authorization | Bearer nobody |
+    Then it gets status 401
+    And "1796.7" ran nowhere
+    When a client of "two" sends GET "/file/3" as "1796.8" with the headers
+      | name          | value          |
+      | Authorization | Bearer oak-key |
+    Then it gets status 200
+    And "1796.8" ran for the organisation "oak" without credentials
+    When a client of "two" sends GET "/file/4" as "1796.5.0" with the headers
+      | name          | value         |
+      | Authorization | Bearer nobody |
+    Then it gets status 401
+    And "1796.5.0" ran nowhere
+    When a client of "two" without a key at 127.0.0.2 sends GET "/file/5" as "1796.5.1"
+    Then it gets status 401
+    And "1796.5.1" ran nowhere
+
+  Scenario: Nested calls of a request with a point in its id run
+    Guards against a nested call whose request is not found, as the id is cut
+    at the first point.
+    When a client of "two" sends GET "/file/1?call=shop.example/page/2" as "1796.5"
+    Then it gets status 200
+    And "1796.5.0" ran for the organisation "" without credentials
+
+  Scenario: A client without a key does not pass for an upstream that it shares an address with
+    Guards against access without a key for those who know the id of a request
+    that runs.
+    Given a client of "two" has GET "/file/1?delay_ms=2000" run as "e1"
+    When a client of "two" without a key at 127.0.0.1 sends GET "/page/3" as "e1.7"
+    Then "e1.7" ran nowhere
 
   Scenario: A withdrawn key is refused on an open connection and after a restart
     Guards against a key that comes back with a node that finds the store away.
--- a/features/steps/late_request_steps.py
+++ b/features/steps/late_request_steps.py
@@ -158,6 +158,7 @@
     async def read():
         transport = mock.Mock()
         transport.get_write_buffer_size.return_value = 0
+        transport.get_extra_info.return_value = ('127.0.0.1', 4000)
         context.connection.connection_made(transport)
         context.connection.data_received(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
         context.busy_at_once = context.listener.active
--- a/features/steps/organisation_key_steps.py
+++ b/features/steps/organisation_key_steps.py
@@ -1,6 +1,7 @@
 """Steps that test API keys of organisations."""
 
 import http.client
+import threading
 import time
 
 from behave import given
@@ -36,6 +37,52 @@
     context.fleet.client_headers['Authorization'] = 'Bearer ' + key
 
 
+@given('a client of "{name}" has {method} "{target}" run as "{request_id}"')
+def send_in_background(context, name, method, target, request_id):
+    """Send a request and wait until an upstream runs it."""
+    sender = threading.Thread(
+        target=context.fleet.send,
+        args=(name, target),
+        kwargs={'method': method, 'request_id': request_id, 'wait_ms': 8000},
+    )
+    sender.start()
+    context.add_cleanup(sender.join)
+    wait.wait_until(
+        lambda: any(
+            run['id'] == request_id for run in context.fleet.list_runs()
+        ),
+        '%s runs' % request_id,
+    )
+
+
+@when(
+    'a client of "{name}" without a key at {address} sends {method} '
+    '"{target}" as "{request_id}"'
+)
+def send_without_key(context, name, address, method, target, request_id):
+    """Send a request without credentials from a loopback address."""
+    host, port = context.fleet.sidecars[name].requests.split(':')
+    connection = http.client.HTTPConnection(
+        host, int(port), timeout=10, source_address=(address, 0)
+    )
+    connection.request(
+        method,
+        target,
+        headers={
+            'Host': 'shop.example',
+            'Request-Id': request_id,
+            'Deadline-Milliseconds': '2000',
+        },
+    )
+    response = connection.getresponse()
+    context.answer = (
+        response.status,
+        {name.lower(): value for name, value in response.getheaders()},
+        response.read(),
+    )
+    connection.close()
+
+
 @given('an open connection of a client to "{name}"')
 def open_connection(context, name):
     """Open a connection that is kept for several requests."""
--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -76,6 +76,7 @@
         )
         context.transport = mock.Mock()
         context.transport.get_write_buffer_size.return_value = 0
+        context.transport.get_extra_info.return_value = ('127.0.0.1', 4000)
         context.connection.connection_made(context.transport)
 
     run_turns(context, build)
--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -17,7 +17,7 @@
     'call_numbers': ('CallNumbers',),
     'candidate_build': ('build_candidate',),
     'chain_account': ('ChainAccount', 'open_account'),
-    'chain_table': ('ChainTable',),
+    'chain_table': ('CALL_ID_SEPARATOR', 'ChainTable'),
     'concurrency_limit': ('ConcurrencyLimit',),
     'departure_notice': ('DepartureNotice',),
     'excess_view': ('ExcessView', 'merge_excess'),
--- a/oleanderknot/decisions/chain_account.py
+++ b/oleanderknot/decisions/chain_account.py
@@ -10,6 +10,7 @@
     """Remaining retries and waiting time of the requests of one trace.
 
     Attributes:
+        trace_id: Id of the trace.
         request_class: Importance of the chain.
         deadline: Monotonic time in seconds at which the answer is due.
         depth: Number of calls above the request that the upstream runs.
@@ -32,6 +33,7 @@
             by method, service and path.
     """
 
+    trace_id: str
     request_class: model.RequestClass
     deadline: float
     depth: int
@@ -146,6 +148,7 @@
         The account.
     """
     return ChainAccount(
+        trace_id=call.trace_id,
         request_class=call.request_class,
         deadline=call.deadline,
         depth=call.depth,
--- a/oleanderknot/decisions/request_trace.py
+++ b/oleanderknot/decisions/request_trace.py
@@ -10,9 +10,6 @@
 # upstream is leaving, within this time.
 CONTEXT_BEFORE_S = 7.0
 
-# Separates the id of a root request from the suffix of its nested calls.
-CALL_ID_SEPARATOR = '.'
-
 REQUEST_EVENTS = ('request', 'run')
 
 VERDICT_TEXTS = {
@@ -25,24 +22,19 @@
 def find_lines(
     entries: collections.abc.Iterable[model.LogEntry], request: str
 ) -> list[model.LogEntry]:
-    """Return the lines about all calls of a root request.
+    """Return the lines about a request and all calls of its trace.
 
     Args:
         entries: Lines of several nodes, in any order.
         request: Id of the request or of one of its calls.
 
     Returns:
-        The lines in order of time. The id of a nested call is the id of its
-        root request, a separator and a suffix.
+        The lines in order of time.
     """
-    root = request.partition(CALL_ID_SEPARATOR)[0]
+    lines = [entry for entry in entries if entry.event in REQUEST_EVENTS]
+    traces = {entry.trace for entry in lines if entry.request == request}
     return sorted(
-        (
-            entry
-            for entry in entries
-            if entry.event in REQUEST_EVENTS
-            and entry.request.partition(CALL_ID_SEPARATOR)[0] == root
-        ),
+        (entry for entry in lines if entry.trace in traces),
         key=lambda entry: entry.at,
     )
 
--- a/oleanderknot/model/http_request.py
+++ b/oleanderknot/model/http_request.py
@@ -16,6 +16,7 @@
         content: The body.
         received_at: Event loop time in seconds at which the request was
             complete.
+        source: IP address that the request came from; empty if unknown.
     """
 
     method: str
@@ -23,3 +24,4 @@
     headers: call.Headers
     content: bytes
     received_at: float
+    source: str = ''
--- a/oleanderknot/model/request_metadata.py
+++ b/oleanderknot/model/request_metadata.py
@@ -17,6 +17,7 @@
         headers: End-to-end headers that are forwarded unchanged.
         key_digest: Hexadecimal SHA-256 digest of its API key; empty if it
             carries none, or more than one.
+        has_credentials: Whether it carries credentials of any kind.
     """
 
     request_id: str
@@ -24,3 +25,4 @@
     client_timeout_s: float | None
     headers: call.Headers
     key_digest: str = ''
+    has_credentials: bool = False
--- a/oleanderknot/node/sidecar_listeners.py
+++ b/oleanderknot/node/sidecar_listeners.py
@@ -19,6 +19,8 @@
 if typing.TYPE_CHECKING:
     from oleanderknot.node import sidecar_application
 
+LOOPBACK_HOST = '127.0.0.1'
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SidecarListeners:
@@ -62,6 +64,7 @@
         requests=build_listener(
             routed_ingress.build_handler(
                 service=node.settings.upstream.service,
+                local_hosts=list_local_hosts(node.settings),
                 policies=node.policies,
                 calls=node.dispatcher,
                 limits=node.quota,
@@ -101,6 +104,19 @@
     )
 
 
+def list_local_hosts(settings: border.SidecarSettings) -> frozenset[str]:
+    """Return the IP addresses from which the local upstream sends calls.
+
+    A connection to an address of the same host comes from that address, and
+    one to any loopback address from ``LOOPBACK_HOST``.
+    """
+    hosts = {
+        address.rpartition(':')[0]
+        for address in (settings.upstream.address, settings.addresses.requests)
+    }
+    return frozenset(hosts | {LOOPBACK_HOST})
+
+
 def build_returning(
     node: 'sidecar_application.SidecarApplication',
 ) -> returning_clients.ReturningClients | None:
--- a/oleanderknot/platform/message_headers.py
+++ b/oleanderknot/platform/message_headers.py
@@ -130,6 +130,7 @@
         client_timeout_s=timeout_s,
         headers=forwarded,
         key_digest=key_digest if authorizations == 1 else '',
+        has_credentials=authorizations > 0,
     )
 
 
--- a/oleanderknot/tasks/client_connection.py
+++ b/oleanderknot/tasks/client_connection.py
@@ -29,6 +29,7 @@
     Attributes:
         listener: The listener that accepted the connection.
         parser: Parses requests from the received bytes.
+        source: IP address of the client; empty if unknown.
         backlog: Received bytes that are not parsed yet.
         memory: Counts what the connection holds.
         pipeline: Runs the complete requests.
@@ -69,6 +70,7 @@
         self.timeout_started_at = self.loop.time()
         self.reading = False
         self.transport: typing.Any = None
+        self.source = ''
         self.paused = False
         self.writable = True
         self.last_read = False
@@ -80,6 +82,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection; called by the event loop."""
         self.transport = transport
+        peer = transport.get_extra_info('peername')
+        self.source = peer[0] if peer else ''
         self.listener.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -175,6 +179,7 @@
         if self.last_read:
             return
         request.received_at = self.loop.time()
+        request.source = self.source
         # A client whose request is complete is not slow while it runs.
         self.memory.lease.progress = None
         self.reading = False
--- a/oleanderknot/tasks/key_check.py
+++ b/oleanderknot/tasks/key_check.py
@@ -9,8 +9,8 @@
     route: model.Route,
     keys: decisions.KeyTable,
     *,
-    nested: bool,
-    running: bool,
+    is_nested: bool,
+    is_orphan: bool,
 ) -> model.Organisation | model.Refusal | None:
     """Return the organisation of a request, or why it must not run.
 
@@ -21,19 +21,20 @@
         metadata: Decoded headers of the request.
         route: Route of the request.
         keys: API keys of the policy in force.
-        nested: Whether its id is that of a nested call.
-        running: Whether the request that it is nested in runs here.
+        is_nested: Whether it is a call of a request that runs here.
+        is_orphan: Whether it may be a call of a request that no longer runs
+            here.
 
     Returns:
         The organisation that holds the key of the request; None for a nested
         call, and for a request without a known key if the route needs none.
     """
-    if nested and running:
+    if is_nested:
         return None
     organisation = keys.find(metadata.key_digest)
     if organisation is not None or route.anonymous:
         return organisation
-    if nested:
+    if is_orphan:
         rule = model.Rule.UNKNOWN_CHAIN
         detail = 'the request that the call belongs to does not run here'
     else:
--- a/oleanderknot/tasks/route_explainer.py
+++ b/oleanderknot/tasks/route_explainer.py
@@ -1,6 +1,7 @@
 """Explains where a request would go, without sending it."""
 
 import collections.abc
+import hashlib
 import time
 
 from oleanderknot import decisions
@@ -89,6 +90,7 @@
                 route,
                 service=target.service,
                 version=policies.version,
+                trace_id=build_example_trace(query.request_id),
                 organisation=organisation,
             )
             targets.append(explain_target(calls, call, target.weight))
@@ -101,6 +103,14 @@
     return explain
 
 
+def build_example_trace(request_id: str) -> str:
+    """Return a trace id for an explanation, the same for the same id.
+
+    The trace ids of requests are random.
+    """
+    return hashlib.blake2b(request_id.encode(), digest_size=16).hexdigest()
+
+
 def find_organisation(
     policy: model.TrafficPolicy, name: str
 ) -> model.Organisation | None:
--- a/oleanderknot/tasks/routed_call.py
+++ b/oleanderknot/tasks/routed_call.py
@@ -1,6 +1,6 @@
 """Builds the calls of requests that match a route of the policy."""
 
-import hashlib
+import random
 
 from oleanderknot import decisions
 from oleanderknot import model
@@ -10,9 +10,6 @@
 # the timeout is more useful to the client than a refusal.
 TIMEOUT_GRACE_S = 0.15
 
-# Separates the id of a request from the suffix of the calls made for it.
-CALL_ID_SEPARATOR = '.'
-
 MAX_CLASS = max(model.RequestClass)
 
 
@@ -45,12 +42,20 @@
     *,
     service: str,
     version: int,
+    trace_id: str,
     organisation: model.Organisation | None = None,
 ) -> model.Call:
     """Build the call of a request.
 
-    The calls made for one request share its id up to the first separator, so
-    that all nodes assign them the same priority.
+    Args:
+        request: The request.
+        metadata: Its decoded headers.
+        route: Its route; None if it has none.
+        service: Service that the call goes to.
+        version: Version of the policy in force.
+        trace_id: Trace that the call belongs to, from which all nodes derive
+            the same priority. It must not depend on what a client sends.
+        organisation: Organisation that holds the key of the request.
     """
     timeout_s = metadata.client_timeout_s
     if route is not None:
@@ -60,7 +65,6 @@
             if timeout_s is None
             else min(timeout_s, max_timeout_s)
         )
-    trace_id = build_trace_id(metadata.request_id)
     priority = 0 if route is None else route.priority
     if organisation is not None and organisation.priority is not None:
         priority = organisation.priority
@@ -83,7 +87,10 @@
     )
 
 
-def build_trace_id(request_id: str) -> str:
-    """Return the trace id shared by a request and its calls."""
-    root = request_id.partition(CALL_ID_SEPARATOR)[0]
-    return hashlib.blake2b(root.encode(), digest_size=16).hexdigest()
+def build_trace_id(rng: random.Random) -> str:
+    """Return a new trace id.
+
+    It is not derived from the id of the request, since a client that chooses
+    its ids could choose its priority by them.
+    """
+    return '%032x' % rng.getrandbits(128)
--- a/oleanderknot/tasks/routed_ingress.py
+++ b/oleanderknot/tasks/routed_ingress.py
@@ -32,6 +32,7 @@
 def build_handler(
     *,
     service: str,
+    local_hosts: frozenset[str],
     policies: traffic_policies.TrafficPolicies,
     calls: routed_dispatcher.RoutedDispatcher,
     limits: quota.Quota,
@@ -46,6 +47,8 @@
 
     Args:
         service: Service of the local upstream, the origin of all requests.
+        local_hosts: IP addresses of this instance, from one of which the
+            local upstream sends its calls.
         policies: Traffic policy in force.
         calls: Sends calls to upstreams.
         limits: Limits of organisations over all nodes.
@@ -64,22 +67,35 @@
     async def handle(request: model.HttpRequest) -> model.HttpResponse:
         metadata = dialect.parse_request_headers(request.headers)
         route = policies.routes.find(metadata.host, request.target)
-        account = None
-        if routed_call.CALL_ID_SEPARATOR in metadata.request_id:
-            account = chains.find(
-                routed_call.build_trace_id(metadata.request_id)
-            )
+        is_from_upstream = may_be_nested(request, metadata)
+        account = (
+            chains.find_caller(metadata.request_id)
+            if is_from_upstream
+            else None
+        )
+        trace_id = (
+            routed_call.build_trace_id(rng)
+            if account is None
+            else account.trace_id
+        )
         organisation = None
         rejection = routed_call.find_rejection(metadata, route, policies)
         if rejection is None and policies.policy.requires_keys:
-            holder = authenticate(metadata, route, account)
+            holder = authenticate(
+                metadata, route, account is not None, is_from_upstream
+            )
             if isinstance(holder, model.Refusal):
                 rejection = holder
             else:
                 organisation = holder
         if rejection is not None:
             call = routed_call.build_call(
-                request, metadata, None, service='', version=0
+                request,
+                metadata,
+                None,
+                service='',
+                version=0,
+                trace_id=trace_id,
             )
             calls.record(
                 call, rejection.rule, rejection.verdict, rejection.detail
@@ -91,6 +107,7 @@
             route,
             service=policies.routes.choose_target(route),
             version=policies.version,
+            trace_id=trace_id,
             organisation=organisation,
         )
         call.headers = dialect.add_calling_service(metadata.headers, service)
@@ -116,18 +133,38 @@
         finally:
             account.stop_waiting(time.monotonic())
 
+    def may_be_nested(
+        request: model.HttpRequest, metadata: model.RequestMetadata
+    ) -> bool:
+        """Return whether the upstream may have sent a request.
+
+        The form of its id alone proves nothing, since clients choose theirs.
+        """
+        if decisions.CALL_ID_SEPARATOR not in metadata.request_id:
+            return False
+        if request.source not in local_hosts:
+            return False
+        # Calls carry no key, and other credentials mean nothing to the system
+        # while the policy has no keys.
+        return not (
+            metadata.has_credentials
+            and policies.policy is not None
+            and policies.policy.requires_keys
+        )
+
     def authenticate(
         metadata: model.RequestMetadata,
         route: model.Route,
-        account: decisions.ChainAccount | None,
+        is_nested: bool,
+        is_from_upstream: bool,
     ) -> model.Organisation | model.Refusal | None:
         """Find the organisation of a request and replace the key by it."""
         holder = key_check.check_key(
             metadata,
             route,
             policies.keys,
-            nested=routed_call.CALL_ID_SEPARATOR in metadata.request_id,
-            running=account is not None,
+            is_nested=is_nested,
+            is_orphan=is_from_upstream and not is_nested,
         )
         if not isinstance(holder, model.Refusal):
             metadata.headers = dialect.set_organisation(
