Start the next quota home empty after one that left in order

Cause: a node may create tokens since the time at which a majority first supported it, and a stock that is opened is filled for all of that time. A node that leaves in order is taken out of the order of homes, so its successor started full while the old home had just handed out its burst. An organisation that was taken out of the policy and put back started full in the same way.

Change: a home counts only the time since the nodes before it in the order left, and an organisation that is put back the time since it was taken out. A node that is about to stop creates no more tokens.

--- a/features/quota_decisions.feature
+++ b/features/quota_decisions.feature
@@ -77,6 +77,30 @@
       | 120  | 200   | 3    |
       | 60   | 5     | 4    |
 
+  Scenario Outline: A burst is granted once although the home leaves in order
+    Guards against the next home that starts with a full stock, after the one
+    before it has handed out its own.
+    Given <sizes> nodes and a limit of <rate> requests a second and a burst of <burst>
+    When clients send 6 of the limit for 14 s while <failure>
+    Then no window exceeds the bound, and no data centre ever had two homes
+    And at least 0.9 of the limit ran in the last 5 s
+
+    Examples:
+      | sizes | rate | burst | failure                       |
+      | 4     | 50   | 150   | the first home leaves         |
+      | 4     | 50   | 150   | the first home restarts       |
+      | 5,5,5 | 60   | 200   | the first home leaves         |
+      | 5     | 50   | 150   | the first two homes leave     |
+
+  Scenario: A burst is granted once to an organisation that is put back
+    Guards against a full stock of an organisation that was out of the policy
+    for a moment.
+    Given 4 nodes and a limit of 50 requests a second and a burst of 150
+    When clients send 6 of the limit for 2 s
+    And the organisation is taken out of the policy and put back after 0.5 s
+    And clients send 6 of the limit for 4 s
+    Then no window exceeds the bound, and no data centre ever had two homes
+
   Scenario: A killed home is hardly noticed inside the limit
     Guards against refusals while the next node takes over.
     Given 5,5,5 nodes and a limit of 60 requests a second and a burst of 30
--- a/features/steps/quota_decision_steps.py
+++ b/features/steps/quota_decision_steps.py
@@ -112,6 +112,16 @@
     context.lowered_at = context.network.loop.time()
 
 
+@when(
+    'the organisation is taken out of the policy and put back after {span:g} s'
+)
+def replace_organisation(context, span):
+    """Put a policy without the organisation in force for some time."""
+    context.network.put_organisations([])
+    context.network.play(span, 0)
+    context.network.put_organisations([context.network.organisation])
+
+
 @when('a limit of {rate:d} requests a second and a burst of {burst:d} is set')
 def set_limit(context, rate, burst):
     """Put the first limit in force at all nodes."""
--- a/features/support/quota_faults.py
+++ b/features/support/quota_faults.py
@@ -2,6 +2,7 @@
 
 from features.support import quota_network
 from oleanderknot import decisions
+from oleanderknot import model
 
 # Period in which the homes are looked at, in seconds.
 WATCH_S = 0.05
@@ -59,6 +60,17 @@
                     restart_after_s, self.network.restart, name
                 )
 
+    def leave(self, name, restart_after_s=None):
+        """Stop a node in order; all others learn at once that it leaves."""
+        node = self.network.nodes[name]
+        node.leaving = True
+        self.network.tell_all(node, model.MemberState.LEAVING)
+        if restart_after_s is not None:
+            self.network.loop.call_later(restart_after_s, node.stop)
+            self.network.loop.call_later(
+                restart_after_s, self.network.restart, name
+            )
+
     def cut(self, names, others=None, *, after_s):
         """Cut nodes off from others for some time."""
         self.network.isolate(names, others)
@@ -82,6 +94,13 @@
             self.kill(nodes[0])
         elif failure == 'the first home is killed and restarted':
             self.kill(nodes[0], 1.0)
+        elif failure == 'the first home leaves':
+            self.leave(nodes[0])
+        elif failure == 'the first home restarts':
+            self.leave(nodes[0], 0.5)
+        elif failure == 'the first two homes leave':
+            self.leave(nodes[0])
+            self.network.loop.call_later(1.5, self.leave, nodes[1])
         elif failure == 'the first home is cut off':
             self.cut(nodes[:1], after_s=after_s)
         elif failure == 'the first home is restarted and cut off':
@@ -122,7 +141,12 @@
 
 
 def may_create(node, now):
-    """Return whether a node may create tokens of the organisation."""
+    """Return whether a node may create tokens of the organisation.
+
+    One that is about to stop declines all requests for tokens.
+    """
+    if node.leaving:
+        return False
     before = node.quota.members.list_before(quota_network.ORGANISATION)
     if before is None:
         return False
--- a/features/support/quota_node.py
+++ b/features/support/quota_node.py
@@ -18,6 +18,7 @@
         identity: Identity of the node.
         table: Members that it knows.
         running: Whether the process runs.
+        leaving: Whether it is about to stop.
         unreachable: Instances that it could not connect to.
         quota: The limits under test.
     """
@@ -29,6 +30,7 @@
         )
         self.table = decisions.MemberTable()
         self.running = True
+        self.leaving = False
         self.unreachable = set()
         self.quota = quota.Quota(
             members=quota_members.QuotaMembers(
@@ -38,7 +40,7 @@
                 pool=self,
             ),
             first_start=False,
-            is_leaving=lambda: False,
+            is_leaving=lambda: self.leaving,
             is_isolated=lambda: network.is_isolated(name),
             count=lambda name, number: network.counts.update({name: number}),
             rng=network.rng,
--- a/oleanderknot/tasks/quota_homes.py
+++ b/oleanderknot/tasks/quota_homes.py
@@ -13,6 +13,9 @@
 # full again when it is next needed.
 IDLE_S = 10.0
 
+# Time after the latest request at which any stock is removed.
+MAX_IDLE_S = 600.0
+
 FindOrganisation = collections.abc.Callable[[str], model.Organisation | None]
 
 
@@ -28,6 +31,8 @@
         count: Increases a counter by a number.
         issuers: Issuer of each active organisation, by name.
         shares: Number of data centres that create tokens.
+        withdrawn_at: Monotonic time in seconds at which an organisation with
+            a stock ceased to have a limit, by name.
         timers: Timer of the next service of an issuer, by organisation.
     """
 
@@ -49,6 +54,7 @@
         self.count = count
         self.issuers: dict[str, decisions.QuotaIssuer] = {}
         self.shares = len(members.data_centres)
+        self.withdrawn_at: dict[str, float] = {}
         self.timers: dict[str, asyncio.TimerHandle] = {}
 
     def handle_request(self, sender: str, request: model.QuotaRequest) -> None:
@@ -147,8 +153,15 @@
     ) -> None:
         """Create the tokens of the time that has passed, if allowed."""
         before = self.members.list_before(name)
-        if before is not None:
-            issuer.stock.refill(now, *self.quorum.find_term(before))
+        if before is None or not self.is_serving():
+            return
+        since, until = self.quorum.find_term(before)
+        since = max(
+            since,
+            self.members.find_succession(name),
+            self.withdrawn_at.get(name, since),
+        )
+        issuer.stock.refill(now, since, until)
 
     def serve(self, name: str) -> None:
         """Answer the requests that wait, and request tokens for the rest."""
@@ -229,6 +242,7 @@
             organisation = self.find_organisation(name)
             if organisation is None:
                 self.remove(name)
+                self.withdrawn_at[name] = self.link.clock()
                 continue
             self.refill(name, self.issuers[name], self.link.clock())
             self.issuers[name].stock.configure(
@@ -241,11 +255,16 @@
         """Remove the issuers that are not used."""
         if len(self.members.data_centres) != self.shares:
             self.apply_policy()
+        self.withdrawn_at = {
+            name: at
+            for name, at in self.withdrawn_at.items()
+            if now - at < MAX_IDLE_S
+        }
         for name, issuer in list(self.issuers.items()):
             if issuer.queue or now - issuer.active_at < IDLE_S:
                 continue
             self.refill(name, issuer, now)
-            if issuer.stock.is_full() or now - issuer.active_at > 60 * IDLE_S:
+            if issuer.stock.is_full() or now - issuer.active_at > MAX_IDLE_S:
                 self.remove(name)
 
     def remove(self, name: str) -> None:
--- a/oleanderknot/tasks/quota_members.py
+++ b/oleanderknot/tasks/quota_members.py
@@ -16,6 +16,12 @@
 # Time for which a node that did not answer a request is not asked again.
 AVOID_S = 1.0
 
+# Time for which a departure is remembered. Stocks are removed after the same
+# time without a request, and are full when they are needed again.
+DEPARTURE_RETENTION_S = 600.0
+
+NEVER = float('-inf')
+
 
 class QuotaMembers:
     """Owns the order of homes and the list of nodes that do not respond.
@@ -32,6 +38,10 @@
         eligible: Nodes that may be homes, by data centre.
         orders: First nodes in the order of homes, by data centre and
             organisation.
+        departed_at: Monotonic time in seconds at which a live node of this
+            data centre ceased to be a candidate, by instance.
+        successions: Latest of these times for the nodes that were before
+            this one in the order of homes, by organisation.
         avoid_until: Monotonic time in seconds until which a node is not
             asked, by instance.
     """
@@ -53,6 +63,8 @@
         self.dead: set[str] = set()
         self.eligible: dict[str, set[str]] = {}
         self.orders: dict[tuple[str, str], tuple[str, ...]] = {}
+        self.departed_at: dict[str, float] = {}
+        self.successions: dict[str, float] = {}
         self.avoid_until: dict[str, float] = {}
 
     @property
@@ -84,9 +96,60 @@
             for name, until in self.avoid_until.items()
             if until > now
         }
-        self.set_eligible(
-            {name: nodes - leaving for name, nodes in live.items()}
+        eligible = {name: nodes - leaving for name, nodes in live.items()}
+        self.note_departures(
+            eligible.get(self.identity.data_centre, set()), now
         )
+        self.set_eligible(eligible)
+
+    def note_departures(self, eligible: set[str], now: float) -> None:
+        """Note which nodes of this data centre have left in order.
+
+        A node that died may still create tokens elsewhere, so that it stays
+        in the order of homes; see ``add_known``.
+
+        Args:
+            eligible: Nodes of this data centre that may be homes now.
+            now: Monotonic time in seconds.
+        """
+        before = self.eligible.get(self.identity.data_centre, set())
+        left = before - eligible - self.dead
+        departed_at = {
+            name: at
+            for name, at in self.departed_at.items()
+            if name not in eligible and now - at < DEPARTURE_RETENTION_S
+        }
+        departed_at.update(dict.fromkeys(left, now))
+        if departed_at != self.departed_at:
+            self.departed_at = departed_at
+            self.successions.clear()
+
+    def find_succession(self, organisation: str) -> float:
+        """Return when this node took the place of one that left in order.
+
+        That one may have handed out all of its stock just before.
+
+        Returns:
+            Monotonic time in seconds; ``NEVER`` if it has not.
+        """
+        if not self.departed_at:
+            return NEVER
+        since = self.successions.get(organisation)
+        if since is None:
+            if len(self.successions) >= MAX_ORDERS:
+                self.successions.clear()
+            own = self.identity.instance
+            since = max(
+                (
+                    at
+                    for name, at in self.departed_at.items()
+                    if decisions.order_homes(organisation, (own, name), 1)
+                    == (name,)
+                ),
+                default=NEVER,
+            )
+            self.successions[organisation] = since
+        return since
 
     def set_eligible(self, eligible: dict[str, set[str]]) -> None:
         """Set the nodes that may be homes."""
