Count the nodes that the store lists for the majority of a quota home

Cause: a home needs the support of a majority of the known nodes of its data centre, and a process knew those that it had reached since its start. Behind the cut two nodes were a majority of two.

Change: nodes of the data centre that the store lists and that this process has not reached count like dead ones; rows name the data centre. A node that has not read the rows since its start supports nobody, itself included. Since machines that are lost would otherwise count for ever, one node of the data centre removes the row of a node that has not been reached for ten minutes.

A step of discovery.feature wrote the row of the node without its data centre, which is now part of a right row.

--- a/features/quota_decisions.feature
+++ b/features/quota_decisions.feature
@@ -53,6 +53,29 @@
       | a data centre is cut in two for 8 s             |
       | all nodes are killed and restarted              |
 
+  Scenario Outline: Nodes that start behind a cut are no majority of those that they do not know
+    Guards against a second home, of nodes that count only those that they
+    have reached since their start.
+    Given <sizes> nodes and a limit of 150 requests a second and a burst of 30
+    When clients send 3 of the limit for 20 s while <failure>
+    Then no window exceeds the bound, and no data centre ever had two homes
+    And at least 0.9 of the limit ran in the last 5 s
+
+    Examples:
+      | sizes | failure                                                       |
+      | 5     | two nodes are restarted behind a cut for 8 s                  |
+      | 5     | two nodes are restarted behind a cut, the store away, for 8 s |
+      | 5     | one node is restarted behind a cut for 8 s                    |
+      | 5,5,5 | two nodes are restarted behind a cut for 8 s                  |
+
+  Scenario: Nodes that are gone for good do not outvote those that are left
+    Guards against rows of machines that are gone, which would count as lost
+    nodes for ever.
+    Given 5 nodes and a limit of 60 requests a second and a burst of 30
+    When two nodes are gone and the others are restarted
+    And clients send 3 of the limit for 40 s
+    Then at least 0.9 of the limit ran, and no window exceeds the bound
+
   Scenario: The worst order of events stays within the bound
     Guards against a bound that was only ever tried with empty stocks. All
     stocks are full and first nodes hold tokens when the demand rises to the
--- a/features/steps/quota_decision_steps.py
+++ b/features/steps/quota_decision_steps.py
@@ -83,6 +83,18 @@
     play(context, factor, None, span)
 
 
+@when('two nodes are gone and the others are restarted')
+def restart_remaining(context):
+    """Kill two nodes for good, and the others once."""
+    network = context.network
+    nodes = context.faults.list_nodes(network.data_centres[0])
+    for name in nodes[:2]:
+        network.kill(name)
+    for name in nodes[2:]:
+        context.faults.kill(name, 1.0)
+    network.play(1.0 + START_S, 0)
+
+
 @when('the first home of each data centre is cut off for {span:d} s')
 def cut_first_homes(context, span):
     """Cut off the first homes one by one."""
--- a/features/steps/quota_state_steps.py
+++ b/features/steps/quota_state_steps.py
@@ -35,6 +35,7 @@
         data_centres=(),
         table=context.known,
         pool=None,
+        list_unreached=list,
     )
 
 
--- a/features/steps/store_discovery_steps.py
+++ b/features/steps/store_discovery_steps.py
@@ -35,7 +35,9 @@
     """Build a discovery whose store has three rows."""
     context.loop = asyncio.new_event_loop()
     context.add_cleanup(context.loop.close)
-    row = border.NodeRow(host='127.0.0.1', port=1).model_dump_json()
+    row = border.NodeRow(
+        host='127.0.0.1', port=1, data_centre='dc1'
+    ).model_dump_json()
     rows = tuple(
         model.TableRow(key=name, version=1, value=row)
         for name in ('own', 'known', 'other')
@@ -98,3 +100,55 @@
 def check_last_dial(context):
     """Check the attempts since the node can be reached."""
     assert context.pool.dial.await_count == 1, context.pool.dial.await_count
+
+
+@given(
+    'the node "{own}" knows "{live}" and has not reached "{unreached}" for '
+    '{age:d} s'
+)
+def build_unreached(context, own, live, unreached, age):
+    """Build a discovery that has tried to reach nodes for some time."""
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    members = mock.Mock()
+    members.own = build_member(own)
+    members.table = decisions.MemberTable()
+    members.table.merge([build_member(name) for name in live.split(',')])
+    context.store = mock.Mock()
+    context.store.commit = mock.AsyncMock(return_value=Ok(None))
+
+    async def build():
+        context.discovery = store_discovery.StoreDiscovery(
+            members=members,
+            pool=mock.Mock(),
+            store=context.store,
+            watch=store_availability.StoreAvailability(),
+            epoch=store_epoch.StoreEpoch(),
+            rng=random.Random(1),
+            first_start=False,
+        )
+        for name in unreached.split(','):
+            context.discovery.unreached[name] = border.NodeRow(
+                host='127.0.0.1',
+                port=1,
+                data_centre='dc9'
+                if name == 'far'
+                else members.own.data_centre,
+            )
+            context.discovery.unreached_since[name] = context.loop.time() - age
+
+    context.loop.run_until_complete(build())
+
+
+@when('it looks for abandoned rows')
+def remove_abandoned(context):
+    """Let the node remove rows."""
+    context.loop.run_until_complete(context.discovery.remove_abandoned_rows())
+
+
+@then('it removes "{names}"')
+def check_removed(context, names):
+    """Check which rows were removed."""
+    calls = context.store.commit.await_args_list
+    removed = calls[0].kwargs['remove'] if calls else ['nothing']
+    assert sorted(removed) == names.split(','), removed
--- a/features/support/quota_faults.py
+++ b/features/support/quota_faults.py
@@ -71,6 +71,12 @@
                 restart_after_s, self.network.restart, name
             )
 
+    def restart_behind_cut(self, names, after_s):
+        """Cut nodes off from the others, and kill and start them there."""
+        self.cut(names, after_s=after_s)
+        for name in names:
+            self.kill(name, 0.3)
+
     def cut(self, names, others=None, *, after_s):
         """Cut nodes off from others for some time."""
         self.network.isolate(names, others)
@@ -94,6 +100,13 @@
             self.kill(nodes[0])
         elif failure == 'the first home is killed and restarted':
             self.kill(nodes[0], 1.0)
+        elif failure == 'one node is restarted behind a cut':
+            self.restart_behind_cut(nodes[-1:], after_s)
+        elif failure == 'two nodes are restarted behind a cut':
+            self.restart_behind_cut(nodes[-2:], after_s)
+        elif failure.endswith('the store away,'):
+            self.network.store_away = True
+            self.restart_behind_cut(nodes[-2:], after_s)
         elif failure == 'the first home leaves':
             self.leave(nodes[0])
         elif failure == 'the first home restarts':
--- a/features/support/quota_network.py
+++ b/features/support/quota_network.py
@@ -33,6 +33,7 @@
         runs: Times at which requests ran.
         refused: Times at which requests were refused.
         counts: Counters of all nodes together.
+        store_away: Whether nodes that start cannot read who else there is.
         not_run_share: Share of the requests that are refused as not run.
         sent: Number of requests.
         messages: Number of messages between nodes.
@@ -49,6 +50,7 @@
         self.runs = []
         self.refused = []
         self.counts = collections.Counter()
+        self.store_away = False
         self.not_run_share = 0.0
         self.sent = 0
         self.messages = 0
@@ -140,6 +142,7 @@
     def heal(self):
         """End all cuts, and let all nodes learn of each other."""
         self.cut.clear()
+        self.store_away = False
         for node in self.nodes.values():
             if node.running:
                 self.tell_all(node, model.MemberState.TAKING)
@@ -162,6 +165,19 @@
         """Return whether a node has reached no other since its start."""
         return len(self.nodes[name].table.list_live()) <= 1 < len(self.nodes)
 
+    def list_unreached(self, name):
+        """Return the nodes of its data centre that a node has not reached.
+
+        The store lists all nodes that were ever started.
+        """
+        node = self.nodes[name]
+        return [
+            other.identity.instance
+            for other in self.nodes.values()
+            if other.identity.data_centre == node.identity.data_centre
+            and other.identity.instance not in node.table.members
+        ]
+
     def is_overdue(self, name):
         """Return whether connections to a node are found not to respond."""
         return (
--- a/features/support/quota_node.py
+++ b/features/support/quota_node.py
@@ -19,6 +19,7 @@
         table: Members that it knows.
         running: Whether the process runs.
         leaving: Whether it is about to stop.
+        informed: Whether it has read who else there is.
         unreachable: Instances that it could not connect to.
         quota: The limits under test.
     """
@@ -31,6 +32,7 @@
         self.table = decisions.MemberTable()
         self.running = True
         self.leaving = False
+        self.informed = False
         self.unreachable = set()
         self.quota = quota.Quota(
             members=quota_members.QuotaMembers(
@@ -38,7 +40,9 @@
                 data_centres=network.data_centres,
                 table=self.table,
                 pool=self,
+                list_unreached=self.list_unreached,
             ),
+            is_informed=self.is_informed,
             first_start=False,
             is_leaving=lambda: self.leaving,
             is_isolated=lambda: network.is_isolated(name),
@@ -49,6 +53,17 @@
         self.quota.apply_policy(policy)
         self.task = network.loop.create_task(self.quota.run())
 
+    def is_informed(self):
+        """Return whether the node has read who else there is."""
+        self.informed = self.informed or not self.network.store_away
+        return self.informed
+
+    def list_unreached(self):
+        """Return the nodes that it knows from the store alone."""
+        if not self.is_informed():
+            return []
+        return self.network.list_unreached(self.identity.instance)
+
     def find(self, instance):
         """Return a connection to a node; the quota's pool interface."""
         if instance in self.unreachable:
--- a/oleanderknot/decisions/quota_quorum.py
+++ b/oleanderknot/decisions/quota_quorum.py
@@ -28,6 +28,8 @@
         settled_at: Monotonic time in seconds from which this node supports
             others. Support that an earlier process of it gave has ended by
             then.
+        informed: Whether this node knows which others there are. Until then
+            it supports nobody, itself included.
         create_from: Monotonic time in seconds from which it creates tokens.
         known: Known nodes of the data centre, with this one.
         dead_since: When a known node was found dead, by instance.
@@ -46,6 +48,7 @@
     ) -> None:
         self.own = own
         self.settled_at = now if first_start else now + SUPPORT_S
+        self.informed = first_start
         self.create_from = self.settled_at
         self.known = {own}
         self.dead_since: dict[str, float] = {}
@@ -70,11 +73,14 @@
 
         Args:
             live: Nodes that have neither left nor died.
-            dead: Nodes that have died.
+            dead: Nodes that have died, or that this process knows from the
+                store alone. Without these, nodes that start behind a cut
+                would be a majority of those that they reach.
             now: Monotonic time in seconds.
         """
         live = {self.own, *live}
         dead = set(dead) - live
+        new = dead - self.dead_since.keys()
         self.dead_since = {
             name: self.dead_since.get(name, now) for name in dead
         }
@@ -84,7 +90,7 @@
             for name in dead
             if not sees_majority or now - self.dead_since[name] < FORGET_S
         }
-        self.known = live | (kept & (self.known | live))
+        self.known = live | (kept & (self.known | new))
         for entries in (self.asked_at, self.replaced_at, self.supports):
             for name in list(entries):
                 if name not in self.known:
@@ -105,7 +111,7 @@
             this node does not agree to be lost.
         """
         self.asked_at[sender] = now
-        if now < self.settled_at:
+        if now < self.settled_at or not self.informed:
             return False, list(lost)
         heard = []
         for name in lost:
@@ -180,7 +186,7 @@
             for name, (sent_at, agreed) in self.supports.items()
             if name in self.known and (lost is None or lost in agreed)
         ]
-        if lost is None or not self.was_asked(lost, now):
+        if self.informed and (lost is None or not self.was_asked(lost, now)):
             times.append(now)
         if len(times) < self.majority:
             return NEVER
--- a/oleanderknot/node/sidecar_quota.py
+++ b/oleanderknot/node/sidecar_quota.py
@@ -29,13 +29,23 @@
             and len(node.members.list_live()) <= 1
         )
 
+    def list_unreached() -> list[str]:
+        # The row of an earlier version does not name the data centre.
+        return [
+            name
+            for name, row in node.peer_discovery.unreached.items()
+            if row.data_centre in ('', node.identity.data_centre)
+        ]
+
     return quota.Quota(
         members=quota_members.QuotaMembers(
             identity=node.identity,
             data_centres=node.settings.data_centres,
             table=node.members,
             pool=node.pool,
+            list_unreached=list_unreached,
         ),
+        is_informed=lambda: node.peer_discovery.rows_read,
         first_start=node.settings.first_start,
         is_leaving=is_leaving,
         is_isolated=is_isolated,
--- a/oleanderknot/tasks/quota.py
+++ b/oleanderknot/tasks/quota.py
@@ -60,6 +60,7 @@
         first_start: bool,
         is_leaving: collections.abc.Callable[[], bool],
         is_isolated: collections.abc.Callable[[], bool],
+        is_informed: collections.abc.Callable[[], bool],
         count: collections.abc.Callable[[str, int], None],
         rng: random.Random,
         clock: collections.abc.Callable[[], float] = time.monotonic,
@@ -76,7 +77,10 @@
         self.loop = asyncio.get_running_loop()
         self.link = quota_link.QuotaLink(members=members, clock=clock)
         self.support = quota_support.QuotaSupport(
-            members=members, link=self.link, first_start=first_start
+            members=members,
+            link=self.link,
+            first_start=first_start,
+            is_informed=is_informed,
         )
         self.homes = quota_homes.QuotaHomes(
             members=members,
--- a/oleanderknot/tasks/quota_members.py
+++ b/oleanderknot/tasks/quota_members.py
@@ -30,11 +30,14 @@
         identity: Identity of this node.
         configured: Data centres named in the settings.
         table: Known members.
+        list_unreached: Returns the nodes of this data centre that the store
+            lists and this process has not reached.
         pool: Connections to other nodes.
         live: Nodes that have neither left nor died, by data centre.
         known_data_centres: Data centres of nodes that have not left. One
             whose nodes are dead may be cut off only, and create tokens.
-        dead: Nodes of this data centre that have died.
+        dead: Nodes of this data centre that have died, or that this process
+            has never reached.
         eligible: Nodes that may be homes, by data centre.
         orders: First nodes in the order of homes, by data centre and
             organisation.
@@ -53,7 +56,11 @@
         data_centres: collections.abc.Iterable[str],
         table: decisions.MemberTable,
         pool: peer_pool.PeerPool,
+        list_unreached: collections.abc.Callable[
+            [], collections.abc.Iterable[str]
+        ],
     ) -> None:
+        self.list_unreached = list_unreached
         self.identity = identity
         self.configured = tuple(data_centres)
         self.table = table
@@ -89,6 +96,11 @@
                     leaving.add(member.instance)
             elif member.data_centre == self.identity.data_centre:
                 self.dead.add(member.instance)
+        self.dead.update(
+            name
+            for name in self.list_unreached()
+            if name not in self.table.members
+        )
         self.live = live
         self.known_data_centres = known_data_centres
         self.avoid_until = {
--- a/oleanderknot/tasks/quota_support.py
+++ b/oleanderknot/tasks/quota_support.py
@@ -1,6 +1,7 @@
 """Asks the nodes of a data centre whether this one may create tokens."""
 
 import asyncio
+import collections.abc
 import functools
 
 from oleanderknot import decisions
@@ -32,6 +33,7 @@
         members: Nodes that may be homes.
         link: Sends requests and answers.
         quorum: Decides whether this node may create tokens.
+        is_informed: Returns whether this node knows which others there are.
         lost: Nodes of this data centre that do not respond to this one.
         timer: Timer at which the answers are counted.
         used_at: Monotonic time in seconds at which another node last
@@ -44,7 +46,9 @@
         members: quota_members.QuotaMembers,
         link: quota_link.QuotaLink,
         first_start: bool,
+        is_informed: collections.abc.Callable[[], bool],
     ) -> None:
+        self.is_informed = is_informed
         self.members = members
         self.link = link
         self.quorum = decisions.QuotaQuorum(
@@ -62,6 +66,7 @@
         own = members.identity
         quorum = self.quorum
         members.refresh(now)
+        quorum.informed = quorum.informed or self.is_informed()
         quorum.update_known(
             members.live.get(own.data_centre, ()), members.dead, now
         )
--- a/oleanderknot/tasks/store_discovery.py
+++ b/oleanderknot/tasks/store_discovery.py
@@ -40,6 +40,13 @@
 # connected find each other; with 1,220 nodes this makes 20 reads per second.
 READ_PERIOD_S = 60.0
 
+# Time for which a node is not reached before its row is removed. Links
+# between nodes fail for minutes at most.
+ROW_RETENTION_S = 600.0
+
+# Rows that one call removes; the store takes 100 entries.
+MAX_REMOVED_ROWS = 50
+
 
 class StoreDiscovery:
     """Owns the row of this node in the store and reads those of other nodes.
@@ -60,10 +67,13 @@
         first_start: Whether the whole system starts for the first time, so
             that no row of this node can exist.
         row_written: Whether the row of this node has been written.
+        rows_read: Whether this process has read the rows.
         withdrawn: Whether the row of this node is removed for good.
         read_due: Set when the rows must be read without delay.
         unreached: Rows of the nodes that could not be reached since the last
             read.
+        unreached_since: Loop time in seconds since which reads have found
+            each of them unreached.
     """
 
     def __init__(
@@ -85,9 +95,11 @@
         self.epoch = epoch
         self.rng = rng
         self.row_written = False
+        self.rows_read = False
         self.withdrawn = False
         self.read_due = asyncio.Event()
         self.unreached: dict[str, border.NodeRow] = {}
+        self.unreached_since: dict[str, float] = {}
         epoch.on_change.append(self.read_due.set)
 
     async def run(self) -> None:
@@ -137,6 +149,8 @@
         if not self.withdrawn:
             self.row_written = True
             await self.dial_unknown_nodes(rows, MAX_DIALS_PER_READ)
+            self.rows_read = True
+            await self.remove_abandoned_rows()
             if self.unreached:
                 log_unreached(self.unreached)
         return True
@@ -144,7 +158,9 @@
     def build_row(self) -> border.NodeRow:
         """Build the row of this node."""
         own = self.members.own
-        return border.NodeRow(host=own.host, port=own.peer_port)
+        return border.NodeRow(
+            host=own.host, port=own.peer_port, data_centre=own.data_centre
+        )
 
     def is_row_right(self, rows: dict[str, border.NodeRow]) -> bool:
         """Return whether the row of this node is as it should be."""
@@ -222,6 +238,50 @@
             name: addresses[name] for name in unknown if name not in reached
         }
 
+    async def remove_abandoned_rows(self) -> None:
+        """Remove the rows of nodes of this data centre that are gone.
+
+        A machine that is lost does not remove its row, and nodes that start
+        count those that have rows. One that comes back writes its row again.
+        """
+        now = asyncio.get_running_loop().time()
+        self.unreached_since = {
+            name: self.unreached_since.get(name, now)
+            for name in self.unreached
+        }
+        own = self.members.own
+        live = [
+            member.instance
+            for member in self.members.table.list_live()
+            if member.data_centre == own.data_centre
+        ]
+        local = [
+            name
+            for name, row in self.unreached.items()
+            if row.data_centre == own.data_centre
+        ]
+        # One node does this, and none on the smaller side of a cut.
+        if own.instance != min(live, default='') or len(live) <= len(local):
+            return
+        abandoned = [
+            name
+            for name in local
+            if now - self.unreached_since[name] >= ROW_RETENTION_S
+        ][:MAX_REMOVED_ROWS]
+        if not abandoned:
+            return
+        result = await self.store.commit(NODE_TABLE, remove=abandoned)
+        if result.is_error():
+            self.watch.note_failure(result.error.detail)
+            return
+        logging.info(
+            'removed the rows of %d nodes that have not been reached for'
+            ' %d s: %s',
+            len(abandoned),
+            ROW_RETENTION_S,
+            ', '.join(abandoned[:5]),
+        )
+
     async def withdraw_row(self) -> None:
         """Remove the row of this node when its instance goes away."""
         self.withdrawn = True
