Keep reading from a connection with eight requests in progress

What callers saw: of 64 requests that ran when their clients left, having sent ten ahead, all ran to their end, and eight more began 1.6 s later.

Cause: a connection with eight requests in progress stopped reading, and an event loop that does not read does not report the end of a connection. The requests were cancelled only after answers were written to it.

Change: such a connection parses no more, and reads on up to 64 KiB.

Tests: "The requests of a client that sent many ahead and left are dropped" failed before, with none of eight cancelled. A scenario asked that a full connection reads no more; it now asks that it reads on, since the end is not seen otherwise, and a new one that what is read ahead is bounded.

--- a/features/pipelining.feature
+++ b/features/pipelining.feature
@@ -22,17 +22,29 @@
     When the client sends the requests "safe 1, unrouted 2, safe 3"
     Then the requests "1 2 3" run and "" are answered
 
-  Scenario: A connection runs at most eight requests and reads no more meanwhile
-    Guards against a client that takes a whole node with one connection.
+  Scenario: A connection runs at most eight requests and still learns of its end
+    Guards against a client that takes a whole node with one connection, and
+    against requests that run on after their client has left.
     Given a client connection
     When the client sends the requests "safe 1, safe 2, safe 3, safe 4, safe 5, safe 6, safe 7, safe 8, safe 9"
     Then the requests "1 2 3 4 5 6 7 8" run and "" are answered
-    And the connection reads no more
+    And the connection reads on
     When request 2 ends
     Then the requests "1 3 4 5 6 7 8 9" run and "" are answered
     When request 1 ends
     Then the requests "3 4 5 6 7 8 9" run and "1 2" are answered
-    And the connection reads again
+    And the connection reads on
+
+  Scenario: What a connection reads ahead is bounded
+    Guards against a client that fills the memory of a node with requests that
+    may not start yet.
+    Given a client connection
+    When the client sends 8 requests, and 65,000 bytes of further ones
+    Then the connection reads on
+    When the client sends 2,000 bytes of further ones
+    Then the connection reads no more
+    When all requests have ended, and all those behind them
+    Then the connection reads again
 
   Scenario: Requests behind the last one of a connection are not run
     Guards against a run of a request that its client sends again, since it
--- a/features/steps/departed_client_steps.py
+++ b/features/steps/departed_client_steps.py
@@ -41,6 +41,40 @@
         client.close()
 
 
+@when(
+    'a client of "{name}" sends {count:d} requests for "{target}" ahead, '
+    'waits {wait_s:f} s and leaves'
+)
+def send_ahead_and_leave(context, name, count, target, wait_s):
+    """Send requests on one connection before any is answered, and close it."""
+    host, port = context.fleet.sidecars[name].requests.split(':')
+    client = socket.create_connection((host, int(port)), timeout=10)
+    head = (
+        'GET %s HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: gone%d\r\n'
+        'Deadline-Milliseconds: 6000\r\n\r\n'
+    )
+    client.sendall(
+        ''.join(head % (target, number) for number in range(count)).encode()
+    )
+    time.sleep(wait_s)
+    client.close()
+
+
+@then(
+    'the back end of "{name}" drops {count:d} of them within {limit_s:f} s, '
+    'and begins no other'
+)
+def check_dropped(context, name, count, limit_s):
+    """Check the runs at the limit and once all would have begun."""
+    time.sleep(limit_s)
+    found = context.fleet.query_backend(name, '/-/runs')
+    assert len(found['cancelled']) == count, found['cancelled']
+    time.sleep(3.0)
+    runs = context.fleet.query_backend(name, '/-/runs')['runs']
+    begun = [run['id'] for run in runs if run['id'].startswith('gone')]
+    assert len(begun) == count, begun
+
+
 @then('the back end of "{name}" ran nothing for the clients that left')
 def check_nothing_ran(context, name):
     """Check the runs, some time after the slot became free."""
--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -122,6 +122,49 @@
     assert found == answered.split(), found
 
 
+def send_filler(context, size):
+    """Send safe requests of about a number of bytes in all."""
+    data = b''.join(
+        b'GET /safe/%07d HTTP/1.1\r\nHost: a\r\n\r\n' % (size + number)
+        for number in range(size // 39)
+    )
+    run_turns(context, lambda: context.connection.data_received(data))
+
+
+@when('the client sends 8 requests, and 65,000 bytes of further ones')
+def send_ahead(context):
+    """Fill the connection and what it reads ahead."""
+    send_requests(context, ', '.join('safe %d' % index for index in range(8)))
+    send_filler(context, 65_000)
+
+
+@when('the client sends 2,000 bytes of further ones')
+def send_more(context):
+    """Send more than the connection reads ahead."""
+    send_filler(context, 2_000)
+
+
+@when('all requests have ended, and all those behind them')
+def end_all(context):
+    """Let requests end until none is left."""
+    while context.held.running:
+        for future in list(context.held.running.values()):
+            if not future.done():
+                future.set_result(model.HttpResponse(status=200))
+        run_turns(context)
+
+
+@then('the connection reads on')
+def check_reading(context):
+    """Check that reading is not paused now."""
+    transport = context.transport
+    assert not context.connection.paused
+    assert (
+        transport.pause_reading.call_count
+        == transport.resume_reading.call_count
+    )
+
+
 @then('the connection reads no more')
 def check_paused(context):
     """Check that reading is paused."""
--- a/oleanderknot/tasks/client_connection.py
+++ b/oleanderknot/tasks/client_connection.py
@@ -22,6 +22,10 @@
 # Time for which the rest of a rejected body is read and discarded.
 LINGER_S = 5.0
 
+# Bytes that are read while no further request may start. A connection that
+# reads nothing does not learn that its client has left.
+MAX_READ_AHEAD_BYTES = 64 * 1024
+
 
 class ClientConnection(asyncio.Protocol):
     """Owns one client socket and answers its requests in order.
@@ -146,7 +150,7 @@
                 break
             self.feed(self.backlog.take())
             more = self.parser.cost > parse_queue.MAX_TURN_COST
-        if self.pipeline.is_full():
+        if self.is_read_ahead_full():
             self.pause_reading()
         if not self.update_memory() and not self.ignores_input():
             self.handle_shortage()
@@ -156,6 +160,13 @@
             self.resume_reading()
         return more and bool(self.backlog) and not self.pipeline.is_full()
 
+    def is_read_ahead_full(self) -> bool:
+        """Return whether nothing more is read until a request has ended."""
+        return (
+            self.pipeline.is_full()
+            and len(self.backlog) >= MAX_READ_AHEAD_BYTES
+        )
+
     def feed(self, data: bytes) -> None:
         """Parse a piece of the received bytes."""
         try:
@@ -208,12 +219,12 @@
 
     def resume_reading(self) -> None:
         """Read further requests if there is room for them."""
-        stopped = self.closing or self.rejection or self.pipeline.is_full()
-        if stopped or not self.paused:
+        if self.closing or self.rejection or self.pipeline.is_full():
             return
         if self.backlog:
+            self.pause_reading()
             self.listener.parse_queue.add(self)
-        else:
+        elif self.paused:
             self.paused = False
             self.transport.resume_reading()
 
--- a/oleanderknot/tasks/request_pipeline.py
+++ b/oleanderknot/tasks/request_pipeline.py
@@ -11,7 +11,7 @@
 from oleanderknot.tasks import pipelined_request
 
 # Maximum number of requests of one connection that run at the same time.
-# While as many are not answered, the connection reads no more.
+# While as many are not answered, the connection parses no more.
 MAX_RUNNING = 8
 
 HandleFunction = collections.abc.Callable[
@@ -78,7 +78,7 @@
         self.closed = False
 
     def is_full(self) -> bool:
-        """Return whether the connection should read no more requests."""
+        """Return whether the connection should parse no more requests."""
         return len(self.entries) >= MAX_RUNNING
 
     def add(
