Drop dependencies that the policy in force rules out

What callers saw: after the route of a nested call had moved to another service and the upstreams of the old one had left, all requests that make the call were refused with 503 until the nodes restarted, 40 of 40.

Cause: a request is refused early while a service that half of the requests of its route call is out of reach. The counts named the old service, and as every request was refused none showed the new one.

Change: a policy drops the counts of routes that called a service to which their call no longer goes, and requests that began under the earlier one are not counted. A restart of the upstream drops them too.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -323,3 +323,20 @@
       | 39    | 110   | 2   |
       | 244   | 600   | 1   |
       | 1200  | 2600  | 1   |
+
+  Scenario Outline: A route does not depend on services that the policy rules out
+    Guards against a service that has been replaced and is gone, for which all
+    requests are refused, so that none shows that it is no longer called.
+    Given 20 requests of "order" have called "stock" on the route "lookup"
+    Then "order" depends on "stock"
+    When <change>
+    Then "order" depends on "<service>"
+    When a request of "order" that has called "stock" ends
+    Then "order" depends on "<later>"
+
+    Examples:
+      | change                                | service | later   |
+      | a policy sends "lookup" to "stock"    | stock   | stock   |
+      | a policy sends "lookup" to "store"    | nothing | nothing |
+      | a policy sends "other" to "stock"     | nothing | nothing |
+      | the upstream restarts                 | nothing | stock   |
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -362,6 +362,14 @@
     def apply_policy(self, policy: model.TrafficPolicy) -> None:
         """Pass a policy that comes into force to the tasks that need it."""
         self.quota.apply_policy(policy)
+        self.local_upstream.runner.downstream_level.calls.set_targets(
+            {
+                route.name: frozenset(
+                    target.service for target in route.targets
+                )
+                for route in policy.routes
+            }
+        )
         self.local_upstream.heartbeats.confirmation.policy_arrived.set()
 
     def is_ready(self) -> bool:
--- a/oleanderknot/node/upstream_heartbeats.py
+++ b/oleanderknot/node/upstream_heartbeats.py
@@ -84,6 +84,7 @@
             if before is not None and before.started_ms != report.started_ms:
                 upstream_log.log_heartbeat('upstream_restarted', report)
                 self.runner.admission.forget_times()
+                self.runner.downstream_level.calls.clear()
             await self.apply_heartbeat(report)
         else:
             upstream_log.log_heartbeat('heartbeat_' + outcome.value, report)
