Do not count dead nodes that a process has never known alive

Cause: counted all dead nodes that were new to a process for the majority of a quota home.

Change: only nodes that the store lists count without having been known alive, now also those that another node on the same side of a cut has declared dead.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -317,12 +317,12 @@
     """Time what a node decides each second about its support."""
     names = ['i-%d' % number for number in range(count)]
     quorum = decisions.QuotaQuorum(own=names[0], now=0.0, first_start=True)
-    quorum.update_known(names, (), 0.0)
+    quorum.update_known(names, (), (), 0.0)
     for name in names[1:]:
         quorum.note_answer(name, 0.0, names[1:3], ())
 
     def advance(number: int) -> None:
-        quorum.update_known(names, (), 0.5)
+        quorum.update_known(names, (), (), 0.5)
         quorum.advance(names[1:3], 0.5)
 
     return time_calls(advance, max(10, CALLS // 10 // count))
--- a/features/quota_decisions.feature
+++ b/features/quota_decisions.feature
@@ -66,8 +66,19 @@
       | 5     | two nodes are restarted behind a cut for 8 s                  |
       | 5     | two nodes are restarted behind a cut, the store away, for 8 s |
       | 5     | one node is restarted behind a cut for 8 s                    |
+      | 5     | one of two nodes behind a cut is restarted for 12 s           |
       | 5,5,5 | two nodes are restarted behind a cut for 8 s                  |
 
+  Scenario: Dead nodes of earlier days do not outvote the live ones
+    Guards against a restarted node that learns from others of many machines
+    that died before it, and counts them.
+    Given 5 nodes and a limit of 60 requests a second and a burst of 30
+    And each node has records of 8 dead nodes that the store does not list
+    When the first home is restarted, and a minute passes
+    And clients send 3 of the limit for 20 s
+    Then at least 0.9 of the limit ran, and no window exceeds the bound
+    And the first home creates tokens
+
   Scenario: Nodes that are gone for good do not outvote those that are left
     Guards against rows of machines that are gone, which would count as lost
     nodes for ever.
--- a/features/steps/quota_decision_steps.py
+++ b/features/steps/quota_decision_steps.py
@@ -83,6 +83,45 @@
     play(context, factor, None, span)
 
 
+@given(
+    'each node has records of {count:d} dead nodes that the store does not '
+    'list'
+)
+def add_dead_records(context, count):
+    """Let all nodes know of machines whose rows are gone."""
+    network = context.network
+    for node in network.nodes.values():
+        node.table.merge(
+            model.Member(
+                instance='gone-%d' % number,
+                incarnation=1,
+                version=1,
+                state=model.MemberState.DEAD,
+                data_centre=node.identity.data_centre,
+                host='127.0.0.1',
+                peer_port=1,
+            )
+            for number in range(count)
+        )
+
+
+@when('the first home is restarted, and a minute passes')
+def restart_first_home(context):
+    """Kill and start the first home, and wait."""
+    network = context.network
+    context.home = context.faults.list_nodes(network.data_centres[0])[0]
+    context.faults.kill(context.home, 1.0)
+    network.play(60.0, 0)
+
+
+@then('the first home creates tokens')
+def check_creates(context):
+    """Check that the first home is one again."""
+    network = context.network
+    node = network.nodes[context.home]
+    assert quota_faults.may_create(node, network.loop.time())
+
+
 @when('two nodes are gone and the others are restarted')
 def restart_remaining(context):
     """Kill two nodes for good, and the others once."""
--- a/features/support/quota_faults.py
+++ b/features/support/quota_faults.py
@@ -102,6 +102,11 @@
             self.kill(nodes[0], 1.0)
         elif failure == 'one node is restarted behind a cut':
             self.restart_behind_cut(nodes[-1:], after_s)
+        elif failure == 'one of two nodes behind a cut is restarted':
+            self.cut(nodes[-2:], after_s=after_s)
+            for name in nodes[-2:]:
+                self.network.declare_cut_off(name)
+            self.network.loop.call_later(6.0, self.kill, nodes[-2], 0.3)
         elif failure == 'two nodes are restarted behind a cut':
             self.restart_behind_cut(nodes[-2:], after_s)
         elif failure.endswith('the store away,'):
--- a/features/support/quota_network.py
+++ b/features/support/quota_network.py
@@ -97,7 +97,9 @@
             if other is node or (
                 other.running and self.reaches(name, other.identity.instance)
             ):
-                node.table.merge([self.build_record(other)])
+                node.table.merge(
+                    [self.build_record(other), *other.list_ended()]
+                )
                 other.table.merge([self.build_record(node)])
 
     def build_record(self, node, state=model.MemberState.TAKING):
@@ -147,6 +149,18 @@
             if node.running:
                 self.tell_all(node, model.MemberState.TAKING)
 
+    def declare_cut_off(self, name):
+        """Let a node behind a cut declare those beyond it dead."""
+
+        def declare():
+            for other in self.nodes.values():
+                if not self.reaches(name, other.identity.instance):
+                    self.nodes[name].table.merge(
+                        [self.build_record(other, model.MemberState.DEAD)]
+                    )
+
+        self.loop.call_later(DETECTION_S, declare)
+
     def freeze(self, name):
         """Hold all messages from and to a node."""
         self.held[name] = []
@@ -171,11 +185,12 @@
         The store lists all nodes that were ever started.
         """
         node = self.nodes[name]
+        live = {member.instance for member in node.table.list_live()}
         return [
             other.identity.instance
             for other in self.nodes.values()
             if other.identity.data_centre == node.identity.data_centre
-            and other.identity.instance not in node.table.members
+            and other.identity.instance not in live
         ]
 
     def is_overdue(self, name):
--- a/features/support/quota_node.py
+++ b/features/support/quota_node.py
@@ -64,6 +64,14 @@
             return []
         return self.network.list_unreached(self.identity.instance)
 
+    def list_ended(self):
+        """Return the records of nodes that have left or died."""
+        return [
+            member
+            for member in self.table.members.values()
+            if member.state in decisions.ENDED_STATES
+        ]
+
     def find(self, instance):
         """Return a connection to a node; the quota's pool interface."""
         if instance in self.unreachable:
--- a/oleanderknot/decisions/quota_quorum.py
+++ b/oleanderknot/decisions/quota_quorum.py
@@ -67,20 +67,23 @@
         self,
         live: collections.abc.Iterable[str],
         dead: collections.abc.Iterable[str],
+        unreached: collections.abc.Iterable[str],
         now: float,
     ) -> None:
         """Set the members of the data centre.
 
         Args:
             live: Nodes that have neither left nor died.
-            dead: Nodes that have died, or that this process knows from the
-                store alone. Without these, nodes that start behind a cut
-                would be a majority of those that they reach.
+            dead: Nodes that have died. Those that this process has not known
+                alive do not count: there may be many of earlier days.
+            unreached: Nodes that the store lists and this process does not
+                reach. Without them, nodes that start behind a cut would be a
+                majority of those that they reach.
             now: Monotonic time in seconds.
         """
         live = {self.own, *live}
-        dead = set(dead) - live
-        new = dead - self.dead_since.keys()
+        unreached = set(unreached) - live
+        dead = set(dead) - live | unreached
         self.dead_since = {
             name: self.dead_since.get(name, now) for name in dead
         }
@@ -90,7 +93,7 @@
             for name in dead
             if not sees_majority or now - self.dead_since[name] < FORGET_S
         }
-        self.known = live | (kept & (self.known | new))
+        self.known = live | (kept & (self.known | unreached))
         for entries in (self.asked_at, self.replaced_at, self.supports):
             for name in list(entries):
                 if name not in self.known:
--- a/oleanderknot/tasks/quota_members.py
+++ b/oleanderknot/tasks/quota_members.py
@@ -31,13 +31,15 @@
         configured: Data centres named in the settings.
         table: Known members.
         list_unreached: Returns the nodes of this data centre that the store
-            lists and this process has not reached.
+            lists and this process does not reach.
         pool: Connections to other nodes.
         live: Nodes that have neither left nor died, by data centre.
         known_data_centres: Data centres of nodes that have not left. One
             whose nodes are dead may be cut off only, and create tokens.
-        dead: Nodes of this data centre that have died, or that this process
-            has never reached.
+        unreached: What ``list_unreached`` last returned, without nodes that
+            have left.
+        dead: Nodes of this data centre that have died, and those that are
+            not reached.
         eligible: Nodes that may be homes, by data centre.
         orders: First nodes in the order of homes, by data centre and
             organisation.
@@ -67,6 +69,7 @@
         self.pool = pool
         self.live: dict[str, set[str]] = {}
         self.known_data_centres: set[str] = set()
+        self.unreached: set[str] = set()
         self.dead: set[str] = set()
         self.eligible: dict[str, set[str]] = {}
         self.orders: dict[tuple[str, str], tuple[str, ...]] = {}
@@ -96,11 +99,10 @@
                     leaving.add(member.instance)
             elif member.data_centre == self.identity.data_centre:
                 self.dead.add(member.instance)
-        self.dead.update(
-            name
-            for name in self.list_unreached()
-            if name not in self.table.members
-        )
+        self.unreached = {
+            name for name in self.list_unreached() if self.is_missing(name)
+        }
+        self.dead |= self.unreached
         self.live = live
         self.known_data_centres = known_data_centres
         self.avoid_until = {
@@ -114,6 +116,11 @@
         )
         self.set_eligible(eligible)
 
+    def is_missing(self, instance: str) -> bool:
+        """Return whether a node is unknown or has died."""
+        member = self.table.members.get(instance)
+        return member is None or member.state is model.MemberState.DEAD
+
     def note_departures(self, eligible: set[str], now: float) -> None:
         """Note which nodes of this data centre have left in order.
 
--- a/oleanderknot/tasks/quota_support.py
+++ b/oleanderknot/tasks/quota_support.py
@@ -68,7 +68,10 @@
         members.refresh(now)
         quorum.informed = quorum.informed or self.is_informed()
         quorum.update_known(
-            members.live.get(own.data_centre, ()), members.dead, now
+            members.live.get(own.data_centre, ()),
+            members.dead,
+            members.unreached,
+            now,
         )
         members.add_known(quorum.known)
         self.lost = tuple(
