--- a/features/discovery.feature
+++ b/features/discovery.feature
@@ -10,7 +10,7 @@
     Then it dials the other node once more and no longer
 
   Scenario Outline: The rows of nodes that are gone for good are removed
-    Guards against machines that count as members for ever, and against a
+    Guards against instances that count as members for ever, and against a
     small group of nodes that removes the rows of those that it cannot reach.
     Given the node "<own>" knows "<live>" and has not reached "<unreached>" for <age> s
     When it looks for abandoned rows
--- a/features/quota_decisions.feature
+++ b/features/quota_decisions.feature
@@ -70,7 +70,7 @@
       | 5,5,5 | two nodes are restarted behind a cut for 8 s                  |
 
   Scenario: Dead nodes of earlier days do not outvote the live ones
-    Guards against a restarted node that learns from others of many machines
+    Guards against a restarted node that learns from others of many nodes
     that died before it, and counts them.
     Given 5 nodes and a limit of 60 requests a second and a burst of 30
     And each node has records of 8 dead nodes that the store does not list
@@ -80,7 +80,7 @@
     And the first home creates tokens
 
   Scenario: Nodes that are gone for good do not outvote those that are left
-    Guards against rows of machines that are gone, which would count as lost
+    Guards against rows of instances that are gone, which would count as lost
     nodes for ever.
     Given 5 nodes and a limit of 60 requests a second and a burst of 30
     When two nodes are gone and the others are restarted
--- a/features/steps/quota_decision_steps.py
+++ b/features/steps/quota_decision_steps.py
@@ -88,7 +88,7 @@
     'list'
 )
 def add_dead_records(context, count):
-    """Let all nodes know of machines whose rows are gone."""
+    """Let all nodes know of instances whose rows are gone."""
     network = context.network
     for node in network.nodes.values():
         node.table.merge(
--- a/oleanderknot/tasks/store_discovery.py
+++ b/oleanderknot/tasks/store_discovery.py
@@ -241,7 +241,7 @@
     async def remove_abandoned_rows(self) -> None:
         """Remove the rows of nodes of this data centre that are gone.
 
-        A machine that is lost does not remove its row, and nodes that start
+        An instance that is lost does not remove its row, and nodes that start
         count those that have rows. One that comes back writes its row again.
         """
         now = asyncio.get_running_loop().time()
