Take only status 503 for an upstream that leaves

Cause: any error on a connection that closes counted as the answer of an upstream that leaves. With a wrong path of the status check, which many servers answer with 404 or 400 and a close, a live upstream would never take work again after a restart of its node.

Change: only 503 with a close says so. All other statuses let the heartbeat count.

Tests: the example "404 and closes" of "A status check tells who takes work" was judged as leaving before, and is live now.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -250,6 +250,7 @@
       | upstream | answer            | liveness |
       | i-1      | 200               | live     |
       | i-1      | 200 and closes    | live     |
+      | i-1      | 404 and closes    | live     |
       | i-1      | 503               | live     |
       | i-1      | 503 and closes    | leaving  |
       | i-2      | 200               | replaced |
--- a/features/steps/status_check_steps.py
+++ b/features/steps/status_check_steps.py
@@ -62,7 +62,7 @@
     if answer != 'nothing':
         status = model.UpstreamStatus(
             upstream='' if upstream == 'no id' else upstream,
-            healthy=answer.startswith('200'),
+            unavailable=answer.startswith('503'),
             closing=answer.endswith('closes'),
         )
     found = decisions.judge_start(sender, status)
--- a/oleanderknot/decisions/start_liveness.py
+++ b/oleanderknot/decisions/start_liveness.py
@@ -26,9 +26,10 @@
 ) -> StartLiveness:
     """Decide whether the sender of a heartbeat takes work.
 
-    An upstream that is full, or that fails its own health check, also
-    answers that it is not healthy. Only one that leaves closes the
-    connection, so the others are not kept out.
+    An upstream that is full, or that fails its own health check, is
+    unavailable too. Only one that leaves also closes the connection, so the
+    others are not kept out. Any other error, as for a wrong path of the
+    check, says nothing about a departure.
 
     Args:
         upstream: Id of the upstream in the heartbeat.
@@ -38,6 +39,6 @@
         return StartLiveness.UNKNOWN
     if status.upstream and status.upstream != upstream:
         return StartLiveness.REPLACED
-    if status.closing and not status.healthy:
+    if status.closing and status.unavailable:
         return StartLiveness.LEAVING
     return StartLiveness.LIVE
--- a/oleanderknot/model/upstream_status.py
+++ b/oleanderknot/model/upstream_status.py
@@ -9,10 +9,11 @@
 
     Attributes:
         upstream: Id of the upstream; empty when the answer names none.
-        healthy: Whether the upstream says that it is healthy and not leaving.
+        unavailable: Whether the upstream answers with status 503, as one that
+            leaves, is full or fails its own health check does.
         closing: Whether it closes the connection, as one that leaves does.
     """
 
     upstream: str
-    healthy: bool
+    unavailable: bool
     closing: bool
--- a/oleanderknot/tasks/start_confirmation.py
+++ b/oleanderknot/tasks/start_confirmation.py
@@ -172,7 +172,7 @@
                 'sequence': report.sequence,
                 'liveness': liveness.value,
                 'answered_as': status and status.upstream,
-                'healthy': status and status.healthy,
+                'unavailable': status and status.unavailable,
                 'closing': status and status.closing,
                 'duration_s': round(duration_s, 4),
             }
--- a/oleanderknot/tasks/status_check.py
+++ b/oleanderknot/tasks/status_check.py
@@ -10,7 +10,7 @@
 # would lose its place in the queue.
 CHECK_TIMEOUT_S = 3.0
 
-OK_STATUS = 200
+UNAVAILABLE_STATUS = 503
 
 
 async def check_status(
@@ -49,6 +49,6 @@
         connection.abort()
     return model.UpstreamStatus(
         upstream=answer.metadata.upstream,
-        healthy=answer.status == OK_STATUS,
+        unavailable=answer.status == UNAVAILABLE_STATUS,
         closing=answer.metadata.closing,
     )
