Probe the members of other data centres in rounds

Cause: one in eight probes went to a remote member, both decided by chance.

Change: each eighth probe goes to another data centre, and its members are probed in rounds of random order, as the local ones are. With two remote members the longest time between two probes of one is 24 s.

--- a/features/membership_decisions.feature
+++ b/features/membership_decisions.feature
@@ -13,6 +13,24 @@
     Then each of the 4 members was probed 5 times
     And no member was suspected
 
+  Scenario Outline: Each member of another data centre is probed in bounded time
+    Guards against a node of a lost data centre that is found dead only when
+    chance picks it, since remote members were drawn at random.
+    Given a probe schedule of "a" that knows "b", "c"
+    And the schedule draws with seed <seed>
+    And the schedule knows "x" of data centre "dc2"
+    And the schedule knows "y" of data centre "dc2"
+    When each probe is answered for 96 s
+    Then "x" is probed every 24 s at least, and "y" too
+    And 11 to 13 probes went to another data centre
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+
   Scenario: A node that was stopped does not judge others by its own pause
     Given a probe schedule of "a" that knows "b", "c", "d", "e"
     When a probe starts and the node is stopped for 60 s
--- a/features/steps/membership_decision_steps.py
+++ b/features/steps/membership_decision_steps.py
@@ -1,6 +1,7 @@
 """Steps that test the decisions of the membership protocol."""
 
 import dataclasses
+import itertools
 import random
 
 from behave import given
@@ -51,6 +52,16 @@
     context.steps = []
 
 
+@given('the schedule draws with seed {seed:d}')
+def seed_schedule(context, seed):
+    """Build the schedule anew with another seed."""
+    context.schedule = decisions.ProbeSchedule(
+        own=context.schedule.own,
+        data_centre=context.schedule.data_centre,
+        draw=random.Random(seed).randrange,
+    )
+
+
 @given('the schedule knows "{name}" of data centre "{data_centre}"')
 def add_remote_member(context, name, data_centre):
     """Add a member of another data centre."""
@@ -107,6 +118,33 @@
     run_schedule(context, 0.4, False)
 
 
+@then('"{first}" is probed every {limit_s:d} s at least, and "{second}" too')
+def check_probe_gaps(context, first, limit_s, second):
+    """Check the longest time without a probe."""
+    for name in (first, second):
+        times = list_times(context, decisions.ProbeAction.PROBE, name)
+        times = [100.0, *times, context.now]
+        gaps = [
+            later - earlier for earlier, later in itertools.pairwise(times)
+        ]
+        assert max(gaps) <= limit_s, (name, gaps)
+
+
+@then('{least:d} to {most:d} probes went to another data centre')
+def check_remote_probes(context, least, most):
+    """Check the number of probes of remote members."""
+    remote = {
+        member.instance
+        for member in context.member_table.list_live()
+        if member.data_centre != 'dc1'
+    }
+    count = sum(
+        action is decisions.ProbeAction.PROBE and name in remote
+        for _, action, name in context.steps
+    )
+    assert least <= count <= most, count
+
+
 @then('the first probed member is asked for by {count:d} others {s:g} s later')
 def check_asked(context, count, s):
     """Check the indirect probes."""
--- a/oleanderknot/decisions/probe_schedule.py
+++ b/oleanderknot/decisions/probe_schedule.py
@@ -38,6 +38,9 @@
         data_centre: Data centre of this instance.
         draw: Returns a random integer from 0 up to its argument, exclusive.
         unprobed: Local members that were not yet probed in this round.
+        unprobed_remote: The same for members of other data centres.
+        periods_to_remote: Probes of local members before the next one of
+            another data centre.
         probes: Unanswered probes by instance: the monotonic start time in
             seconds, and whether indirect probes were requested.
         suspect_deadlines: Monotonic time in seconds at which a suspect is
@@ -51,6 +54,9 @@
         self.data_centre = data_centre
         self.draw = draw
         self.unprobed: list[str] = []
+        self.unprobed_remote: list[str] = []
+        # Nodes that start together must not probe remotely together.
+        self.periods_to_remote = draw(PROBES_PER_REMOTE_PROBE)
         self.probes: dict[str, tuple[float, bool]] = {}
         self.suspect_deadlines: dict[str, float] = {}
         self.next_probe = 0.0
@@ -168,8 +174,9 @@
     def choose_target(self, table: member_table.MemberTable) -> str:
         """Choose the next probe target; empty when no other member is live.
 
-        Members of the local data centre are probed in rounds of random
-        order, which bounds the time to detect a failure.
+        Members are probed in rounds of random order, those of other data
+        centres in every eighth probe. This bounds the time to detect a
+        failure.
         """
         live = [
             item for item in table.list_live() if item.instance != self.own
@@ -179,16 +186,24 @@
             for item in live
             if item.data_centre == self.data_centre
         }
-        if len(local) < len(live):
-            if not local or self.draw(PROBES_PER_REMOTE_PROBE) == 0:
-                remote = [item for item in live if item.instance not in local]
-                return remote[self.draw(len(remote))].instance
-        self.unprobed = [name for name in self.unprobed if name in local]
-        if not self.unprobed:
-            self.unprobed = sorted(local)
-        if not self.unprobed:
-            return ''
-        return self.unprobed.pop(self.draw(len(self.unprobed)))
+        remote = {item.instance for item in live} - local
+        if remote and (not local or self.periods_to_remote <= 0):
+            self.periods_to_remote = PROBES_PER_REMOTE_PROBE - 1
+            return self.draw_from_round(self.unprobed_remote, remote)
+        self.periods_to_remote -= 1
+        return self.draw_from_round(self.unprobed, local) if local else ''
+
+    def draw_from_round(self, unprobed: list[str], members: set[str]) -> str:
+        """Take a random member from a round, which starts anew when empty.
+
+        Args:
+            unprobed: Members that are left of the round; updated.
+            members: All members to probe; not empty.
+        """
+        unprobed[:] = [name for name in unprobed if name in members]
+        if not unprobed:
+            unprobed[:] = sorted(members)
+        return unprobed.pop(self.draw(len(unprobed)))
 
     def choose_dead_contact(self, table: member_table.MemberTable) -> str:
         """Choose a dead member to contact; empty in most periods."""
