--- a/oleanderknot/decisions/__init__.py
+++ b/oleanderknot/decisions/__init__.py
@@ -4,6 +4,7 @@
 
 # Public names by the module that defines them.
 MODULES = {
+    'abandoned_rows': ('list_abandoned',),
     'account_format': ('format_time',),
     'account_report': ('build_report', 'count_served'),
     'account_totals': ('sum_batches',),
--- a/oleanderknot/node/sidecar_application.py
+++ b/oleanderknot/node/sidecar_application.py
@@ -23,6 +23,7 @@
 from oleanderknot.node import sidecar_gauges
 from oleanderknot.node import sidecar_listeners
 from oleanderknot.node import sidecar_peers
+from oleanderknot.node import sidecar_policy
 from oleanderknot.node import sidecar_quota
 from oleanderknot.node import sidecar_recorder
 from oleanderknot.tasks import call_sessions
@@ -273,7 +274,7 @@
             count=self.recorder.count,
         )
         self.quota = sidecar_quota.build_quota(self)
-        self.policies.on_change = self.apply_policy
+        self.policies.on_change = sidecar_policy.build_change_handler(self)
         self.feed = policy_feed.PolicyFeed(
             store=self.store,
             on_policy=self.policies.apply,
@@ -359,19 +360,6 @@
             clock_s,
         )
 
-    def apply_policy(self, policy: model.TrafficPolicy) -> None:
-        """Pass a policy that comes into force to the tasks that need it."""
-        self.quota.apply_policy(policy)
-        self.local_upstream.runner.downstream_level.calls.set_targets(
-            {
-                route.name: frozenset(
-                    target.service for target in route.targets
-                )
-                for route in policy.routes
-            }
-        )
-        self.local_upstream.heartbeats.confirmation.policy_arrived.set()
-
     def is_ready(self) -> bool:
         """Return whether clients may send requests to this node."""
         return not self.stopping and self.policies.policy is not None
--- a/oleanderknot/tasks/store_discovery.py
+++ b/oleanderknot/tasks/store_discovery.py
@@ -7,6 +7,7 @@
 from absl import logging
 
 from oleanderknot import border
+from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot import platform
 from oleanderknot.tasks import membership
@@ -40,13 +41,6 @@
 # connected find each other; with 1,220 nodes this makes 20 reads per second.
 READ_PERIOD_S = 60.0
 
-# Time for which a node is not reached before its row is removed. Links
-# between nodes fail for minutes at most.
-ROW_RETENTION_S = 600.0
-
-# Rows that one call removes; the store takes 100 entries.
-MAX_REMOVED_ROWS = 50
-
 
 class StoreDiscovery:
     """Owns the row of this node in the store and reads those of other nodes.
@@ -250,24 +244,20 @@
             for name in self.unreached
         }
         own = self.members.own
-        live = [
-            member.instance
-            for member in self.members.table.list_live()
-            if member.data_centre == own.data_centre
-        ]
-        local = [
-            name
-            for name, row in self.unreached.items()
-            if row.data_centre == own.data_centre
-        ]
-        # One node does this, and none on the smaller side of a cut.
-        if own.instance != min(live, default='') or len(live) <= len(local):
-            return
-        abandoned = [
-            name
-            for name in local
-            if now - self.unreached_since[name] >= ROW_RETENTION_S
-        ][:MAX_REMOVED_ROWS]
+        abandoned = decisions.list_abandoned(
+            own=own.instance,
+            live=[
+                member.instance
+                for member in self.members.table.list_live()
+                if member.data_centre == own.data_centre
+            ],
+            unreached_since={
+                name: since
+                for name, since in self.unreached_since.items()
+                if self.unreached[name].data_centre == own.data_centre
+            },
+            now=now,
+        )
         if not abandoned:
             return
         result = await self.store.commit(NODE_TABLE, remove=abandoned)
@@ -275,10 +265,8 @@
             self.watch.note_failure(result.error.detail)
             return
         logging.info(
-            'removed the rows of %d nodes that have not been reached for'
-            ' %d s: %s',
+            'removed the rows of %d nodes that are out of reach: %s',
             len(abandoned),
-            ROW_RETENTION_S,
             ', '.join(abandoned[:5]),
         )
 
