Leave an alert to the node that has just stored it

Cause: a node posts an alert that another one has stored after five attempts, since that one may have died. Attempts while the table was away counted too, so that after a long outage a node posted at once what the other was posting.

Change: only attempts count in which the row of the other node was found.

Tests: "An alert that another node has just stored is left to that node" failed before, with a post in the first attempt.

--- a/features/alerts.feature
+++ b/features/alerts.feature
@@ -16,6 +16,14 @@
     And no node has alerts on their way
     And the morning report names "The object store does not answer in data centre dc1."
 
+  Scenario: An alert that another node has just stored is left to that node
+    Guards against two posts of an alert after an outage of the platform, as
+    the attempts during the outage counted as a wait for the other node.
+    Given an alert of node "b" that could not be stored in 9 attempts
+    When node "a" has stored the same alert
+    Then node "b" does not post it in 5 more attempts
+    And node "b" posts it in the next one
+
   Scenario: Refused orders raise an alert that stays until it is acknowledged
     Given a webhook that answers with status 204
     And a system that reports every 0.1 s
--- a/features/steps/alert_steps.py
+++ b/features/steps/alert_steps.py
@@ -1,15 +1,21 @@
 """Steps for alerts."""
 
+import asyncio
 import json
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
+from expression import Error
+from expression import Ok
 
 from features.support import http
 from features.support import webhook
+from oleanderknot import border
 from oleanderknot import decisions
 from oleanderknot import model
+from oleanderknot.tasks import alerts
 
 
 @given('a webhook that answers with status {status:d}')
@@ -221,3 +227,87 @@
 def check_dark(context, names, centre):
     """Check which data centres have no live member."""
     assert decisions.find_dead_data_centres(context.members, centre) == {names}
+
+
+def build_alert(instance):
+    """Build an alert that two nodes raise."""
+    return model.Alert(
+        id='objects-out.dc1.1',
+        kind=model.AlertKind.OBJECTS_OUT,
+        subject='dc1',
+        by=instance,
+        data_centre='dc1',
+        at=1000.0,
+    )
+
+
+def attempt(context, count):
+    """Make attempts to deliver the alert; return the number of posts."""
+
+    async def deliver():
+        for _ in range(count):
+            await context.alerts.try_deliver(build_alert('b').id)
+
+    context.loop.run_until_complete(deliver())
+    return context.alerts.post.await_count
+
+
+@given(
+    'an alert of node "{name}" that could not be stored in {count:d} attempts'
+)
+def build_unstored(context, name, count):
+    """Build the alerts of a node whose table and webhook are away."""
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.alert_table = mock.Mock()
+    context.alert_table.read = mock.AsyncMock(
+        return_value=Error(
+            model.PlatformFault(
+                kind=model.FaultKind.NOT_SENT, detail='the table is away'
+            )
+        )
+    )
+    context.alert_table.commit = mock.AsyncMock(return_value=Ok(None))
+
+    async def build():
+        context.alerts = alerts.Alerts(
+            identity=model.NodeIdentity(
+                instance=name, incarnation=1, data_centre='dc1'
+            ),
+            settings=border.AlertSettings(webhook_url='http://127.0.0.1:1/'),
+            table=context.alert_table,
+            count=lambda counter: None,
+            draw=lambda: 0.0,
+        )
+
+    context.loop.run_until_complete(build())
+    context.add_cleanup(
+        lambda: context.loop.run_until_complete(context.alerts.close())
+    )
+    context.alerts.post = mock.AsyncMock(return_value=False)
+    context.alerts.pending['objects-out.dc1.1'] = build_alert(name)
+    attempt(context, count)
+
+
+@when('node "{name}" has stored the same alert')
+def store_alert(context, name):
+    """Let the table answer with the row of another node."""
+    row = model.TableRow(
+        key='alert/objects-out.dc1.1',
+        version=7,
+        value=border.dump_alert(build_alert(name)),
+    )
+    context.alert_table.read = mock.AsyncMock(return_value=Ok([row]))
+    context.alerts.post = mock.AsyncMock(return_value=True)
+
+
+@then('node "b" does not post it in {count:d} more attempts')
+def check_not_posted(context, count):
+    """Check that the alert is left to the other node."""
+    assert attempt(context, count) == 0
+
+
+@then('node "b" posts it in the next one')
+def check_posted(context):
+    """Check that the other node is not waited for without end."""
+    assert attempt(context, 1) == 1
--- a/oleanderknot/tasks/alerts.py
+++ b/oleanderknot/tasks/alerts.py
@@ -15,8 +15,9 @@
 from oleanderknot import platform
 from oleanderknot.tasks import task_log
 
-# Attempts during which an alert stored by another node is left to that node.
-# After these this node posts it, since the other node may have died.
+# Attempts in which this node finds an alert that another node has stored and
+# not posted, and leaves it to that node. After these this node posts it, since
+# the other one may have died.
 ATTEMPTS_BEFORE_TAKEOVER = 5
 
 MAX_PENDING = 200
@@ -34,6 +35,8 @@
         count: Increments the counter metric of this name.
         draw: Returns a random number from 0 to 1.
         pending: Alerts whose delivery is not complete, by id.
+        left_to_others: Number of attempts in which an alert was left to the
+            node that has stored it, by id.
         raised: Ids of all alerts raised since this process started.
         tasks: Delivery tasks, by alert id.
         session: HTTP session for the webhook.
@@ -54,6 +57,7 @@
         self.count = count
         self.draw = draw
         self.pending: dict[str, model.Alert] = {}
+        self.left_to_others: dict[str, int] = {}
         self.raised: set[str] = set()
         self.tasks: dict[str, asyncio.Task] = {}
         self.session = aiohttp.ClientSession(
@@ -95,18 +99,17 @@
     async def deliver(self, alert: model.Alert) -> None:
         """Retry storing and posting an alert until both have succeeded."""
         pause = self.settings.retry_min_s
-        attempt = 0
         # Many nodes may detect the same problem at once; a random delay lets
         # one of them store the alert first.
         await asyncio.sleep(self.draw() * pause)
-        while not await self.try_deliver(alert.id, attempt):
+        while not await self.try_deliver(alert.id):
             await asyncio.sleep(pause * (0.5 + self.draw() / 2))
             pause = min(2 * pause, self.settings.retry_max_s)
-            attempt += 1
         del self.pending[alert.id]
+        self.left_to_others.pop(alert.id, None)
         del self.tasks[alert.id]
 
-    async def try_deliver(self, alert_id: str, attempt: int) -> bool:
+    async def try_deliver(self, alert_id: str) -> bool:
         """Make one attempt to store and post an alert.
 
         Returns:
@@ -118,9 +121,13 @@
             stored = border.parse_alert(row.value)
             if stored.posted or not self.settings.webhook_url:
                 return True
-            stored_by_other = stored.by != self.identity.instance
-            if stored_by_other and attempt < ATTEMPTS_BEFORE_TAKEOVER:
-                return False
+            if stored.by != self.identity.instance:
+                # Attempts while the table was away do not count: the other
+                # node has stored the alert only now.
+                left = self.left_to_others.get(alert_id, 0)
+                self.left_to_others[alert_id] = left + 1
+                if left < ATTEMPTS_BEFORE_TAKEOVER:
+                    return False
         if not alert.posted and self.settings.webhook_url:
             if not await self.post(alert):
                 self.count('alerts.posts_failed')
