Notice clients that leave behind bytes that are not read

What callers saw: requests of clients that had left ran to their end, and took slots of upstreams, if more than 64 KiB stood behind eight requests in progress, or an invalid request behind any.

Cause: the connection pauses reading in both cases, and an event loop reports the end of a connection only after all bytes before it have been read.

The counter client.left_unread shows it.

Tests: "A client that has left is noticed behind more bytes than are read ahead" and "... behind an invalid request" failed before: none of 8 and of 2 requests was cancelled within 30 s.

--- a/features/departed_clients.feature
+++ b/features/departed_clients.feature
@@ -31,6 +31,18 @@
     When a client of "one" sends 12 requests for "/page/1?delay_ms=1800" ahead, waits 0.3 s and leaves
     Then the back end of "one" drops 8 of them before their end, and begins no other
 
+  Scenario: A client that has left is noticed behind more bytes than are read ahead
+    Guards against requests that run on since nothing is read from the
+    connection any more.
+    When a client of "one" sends 8 requests for "/page/1?delay_ms=1800", 120000 bytes of an upload, waits 0.3 s and leaves
+    Then the back end of "one" drops 8 of them before their end, and begins no other
+
+  Scenario: A client that has left is noticed behind an invalid request
+    Guards against the same while the answer to an invalid request is held
+    back until the requests before it have ended.
+    When a client of "one" sends 2 requests for "/page/1?delay_ms=1800" and an invalid one, waits 0.3 s and leaves
+    Then the back end of "one" drops 2 of them before their end, and begins no other
+
   Scenario: An answer of another node is not received for a client that has left
     Guards against the rest of a long answer that the other node keeps, and its
     task with it, as long as the connection lives.
--- a/features/steps/departed_client_steps.py
+++ b/features/steps/departed_client_steps.py
@@ -42,23 +42,62 @@
         client.close()
 
 
+def build_requests(count, target):
+    """Return the bytes of pipelined requests without a body."""
+    head = (
+        'GET %s HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: gone%d\r\n'
+        'Deadline-Milliseconds: 6000\r\n\r\n'
+    )
+    return ''.join(head % (target, number) for number in range(count)).encode()
+
+
+def connect_and_leave(context, name, data, wait_s):
+    """Send bytes on a new connection, and close it after a while."""
+    host, port = context.fleet.sidecars[name].requests.split(':')
+    with socket.create_connection((host, int(port)), timeout=10) as client:
+        client.sendall(data)
+        time.sleep(wait_s)
+
+
 @when(
     'a client of "{name}" sends {count:d} requests for "{target}" ahead, '
     'waits {wait_s:f} s and leaves'
 )
 def send_ahead_and_leave(context, name, count, target, wait_s):
     """Send requests on one connection before any is answered, and close it."""
-    host, port = context.fleet.sidecars[name].requests.split(':')
-    client = socket.create_connection((host, int(port)), timeout=10)
-    head = (
-        'GET %s HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: gone%d\r\n'
-        'Deadline-Milliseconds: 6000\r\n\r\n'
+    connect_and_leave(context, name, build_requests(count, target), wait_s)
+
+
+@when(
+    'a client of "{name}" sends {count:d} requests for "{target}", '
+    '{size:d} bytes of an upload, waits {wait_s:f} s and leaves'
+)
+def send_upload_and_leave(context, name, count, target, size, wait_s):
+    """Send requests and a part of an upload behind them."""
+    upload = (
+        'POST /page/2 HTTP/1.1\r\nHost: shop.example\r\n'
+        'Request-Id: gone-upload\r\nContent-Length: %d\r\n\r\n' % (2 * size)
     )
-    client.sendall(
-        ''.join(head % (target, number) for number in range(count)).encode()
+    connect_and_leave(
+        context,
+        name,
+        build_requests(count, target) + upload.encode() + b'x' * size,
+        wait_s,
+    )
+
+
+@when(
+    'a client of "{name}" sends {count:d} requests for "{target}" and an '
+    'invalid one, waits {wait_s:f} s and leaves'
+)
+def send_invalid_and_leave(context, name, count, target, wait_s):
+    """Send requests and something that is no request behind them."""
+    connect_and_leave(
+        context,
+        name,
+        build_requests(count, target) + b'no request\r\n\r\n',
+        wait_s,
     )
-    time.sleep(wait_s)
-    client.close()
 
 
 @then(
--- a/oleanderknot/tasks/metric_list.py
+++ b/oleanderknot/tasks/metric_list.py
@@ -35,6 +35,12 @@
         'Connections of clients at the bound, for each of which one was'
         ' closed; on a platform.',
     ),
+    (
+        'client.left_unread',
+        'connections',
+        'Connections of clients closed because the client had left while'
+        ' nothing was read from them; on a platform.',
+    ),
     (
         'client.no_progress',
         'connections',
