--- a/features/steps/faulty_upstream_steps.py
+++ b/features/steps/faulty_upstream_steps.py
@@ -17,7 +17,7 @@
 from features.support import wait
 from oleanderknot import transport
 from oleanderknot.platform import message_headers
-from oleanderknot.standins import backend
+from oleanderknot.standins import backend_responses
 
 # Deadline of the requests; their route ends them after 2 s.
 DEADLINE_MS = 8000
@@ -273,7 +273,7 @@
     end = 1
     while length < end:
         request_id = 'c%s-%d' % (which[0], length)
-        whole = backend.build_framed(request_id, body, framing)
+        whole = backend_responses.build_framed(request_id, body, framing)
         head_size = whole.index(b'\r\n\r\n') + 4
         end = head_size if part == 'head' else len(whole)
         if which != 'an':
--- a/oleanderknot/standins/backend.py
+++ b/oleanderknot/standins/backend.py
@@ -11,64 +11,12 @@
 
 import aiohttp
 
-HEARTBEAT_INTERVAL_S = 0.3
+from oleanderknot.standins import backend_heartbeats
+from oleanderknot.standins import backend_responses
 
 # Path of the status check in the policies of the tests.
 HEALTH_PATH = '/health'
 
-# Bytes sent instead of a valid response, by fault; the connection is closed
-# after them.
-CLOSING_RESPONSES = {
-    'lost': b'',
-    'garbage': b'this is no answer\r\n\r\n',
-    'short': b'HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nResponse-Signature: s\r\n'
-    b'Content-Length: 100\r\n\r\nshort',
-}
-
-SIGNED_HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nResponse-Signature: s\r\n'
-
-# Start of a response, and bytes that follow it without end until the
-# connection closes, by fault.
-ENDLESS_RESPONSES = {
-    'endless_bytes': (b'', b'z' * 4096),
-    'endless_status': (b'HTTP/1.1 200 ', b'O' * 4096),
-    'endless_header': (SIGNED_HEAD + b'X-Long: ', b'x' * 4096),
-    'endless_headers': (SIGNED_HEAD, b'X-Many: 1\r\n' * 400),
-    'endless_chunk_size': (
-        SIGNED_HEAD + b'Transfer-Encoding: chunked\r\n\r\n5;x=',
-        b'y' * 4096,
-    ),
-    'endless_chunks': (
-        SIGNED_HEAD + b'Transfer-Encoding: chunked\r\n\r\n',
-        b'1000\r\n' + b'b' * 4096 + b'\r\n',
-    ),
-    'endless_trailers': (
-        SIGNED_HEAD + b'Transfer-Encoding: chunked\r\n\r\n0\r\n',
-        b'X-Many: 1\r\n' * 400,
-    ),
-    'endless_length': (
-        SIGNED_HEAD + b'Content-Length: 99999999999\r\n\r\n',
-        b'b' * 4096,
-    ),
-    'endless_unframed': (SIGNED_HEAD + b'\r\n', b'b' * 4096),
-    'endless_interim': (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 100),
-    'endless_foreign': (
-        b'',
-        b'HTTP/1.1 200 OK\r\nRequest-Id: another\r\n'
-        b'Content-Length: 0\r\n\r\n' * 50,
-    ),
-}
-
-
-# Part of an answer that ends with its connection before the request body has
-# been read, by fault.
-EARLY_ENDS = {
-    'early': b'\r\npart of a body',
-    'early_close': b'Connection: close\r\n\r\npart of a body',
-    'early_chunked': b'Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n',
-    'early_length': b'Content-Length: 100\r\n\r\npart of a body',
-    'early_half': b'\r\npart of a body',
-}
 EARLY_END_DELAY_S = 0.2
 HALF_CLOSED_S = 5.0
 
@@ -79,16 +27,16 @@
     The query string may set ``delay_ms`` of work, ``size`` of the response
     body in bytes, a ``fault``, and a ``call``: a host and path to request
     through the node, ``times`` times. The faults are those of
-    ``CLOSING_RESPONSES`` and ``shed`` (503, not run), ``fail`` (500),
+    ``CLOSING_RESPONSES``, ``EARLY_ENDS`` and ``ENDLESS_RESPONSES`` in
+    ``backend_responses``, and ``shed`` (503, not run), ``fail`` (500),
     ``unsigned`` (no signature header), ``extra`` (a second response follows),
     ``late`` (a response to another request is sent first), ``unframed`` (no
     content length), ``refuse_first`` (the first arrival of an id is shed, and
     the refusal is sent once more when the next request arrives on the same
     connection), ``cut`` (the connection closes after the first ``bytes`` of a
-    response whose ``framing`` is ``length``, ``chunked`` or ``none``),
-    ``status`` (the response has the status line's ``code``), those of
-    ``EARLY_ENDS`` and those of ``ENDLESS_RESPONSES``. With ``pace_ms`` an
-    endless response pauses between its parts.
+    response whose ``framing`` is ``length``, ``chunked`` or ``none``) and
+    ``status`` (the response has the status line's ``code``). With ``pace_ms``
+    an endless response pauses between its parts.
 
     With ``--record`` each process start, arrival, run, report of a changed
     state and acknowledged state is appended to a file as one JSON line, which
@@ -102,12 +50,9 @@
         refused: Ids whose first arrival was shed by ``refuse_first``.
         refusals: Refusal to send once more, by connection.
         notice: Header lines that each answer adds.
-        state: State reported in heartbeats.
-        deregistered: Whether it has left without saying ``draining``.
         status_delay_s: Seconds that a status check waits.
         status_ill: Whether a status check says that this back end is ill.
-        acknowledged_state: Last state that the node acknowledged; empty
-            while another one is being reported.
+        heartbeats: Tells the node the state of this back end.
     """
 
     def __init__(self, *, options: argparse.Namespace) -> None:
@@ -120,15 +65,10 @@
             asyncio.StreamWriter, bytes
         ] = weakref.WeakKeyDictionary()
         self.notice = b''
-        self.state = self.acknowledged_state = 'ready'
-        self.deregistered = False
         self.status_delay_s = 0.0
         self.status_ill = False
-        self.upstream = 'i-%s' % options.name
-        self.started_ms = int((time.time() + options.clock_ahead_s) * 1000)
-        self.sequence = 0
         self.session: aiohttp.ClientSession | None = None
-        self.heartbeat_task: asyncio.Task | None = None
+        self.heartbeats: backend_heartbeats.BackendHeartbeats | None = None
         self.record_file = options.record and open(
             options.record, 'ab', buffering=0
         )
@@ -136,6 +76,9 @@
     async def run(self) -> None:
         """Serve requests and send heartbeats until SIGTERM."""
         self.session = aiohttp.ClientSession()
+        self.heartbeats = backend_heartbeats.BackendHeartbeats(
+            options=self.options, session=self.session, record=self.record
+        )
         self.record('start')
         host, port = self.options.address.split(':')
         await asyncio.start_server(
@@ -143,59 +86,11 @@
         )
         stop = asyncio.Event()
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
-        self.heartbeat_task = asyncio.create_task(self.send_heartbeats())
+        self.heartbeats.start()
         await stop.wait()
-        self.heartbeat_task.cancel()
+        self.heartbeats.stop()
         await self.session.close()
 
-    async def send_heartbeats(self) -> None:
-        """Send heartbeats periodically until cancelled."""
-        while True:
-            self.sequence += 1
-            with contextlib.suppress(OSError, aiohttp.ClientError):
-                await self.send_heartbeat()
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
-
-    async def send_heartbeat(self, **changes: object) -> int:
-        """Send one heartbeat and return the status code of the response."""
-        state = self.state
-        content = {
-            'service': self.options.service,
-            'address': self.options.address,
-            'zone': 'dc1',
-            'version': 'v1',
-            'slots': self.options.slots,
-            'state': state,
-            'coldRemaining': '0ms',
-            'sequence': self.sequence,
-            'born': self.started_ms,
-            **changes,
-        }
-        if state != self.acknowledged_state:
-            self.acknowledged_state = ''
-            self.record('report', state=state)
-        status = await self.post('heartbeat', content)
-        if status == 200 and state != self.acknowledged_state:
-            self.acknowledged_state = state
-            self.record('state', state=state)
-        return status
-
-    async def deregister(self) -> int:
-        """Deregister without a heartbeat that says so, and go on serving."""
-        self.heartbeat_task.cancel()
-        self.deregistered = True
-        return await self.post('deregister', {'born': self.started_ms})
-
-    async def post(self, action: str, content: dict[str, object]) -> int:
-        """Send a call to the node and return the status of its response."""
-        url = 'http://%s/v1/instances/%s/%s' % (
-            self.options.control,
-            self.upstream,
-            action,
-        )
-        async with self.session.post(url, json=content) as response:
-            return response.status
-
     def record(self, event: str, **fields: object) -> None:
         """Append an event with its monotonic time in seconds to the record."""
         if not self.record_file:
@@ -233,7 +128,7 @@
         )
         parts = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(parts.query))
-        if query.get('fault') in EARLY_ENDS:
+        if query.get('fault') in backend_responses.EARLY_ENDS:
             await self.answer_early(
                 writer, headers.get('request-id', ''), query['fault']
             )
@@ -241,25 +136,33 @@
         await reader.readexactly(int(headers.get('content-length', 0)))
         if parts.path.startswith('/-/'):
             content = await self.handle_control(parts.path, query)
-            writer.write(build_response(200, '', json.dumps(content).encode()))
+            writer.write(
+                backend_responses.build_response(
+                    200, '', json.dumps(content).encode()
+                )
+            )
             return True
         if parts.path == HEALTH_PATH:
             await asyncio.sleep(self.status_delay_s)
-            leaving = self.deregistered or self.state != 'ready'
-            writer.write(build_status(self.upstream, leaving, self.status_ill))
+            leaving = self.heartbeats.is_leaving
+            writer.write(
+                backend_responses.build_status(
+                    self.heartbeats.upstream, leaving, self.status_ill
+                )
+            )
             return not leaving
         request_id = headers.get('request-id', '')
         self.record('arrival', id=request_id)
         writer.write(self.refusals.pop(writer, b''))
         if query.get('fault') == 'shed':
-            writer.write(build_refusal(request_id))
+            writer.write(backend_responses.build_refusal(request_id))
             return True
         if (
             query.get('fault') == 'refuse_first'
             and request_id not in self.refused
         ):
             self.refused.add(request_id)
-            self.refusals[writer] = build_refusal(request_id)
+            self.refusals[writer] = backend_responses.build_refusal(request_id)
             writer.write(self.refusals[writer])
             return True
         run = {
@@ -279,7 +182,7 @@
             self.cancelled.append(request_id)
             return False
         self.finished.append(request_id)
-        if query.get('fault', '') in ENDLESS_RESPONSES:
+        if query.get('fault', '') in backend_responses.ENDLESS_RESPONSES:
             await self.write_endless(writer, request_id, query)
             return False
         return self.write_response(writer, request_id, query)
@@ -292,7 +195,10 @@
         Closing the connection with unread data resets it.
         """
         self.runs.append({'id': request_id})
-        writer.write(SIGNED_HEAD % request_id.encode() + EARLY_ENDS[fault])
+        writer.write(
+            backend_responses.SIGNED_HEAD % request_id.encode()
+            + backend_responses.EARLY_ENDS[fault]
+        )
         await writer.drain()
         # The caller reads the part before it hears of the end.
         await asyncio.sleep(EARLY_END_DELAY_S)
@@ -306,7 +212,7 @@
         self, writer: asyncio.StreamWriter, request_id: str, query: dict
     ) -> None:
         """Write a response without an end until the connection closes."""
-        start, part = ENDLESS_RESPONSES[query['fault']]
+        start, part = backend_responses.ENDLESS_RESPONSES[query['fault']]
         if b'%b' in start:
             start %= request_id.encode()
         writer.write(start)
@@ -345,18 +251,20 @@
         """Write the response or its fault; return whether to stay open."""
         fault = query.get('fault', '')
         body = b'x' * int(query.get('size', 5))
-        response = build_response(200, request_id, body, self.notice)
-        if fault in CLOSING_RESPONSES:
-            closing_response = CLOSING_RESPONSES[fault]
+        response = backend_responses.build_response(
+            200, request_id, body, self.notice
+        )
+        if fault in backend_responses.CLOSING_RESPONSES:
+            closing_response = backend_responses.CLOSING_RESPONSES[fault]
             if b'%b' in closing_response:
                 closing_response %= request_id.encode()
             writer.write(closing_response)
             return False
         if fault == 'cut':
             writer.write(
-                build_framed(request_id, body, query['framing'])[
-                    : int(query['bytes'])
-                ]
+                backend_responses.build_framed(
+                    request_id, body, query['framing']
+                )[: int(query['bytes'])]
             )
             return False
         if fault == 'status':
@@ -367,24 +275,28 @@
             writer.write(response.replace(b'Content-Length', b'X-Length'))
             return False
         if fault == 'late':
-            writer.write(build_response(200, 'another', b'of another'))
+            writer.write(
+                backend_responses.build_response(200, 'another', b'of another')
+            )
         if fault == 'fail':
-            response = build_response(500, request_id, b'failed')
+            response = backend_responses.build_response(
+                500, request_id, b'failed'
+            )
         if fault == 'unsigned':
             response = response.replace(b'Response-Signature', b'X-Signature')
         writer.write(response)
         if fault == 'extra':
-            writer.write(build_response(200, request_id, b'again'))
+            writer.write(
+                backend_responses.build_response(200, request_id, b'again')
+            )
         return True
 
     async def handle_control(self, path: str, query: dict) -> object:
         """Execute a control command and return its JSON result."""
         if path == '/-/state':
-            self.state = query['value']
-            self.sequence += 1
-            return await self.send_heartbeat()
+            return await self.heartbeats.change_state(query['value'])
         if path == '/-/deregister':
-            return await self.deregister()
+            return await self.heartbeats.deregister()
         if path == '/-/status':
             self.status_delay_s = int(query.get('delay_ms', 0)) / 1000
             self.status_ill = 'ill' in query
@@ -402,7 +314,7 @@
             )
             return {}
         if path == '/-/report':
-            return await self.send_heartbeat(
+            return await self.heartbeats.send(
                 **{
                     name: int(value) if value.isdigit() else value
                     for name, value in query.items()
@@ -415,53 +327,6 @@
         }
 
 
-def build_refusal(request_id: str) -> bytes:
-    """Build the response to a request that is shed."""
-    return (
-        b'HTTP/1.1 503 Full\r\nRequest-Id: %b\r\nNot-Executed: 1\r\n'
-        b'Content-Length: 0\r\n\r\n' % request_id.encode()
-    )
-
-
-def build_status(upstream: str, leaving: bool, ill: bool) -> bytes:
-    """Build the response to a status check."""
-    return b'HTTP/1.1 %b\r\nInstance-Id: %b\r\n%bContent-Length: 0\r\n\r\n' % (
-        b'503 Unavailable' if leaving or ill else b'200 OK',
-        upstream.encode(),
-        b'Connection: close\r\n' if leaving else b'',
-    )
-
-
-def build_response(
-    status: int, request_id: str, body: bytes, notice: bytes = b''
-) -> bytes:
-    """Build a response with a signature header and a notice's headers."""
-    return (
-        b'HTTP/1.1 %d Any\r\nRequest-Id: %b\r\nResponse-Signature: s-%b\r\n'
-        b'%bContent-Length: %d\r\n\r\n'
-        % (status, request_id.encode(), request_id.encode(), notice, len(body))
-        + body
-    )
-
-
-def build_framed(request_id: str, body: bytes, framing: str) -> bytes:
-    """Build a response whose body has the given framing."""
-    response = build_response(200, request_id, body)
-    if framing == 'none':
-        return response.replace(b'Content-Length', b'X-Length')
-    if framing == 'chunked':
-        head, _, _ = response.rpartition(b'Content-Length')
-        return (
-            head
-            + b'Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n'
-            % (
-                len(body),
-                body,
-            )
-        )
-    return response
-
-
 def main() -> None:
     """Parse the command line and run the back end."""
     parser = argparse.ArgumentParser(description=__doc__)
