Notice departed clients of paused connections within 0.1 s

Change: DepartureWatch owns the connections that are not read, and checks them every 0.1 s while there are any.

--- a/oleanderknot/tasks/client_connection.py
+++ b/oleanderknot/tasks/client_connection.py
@@ -93,6 +93,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the work for a client that has disconnected."""
         self.listener.connections.discard(self)
+        self.listener.departures.discard(self)
         self.closing = True
         self.parser.close()
         self.backlog.clear()
@@ -215,6 +216,7 @@
         """Pause reading from the socket."""
         if not self.paused:
             self.paused = True
+            self.listener.departures.add(self)
             self.transport.pause_reading()
 
     def resume_reading(self) -> None:
@@ -226,6 +228,7 @@
             self.listener.parse_queue.add(self)
         elif self.paused:
             self.paused = False
+            self.listener.departures.discard(self)
             self.transport.resume_reading()
 
     def handle_end(self, entry: pipelined_request.PipelinedRequest) -> None:
--- a/oleanderknot/tasks/client_listener.py
+++ b/oleanderknot/tasks/client_listener.py
@@ -11,6 +11,7 @@
 from oleanderknot.tasks import client_timeouts
 from oleanderknot.tasks import connection_limit
 from oleanderknot.tasks import connection_reset
+from oleanderknot.tasks import departure_watch
 from oleanderknot.tasks import parse_queue
 from oleanderknot.tasks import request_pipeline
 
@@ -41,6 +42,7 @@
         bounds: Returns the bounds from the settings.
         on_sweep: Called before each check of all connections.
         parse_queue: Turns of the connections that have more to parse.
+        departures: Connections that are not read at the moment.
         connections: Open connections.
         active: Number of connections that answer requests.
         idle: Set while ``active`` is 0.
@@ -69,6 +71,9 @@
         self.bounds = bounds
         self.on_sweep = on_sweep
         self.parse_queue = parse_queue.ParseQueue()
+        self.departures = departure_watch.DepartureWatch(
+            on_left=self.drop_departed
+        )
         self.loop = asyncio.get_running_loop()
         self.connections: set[client_connection.ClientConnection] = set()
         self.tcp_server: asyncio.Server | None = None
@@ -123,6 +128,13 @@
             self.connections.discard(closed)
         self.connections.add(connection)
 
+    def drop_departed(
+        self, connection: client_connection.ClientConnection
+    ) -> None:
+        """Close a connection whose client has left while it was not read."""
+        self.count('client.left_unread')
+        connection.transport.abort()
+
     def count_busy(self) -> None:
         """Count a connection that begins to answer requests."""
         self.active += 1
@@ -163,5 +175,6 @@
             self.tcp_server.close()
         if self.sweep_timer is not None:
             self.sweep_timer.cancel()
+        self.departures.close()
         for connection in list(self.connections):
             connection.transport.abort()
--- a/oleanderknot/tasks/client_timeouts.py
+++ b/oleanderknot/tasks/client_timeouts.py
@@ -3,7 +3,6 @@
 import typing
 
 from oleanderknot import model
-from oleanderknot.tasks import client_departure
 from oleanderknot.tasks import connection_reset
 
 if typing.TYPE_CHECKING:
@@ -18,23 +17,12 @@
 ) -> None:
     """Enforce the timeouts and the bound on clients without progress.
 
-    A connection that is not read does not learn of its end, and its requests
-    would run on for a client that has left.
-
     Args:
         connection: The connection.
         now: Loop time in seconds.
         limits: Limits of the policy in force.
         bounds: Bounds from the settings.
     """
-    if (
-        connection.paused
-        and connection.pipeline.busy
-        and client_departure.has_left(connection.transport)
-    ):
-        connection.listener.count('client.left_unread')
-        connection.transport.abort()
-        return
     parser = connection.parser
     buffered = connection.transport.get_write_buffer_size()
     connection.memory.observe(
