Lend what a leaving quota home has left

What callers saw: for a second or two after a planned stop of its quota home, an organisation inside its limit got 429: 162 of 220 requests in a second that began 0.2 s after the departure, and 105 of 211 that began 1.3 s after it (rate 50, burst 150).

Cause: the next home starts with an empty stock, since the one that left may have handed out its own, and the one that leaves declined all requests, also those of the next home. What it had left was lost with it.

Change: a home that leaves answers requests of other homes with what it has left, less what another home may have created since its own last refill, so that both together hold no more than one. The home that takes its place asks it when requests wait, also before it has put itself in its place.

Tests: "What a home that leaves in order has left is not lost" failed before in two of three examples: with clients that had sent before, 127 of 198 and 64 of 186 requests were refused.

--- a/features/quota_decisions.feature
+++ b/features/quota_decisions.feature
@@ -126,6 +126,21 @@
       | 5,5,5 | 60   | 200   | the first home leaves         |
       | 5     | 50   | 150   | the first two homes leave     |
 
+  Scenario Outline: What a home that leaves in order has left is not lost
+    Guards against refusals of an organisation inside its limit, since the
+    next home starts with an empty stock.
+    Given <sizes> nodes and a limit of 50 requests a second and a burst of 150
+    When clients send 0.5 of the limit for 2 s
+    And the first home leaves, and <wait> s later clients send 4 of the limit for 1 s
+    Then fewer than 1 in 20 requests were refused
+    And no window exceeds the bound, and no data centre ever had two homes
+
+    Examples:
+      | sizes | wait |
+      | 4     | 0.2  |
+      | 4     | 1.3  |
+      | 5,5,4 | 1.3  |
+
   Scenario: A burst is granted once to an organisation that is put back
     Guards against a full stock of an organisation that was out of the policy
     for a moment.
--- a/features/steps/quota_decision_steps.py
+++ b/features/steps/quota_decision_steps.py
@@ -83,6 +83,17 @@
     play(context, factor, None, span)
 
 
+@when(
+    'the first home leaves, and {wait:g} s later clients send {factor:g} of '
+    'the limit for {span:g} s'
+)
+def leave_and_send(context, wait, factor, span):
+    """Let the first home leave before requests arrive."""
+    context.faults.cause('the first home leaves', 0.0)
+    context.network.play(wait, 0)
+    play(context, factor, None, span)
+
+
 @given(
     'each node has records of {count:d} dead nodes that the store does not '
     'list'
@@ -241,11 +252,11 @@
     assert count >= share * rate * span, count
 
 
-@then('fewer than 1 in 100 requests were refused')
-def check_refused(context):
+@then('fewer than 1 in {count:d} requests were refused')
+def check_refused(context, count):
     """Check the refusals of an organisation inside its limit."""
     network = context.network
-    assert len(network.refused) * 100 < network.sent, (
+    assert len(network.refused) * count < network.sent, (
         len(network.refused),
         network.sent,
     )
--- a/oleanderknot/decisions/quota_stock.py
+++ b/oleanderknot/decisions/quota_stock.py
@@ -59,6 +59,18 @@
             self.tokens = min(self.capacity, self.tokens + added)
             self.counted_at = end
 
+    def discount(self, now: float) -> None:
+        """Drop what another home may have created since the last refill.
+
+        A node that leaves passes on only the rest, so that both together
+        hold no more than one home may.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        created = self.rate * (now - self.counted_at)
+        self.tokens = min(self.tokens, max(0.0, self.capacity - created))
+
     def take(self, wanted: int) -> int:
         """Take up to a number of whole tokens and return how many."""
         taken = min(wanted, int(self.tokens + ROUNDING))
--- a/oleanderknot/tasks/quota_homes.py
+++ b/oleanderknot/tasks/quota_homes.py
@@ -62,9 +62,7 @@
         now = self.link.clock()
         number = request.number
         if not self.is_serving():
-            self.link.reply(
-                sender, model.QuotaGrant(number=number, declined=True)
-            )
+            self.lend_rest(sender, request, now)
             return
         organisation = self.find_organisation(request.organisation)
         if organisation is None:
@@ -135,6 +133,15 @@
     ) -> None:
         """Send tokens to another home at once, as far as there are any."""
         self.refill(request.organisation, issuer, now)
+        self.send_loan(issuer, sender, request)
+
+    def send_loan(
+        self,
+        issuer: decisions.QuotaIssuer,
+        sender: str,
+        request: model.QuotaRequest,
+    ) -> None:
+        """Send the tokens of a stock that a request asks for, if any."""
         tokens = issuer.lend(request.tokens)
         if tokens:
             self.count('quota.transferred', tokens)
@@ -148,6 +155,23 @@
             ),
         )
 
+    def lend_rest(
+        self, sender: str, request: model.QuotaRequest, now: float
+    ) -> None:
+        """Answer another home, while this node leaves, from what it has left.
+
+        Its stock would be lost with it, and the next home begins with none.
+        All other requests are declined.
+        """
+        issuer = self.issuers.get(request.organisation)
+        if issuer is None or not request.lending:
+            self.link.reply(
+                sender, model.QuotaGrant(number=request.number, declined=True)
+            )
+            return
+        issuer.stock.discount(now)
+        self.send_loan(issuer, sender, request)
+
     def refill(
         self, name: str, issuer: decisions.QuotaIssuer, now: float
     ) -> None:
@@ -197,12 +221,16 @@
         """Request tokens from the homes of the other data centres.
 
         A node that is not the home also asks that of its own data centre:
-        the senders of requests may not reach that one.
+        the senders of requests may not reach that one. A home that took the
+        place of a node that leaves in order asks that one.
         """
         homes = {
             data_centre: self.members.find_home(name, data_centre, now)
             for data_centre in self.members.data_centres
         }
+        predecessor = self.members.find_predecessor(name, now)
+        if predecessor is not None:
+            homes['%s, leaving' % predecessor] = predecessor
         own = self.members.identity.instance
         keys = [key for key, home in homes.items() if home not in (None, own)]
         while (loan := issuer.choose_loan(keys, now)) is not None:
--- a/oleanderknot/tasks/quota_members.py
+++ b/oleanderknot/tasks/quota_members.py
@@ -20,6 +20,10 @@
 # time without a request, and are full when they are needed again.
 DEPARTURE_RETENTION_S = 600.0
 
+# Time after the departure of a home in which the next one asks it for what it
+# has left. Nodes take a few seconds to stop.
+HANDOVER_S = 5.0
+
 NEVER = float('-inf')
 
 
@@ -170,6 +174,33 @@
             self.successions[organisation] = since
         return since
 
+    def find_predecessor(self, organisation: str, now: float) -> str | None:
+        """Return the node that leaves and whose place this one takes.
+
+        It declines requests of first nodes, so that it is asked although it
+        seems not to respond to them.
+        """
+        own = self.identity.instance
+        found = [
+            (at, name)
+            for name, at in self.departed_at.items()
+            if now - at < HANDOVER_S
+            and decisions.order_homes(organisation, (own, name), 1) == (name,)
+        ]
+        # The order may be older than the departure.
+        found += [(now, name) for name in self.list_before(organisation) or ()]
+        leaving = [
+            item
+            for item in found
+            if self.is_leaving(item[1]) and not self.is_cut_off(item[1])
+        ]
+        return max(leaving)[1] if leaving else None
+
+    def is_leaving(self, instance: str) -> bool:
+        """Return whether a node is known to leave, and has not left yet."""
+        member = self.table.members.get(instance)
+        return member is not None and member.state is model.MemberState.LEAVING
+
     def set_eligible(self, eligible: dict[str, set[str]]) -> None:
         """Set the nodes that may be homes."""
         if eligible != self.eligible:
@@ -223,8 +254,14 @@
 
     def is_lost(self, instance: str, now: float) -> bool:
         """Return whether a node is dead or does not respond to this one."""
-        if instance in self.dead or self.avoid_until.get(instance, 0.0) > now:
-            return True
+        return (
+            instance in self.dead
+            or self.avoid_until.get(instance, 0.0) > now
+            or self.is_cut_off(instance)
+        )
+
+    def is_cut_off(self, instance: str) -> bool:
+        """Return whether this node has no path to another one."""
         if instance == self.identity.instance:
             return False
         member = self.table.members.get(instance)
