Play planned stops among the random failures of quota homes

Cause: the scenario of coinciding failures had losses, cuts and restarts, but no home that leaves in order, which now lends what it has left.

Change: one of the failures drawn is a planned stop with a restart. All others are drawn as before.

--- a/features/support/quota_faults.py
+++ b/features/support/quota_faults.py
@@ -71,6 +71,12 @@
                 restart_after_s, self.network.restart, name
             )
 
+    def leave_if_running(self, name, restart_after_s):
+        """Stop a node in order and restart it, unless it is stopped."""
+        node = self.network.nodes[name]
+        if node.running and not node.leaving:
+            self.leave(name, restart_after_s)
+
     def restart_behind_cut(self, names, after_s):
         """Cut nodes off from the others, and kill and start them there."""
         self.cut(names, after_s=after_s)
@@ -151,6 +157,7 @@
                 lambda: self.cut(nodes[:1], nodes[1:3], after_s=span_s),
                 lambda: [self.kill(name, span_s) for name in nodes],
                 lambda: self.cut(nodes[:2], nodes[2:], after_s=span_s),
+                lambda: self.leave_if_running(nodes[0], span_s),
             )
         )()
         self.network.loop.call_later(
