Do not take a late acknowledgement for a new departure in the soak

Cause: a fault of the stand-in for back ends. It reported "ready" while a periodic heartbeat with "draining" waited for its answer. The answer came 0.7 ms after the report, and the record then said that another departure had been acknowledged; the report that it is ready stood before it, so nothing ended that departure. The node's log shows the return of the upstream in order.

Change: an acknowledgement counts only while its state is still the reported one. A departure that is acknowledged before the back end returns is checked as before.

Test: "A late acknowledgement of an earlier state is no departure" failed before, with ("state", "draining") after ("report", "ready").

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -70,6 +70,13 @@
     When it returns from a copy 50 times while other faults are set
     Then no call that sets a fault fails
 
+  Scenario: A late acknowledgement of an earlier state is no departure
+    Guards against a back end that is back, and of which the record says that
+    it has left, so that each of its requests is a finding.
+    Given a back end that has said "draining" and waits for the acknowledgement
+    When it says "ready", and both are acknowledged in turn
+    Then its record ends with the report and the acknowledgement of "ready"
+
   Scenario: Requests behind a closing answer are sent again
     Guards against lost requests that the soak would report as broken off.
     Given a pipeline whose first answer closes the connection
--- a/oleanderknot/standins/backend_heartbeats.py
+++ b/oleanderknot/standins/backend_heartbeats.py
@@ -85,7 +85,8 @@
             self.acknowledged_state = ''
             self.record('report', state=state)
         status = await self.post('heartbeat', content)
-        if status == 200 and state != self.acknowledged_state:
+        # The state may have changed while the node answered.
+        if status == 200 and state == self.state != self.acknowledged_state:
             self.acknowledged_state = state
             self.record('state', state=state)
         return status
