--- a/features/departed_clients.feature
+++ b/features/departed_clients.feature
@@ -43,6 +43,14 @@
     When a client of "one" sends 2 requests for "/page/1?delay_ms=1800" and an invalid one, waits 0.3 s and leaves
     Then the back end of "one" drops 2 of them before their end, and begins no other
 
+  Scenario: A connection that is not read is given up soon after its client left
+    Guards against work that goes on for more than half a second after the
+    client has left, or a timer that runs without a connection to watch.
+    Given a watch on a connection whose requests run and that is not read
+    When its client sends 1000 bytes and leaves
+    Then the watch gives it up within 0.5 s
+    And the watch has no timer
+
   Scenario: An answer of another node is not received for a client that has left
     Guards against the rest of a long answer that the other node keeps, and its
     task with it, as long as the connection lives.
--- a/features/steps/departed_client_steps.py
+++ b/features/steps/departed_client_steps.py
@@ -12,11 +12,13 @@
 from expression import Ok
 
 from features.support import raw_peer
+from features.support import virtual_loop
 from features.support import wait
 from oleanderknot import decisions
 from oleanderknot import model
 from oleanderknot import wire
 from oleanderknot.tasks import body_pipe
+from oleanderknot.tasks import departure_watch
 from oleanderknot.tasks import routed_dispatcher
 
 
@@ -132,6 +134,51 @@
     assert not late, late
 
 
+@given('a watch on a connection whose requests run and that is not read')
+def watch_connection(context):
+    """Connect a client to a socket that nothing reads."""
+    context.loop = virtual_loop.build_loop()
+    context.add_cleanup(context.loop.close)
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        context.client = socket.create_connection(server.getsockname())
+        accepted, _ = server.accept()
+    context.add_cleanup(accepted.close)
+    connection = mock.Mock(
+        pipeline=types.SimpleNamespace(busy=True),
+        transport=mock.Mock(get_extra_info=lambda name: accepted),
+    )
+    context.left = asyncio.Event()
+
+    async def watch():
+        context.watch = departure_watch.DepartureWatch(
+            on_left=lambda connection: context.left.set()
+        )
+        context.watch.add(connection)
+
+    context.loop.run_until_complete(watch())
+
+
+@when('its client sends {size:d} bytes and leaves')
+def leave_unread(context, size):
+    """Close the connection behind bytes that are not read."""
+    context.client.sendall(b'x' * size)
+    context.client.close()
+
+
+@then('the watch gives it up within {span:f} s')
+def check_given_up(context, span):
+    """Wait for the watch to find that the client has left."""
+    context.loop.run_until_complete(
+        asyncio.wait_for(context.left.wait(), span)
+    )
+
+
+@then('the watch has no timer')
+def check_no_timer(context):
+    """Check that nothing is scheduled without connections."""
+    assert context.watch.timer is None, context.watch.timer
+
+
 @given('a call whose answer of another node has arrived in part')
 def build_partial_answer(context):
     """Build a dispatcher with a connection that holds half an answer."""
